--- a/src/core/jobs.rs
+++ b/src/core/jobs.rs
@@ -1,7 +1,7 @@
 //! What users ask for, and how jobs progress and end.
 
 use super::leadership::creation;
-use super::machines::{Machine, StopReason};
+use super::machines::{Machines, StopReason};
 use super::mirror::{JobValue, job_key};
 use super::{Core, Effect, Pending, ReadPurpose, Ticket, note};
 use crate::http::Answer;
@@ -66,7 +66,7 @@
     pub fn stop_placed(
         &self,
         id: &JobId,
-        machines: &mut BTreeMap<MachineId, Machine>,
+        machines: &mut Machines,
         reason: StopReason,
         now: Instant,
     ) {
--- a/src/core/leadership.rs
+++ b/src/core/leadership.rs
@@ -3,12 +3,13 @@
 //! Leadership is a key attached to this process's lease. The transaction that creates it raises
 //! a persistent term, which the workers see as the upper part of their token.
 
-use super::machines::Machine;
+use super::machines::Machines;
 use super::mirror::{
     self, DoneValue, JobValue, LEADER, LeaderValue, MachineValue, TERM, TYPES, TermValue, done_key,
     job_key, key, machine_key,
 };
 use super::{CallId, Core, Effect, Pending, Ticket};
+use crate::board::Board;
 use crate::http::Answer;
 use crate::job::{Final, JobId, MachineId};
 use crate::state::{StateOutcome, StateRequest};
@@ -44,7 +45,9 @@
     pub key_version: u64,
     pub term: u64,
     pub since: Instant,
-    pub machines: BTreeMap<MachineId, Machine>,
+    pub machines: Machines,
+    /// What placing and renting see of the machines.
+    pub board: Board,
     /// Machines that are gone; what still arrives from them is old.
     pub gone: BTreeSet<MachineId>,
     /// Machines that an earlier leader may have given tasks that we have not seen yet.
@@ -154,6 +157,9 @@
     fn mirror_changed(&mut self) {
         if !self.mirror.types.is_empty() && self.types.is_empty() {
             self.types = self.mirror.types.clone();
+            if let Some(lead) = &mut self.lead {
+                lead.machines.note_all();
+            }
         }
         let mine = self.mirror.leader.as_ref().is_some_and(|(v, _)| {
             v.name == self.settings.name
@@ -255,7 +261,8 @@
             key_version,
             term,
             since: now,
-            machines: BTreeMap::new(),
+            machines: Machines::default(),
+            board: Board::default(),
             gone: BTreeSet::new(),
             unresolved: BTreeSet::new(),
             runs: BTreeMap::new(),
--- a/src/core/machines.rs
+++ b/src/core/machines.rs
@@ -7,8 +7,8 @@
 
 use super::mirror::MachineValue;
 use super::{Core, Effect, Pending, Ticket, note};
+use crate::board::{ImageTag, Offer, image_tag};
 use crate::cloud::{CloudOutcome, CloudRequest, MOST_DELETED};
-use crate::fleet::Offer;
 use crate::http::Answer;
 use crate::job::{JobId, Kind, MachineId, Resources, TaskKey};
 use crate::wire::{
@@ -117,8 +117,91 @@
     pub deleting: Option<&'static str>,
     pub idle_since: Instant,
     /// Images on it or being fetched, the latest used last.
-    pub images: Vec<(String, f64)>,
+    pub images: Vec<(ImageTag, f64)>,
     pub faults: Faults,
+    /// Whether the board shows it as open for tasks; time alone may change that.
+    pub open: bool,
+    /// It is among those whose change has been noted.
+    noted: bool,
+}
+
+/// All machines by id. Whoever changes one gets it from here, and that is noted: planning and
+/// the telling of commands then look at what changed, not at all there is.
+#[derive(Default)]
+pub struct Machines {
+    all: BTreeMap<MachineId, Machine>,
+    /// For the board, and for commands that should not wait for a report.
+    noted: Vec<MachineId>,
+    to_tell: BTreeSet<MachineId>,
+}
+
+impl Machines {
+    pub fn get(&self, id: &MachineId) -> Option<&Machine> {
+        self.all.get(id)
+    }
+
+    pub fn get_mut(&mut self, id: &MachineId) -> Option<&mut Machine> {
+        let m = self.all.get_mut(id)?;
+        if !m.noted {
+            m.noted = true;
+            self.noted.push(id.clone());
+        }
+        Some(m)
+    }
+
+    /// The machine of this id, made first if there is none.
+    pub fn get_or_add(&mut self, id: &MachineId, make: impl FnOnce() -> Machine) -> &mut Machine {
+        let m = self.all.entry(id.clone()).or_insert_with(make);
+        if !m.noted {
+            m.noted = true;
+            self.noted.push(id.clone());
+        }
+        m
+    }
+
+    pub fn remove(&mut self, id: &MachineId) -> Option<Machine> {
+        self.noted.push(id.clone());
+        self.to_tell.remove(id);
+        self.all.remove(id)
+    }
+
+    pub fn keys(&self) -> impl Iterator<Item = &MachineId> {
+        self.all.keys()
+    }
+
+    pub fn values(&self) -> impl Iterator<Item = &Machine> {
+        self.all.values()
+    }
+
+    /// What the board shows now; no change of the machine itself.
+    pub fn set_open(&mut self, id: &MachineId, open: bool) {
+        if let Some(m) = self.all.get_mut(id) {
+            m.open = open;
+        }
+    }
+
+    /// The types of machines changed, and with them what each is good for.
+    pub fn note_all(&mut self) {
+        let ids: Vec<MachineId> = self.all.keys().cloned().collect();
+        for id in ids {
+            self.get_mut(&id);
+        }
+    }
+
+    /// Those that changed since the last call, or are gone; the ones that have something to be
+    /// told join the others of that kind.
+    pub fn take_noted(&mut self) -> Vec<MachineId> {
+        let noted = std::mem::take(&mut self.noted);
+        for id in &noted {
+            if let Some(m) = self.all.get_mut(id) {
+                m.noted = false;
+                if m.push {
+                    self.to_tell.insert(id.clone());
+                }
+            }
+        }
+        noted
+    }
 }
 
 /// What speaks against a machine.
@@ -194,6 +277,8 @@
             idle_since: now,
             images: Vec::new(),
             faults: Faults::default(),
+            open: false,
+            noted: false,
         }
     }
 
@@ -217,9 +302,14 @@
             && now.saturating_duration_since(self.seen) < patience
     }
 
-    pub fn use_image(&mut self, image: &str, gb: f64, cache_gb: f64) {
-        self.images.retain(|(i, _)| i != image);
-        self.images.push((image.to_string(), gb));
+    /// Its latest failures speak against giving it tasks now.
+    pub fn avoided(&self, now: Instant) -> bool {
+        self.faults.avoid_until.is_some_and(|t| now < t)
+    }
+
+    pub fn use_image(&mut self, image: ImageTag, gb: f64, cache_gb: f64) {
+        self.images.retain(|(i, _)| *i != image);
+        self.images.push((image, gb));
         let mut total: f64 = self.images.iter().map(|(_, g)| g).sum();
         while total > cache_gb && self.images.len() > 1 {
             total -= self.images.remove(0).1;
@@ -271,7 +361,7 @@
             return None;
         }
         lead.last_report = Some(now);
-        lead.machines.entry(id.clone()).or_insert_with(|| {
+        lead.machines.get_or_add(&id, || {
             log::info!("machine {id}: unexpected, taken on");
             Machine::new(id.clone(), &report.kind, &report.zone, report.spot, now)
         });
@@ -419,7 +509,7 @@
         if !known {
             let spec = self.mirror.jobs.get(&key.job).map(|j| j.spec.clone());
             if let Some(spec) = &spec {
-                m.use_image(&spec.image, spec.image_gb, cache_gb);
+                m.use_image(image_tag(&spec.image), spec.image_gb, cache_gb);
             }
             let mut t = Placement {
                 attempt: row.attempt,
@@ -767,18 +857,22 @@
         let Some(until) = self.leader_until() else {
             return;
         };
-        let Some(lead) = &self.lead else { return };
+        self.refresh_board();
+        let Some(lead) = &mut self.lead else { return };
         let term = lead.term;
-        let due: Vec<MachineId> = lead
-            .machines
-            .values()
+        let silent = self.settings.report * 2;
+        let machines = &lead.machines.all;
+        lead.machines
+            .to_tell
+            .retain(|id| machines.get(id).is_some_and(|m| m.push));
+        let due: Vec<MachineId> = (lead.machines.to_tell.iter())
+            .filter_map(|id| machines.get(id))
             .filter(|m| {
-                m.push
-                    && m.session > 0
+                m.session > 0
                     && !m.session_over
                     && m.settled()
                     && now >= m.push_after
-                    && now.saturating_duration_since(m.seen) < self.settings.report * 2
+                    && now.saturating_duration_since(m.seen) < silent
             })
             .map(|m| m.id.clone())
             .collect();
@@ -942,23 +1036,24 @@
             }
         }
         lead.zones_back = back;
-        let faulty: Vec<MachineId> = lead
+        let usable = self.settings.report * 9 / 4;
+        let turned: Vec<MachineId> = lead
             .machines
             .values()
-            .filter(|m| m.deleting.is_none())
+            .filter(|m| m.open != (m.usable(now, usable) && !m.avoided(now)))
             .map(|m| m.id.clone())
             .collect();
+        for id in turned {
+            lead.machines.get_mut(&id);
+        }
+        if let Some(lead) = &self.lead {
+            let suspects = lead.machines.values().filter(|m| m.deleting.is_none());
+            let faulty = suspects.filter(|m| self.faulty(m));
+            silent.extend(faulty.map(|m| (m.id.clone(), "it is faulty")));
+        }
         for id in over {
             self.session_over(&id);
         }
-        for id in faulty {
-            let Some(m) = self.lead.as_ref().and_then(|l| l.machines.get(&id)) else {
-                continue;
-            };
-            if self.faulty(m) {
-                silent.push((id, "it is faulty"));
-            }
-        }
         for (id, why) in silent {
             self.give_up_machine(&id, why);
         }
@@ -1027,7 +1122,12 @@
     fn heed_notices(&mut self) {
         let now = self.now.mono;
         let Some(lead) = &mut self.lead else { return };
-        for m in lead.machines.values_mut() {
+        let noticed = lead.machines.values().filter(|m| m.notice.is_some());
+        let noticed: Vec<MachineId> = noticed.map(|m| m.id.clone()).collect();
+        for id in noticed {
+            let Some(m) = lead.machines.get_mut(&id) else {
+                continue;
+            };
             let Some(at) = m.notice else { continue };
             let left = at.saturating_duration_since(now);
             for (key, t) in &mut m.tasks {
@@ -1210,7 +1310,7 @@
                 for id in ids {
                     let m = Machine::new(id.clone(), &offer.0, &offer.1, offer.2, now);
                     if !lead.gone.contains(&id) {
-                        lead.machines.entry(id).or_insert(m).age =
+                        lead.machines.get_or_add(&id, || m).age =
                             now.saturating_duration_since(since);
                     }
                 }
@@ -1251,7 +1351,14 @@
             if lead.gone.contains(&l.id) {
                 continue;
             }
-            let m = lead.machines.entry(l.id.clone()).or_insert_with(|| {
+            let known = lead.machines.get(&l.id);
+            // Most machines are listed as they are known: nothing to change, nothing to note.
+            if known.is_some_and(|m| m.session > 0 && m.listed.is_some() && !m.addr.is_empty())
+                && l.state != ListedState::Failed
+            {
+                continue;
+            }
+            let m = lead.machines.get_or_add(&l.id, || {
                 log::info!("machine {}: found in the cloud's list, taken on", l.id);
                 Machine::new(l.id.clone(), &l.kind, &l.zone, l.spot, now)
             });
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -386,6 +386,7 @@
         if !types.is_empty() && types != self.types {
             if let Some(lead) = &mut self.lead {
                 lead.writes.types = true;
+                lead.machines.note_all();
             }
             self.types = types;
         }
--- a/src/core/recovery.rs
+++ b/src/core/recovery.rs
@@ -20,7 +20,7 @@
             // The predecessor stopped answering reports before our key could be created, so the
             // machine's lease runs from now at the latest.
             m.lease_from = now;
-            lead.machines.insert(id.clone(), m);
+            lead.machines.get_or_add(id, || m);
             lead.unresolved.insert(id.clone());
         }
         let machines: Vec<_> = lead.machines.keys().cloned().collect();
--- a/src/core/scheduling.rs
+++ b/src/core/scheduling.rs
@@ -5,11 +5,12 @@
 use super::leadership::Lead;
 use super::machines::{Machine, Phase, Placement, StopReason};
 use super::mirror::Job;
-use crate::fleet::{self, Offer, Unit, Unmet};
+use crate::board::{Board, Held, Host, Offer, Use, image_tag};
+use crate::fleet::{self, Coming, Unmet};
 use crate::job::{JobId, Kind, MachineId, Rank, Resources, TaskKey};
-use crate::plan::{self, Host, Running, Snapshot, TeamUse, Waiting};
+use crate::plan::{self, TeamUse, Waiting};
 use crate::policy::{Entry, JobFacts, MachineFacts};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
 /// Steps are this far apart at least, so that a flood of small changes is planned together.
@@ -17,8 +18,6 @@
 /// Without any change, waiting still changes what is best.
 const PLAN_EVERY: Duration = Duration::from_millis(1000);
 const FLEET_EVERY: Duration = Duration::from_millis(1000);
-/// Rows of one job that one step considers.
-const MOST_ROWS: usize = 256;
 
 /// How a class's run times compare with its estimates.
 #[derive(Clone, Copy, Debug, Default)]
@@ -60,10 +59,6 @@
 }
 
 impl View<'_> {
-    fn room(&self, kind: &str) -> Option<Resources> {
-        self.core.type_of(kind).map(|t| t.room())
-    }
-
     fn estimate(&self, job: &Job) -> Duration {
         let factor = self
             .lead
@@ -93,14 +88,6 @@
             }
         }
     }
-
-    fn free(&self, m: &Machine, room: Resources) -> Resources {
-        let mut free = room;
-        for t in m.tasks.values() {
-            free.sub(&t.needs);
-        }
-        free
-    }
 }
 
 impl Core {
@@ -158,7 +145,7 @@
     }
 
     /// What every team uses, tasks in doubt and tasks not seen yet included.
-    fn team_use(&self, lead: &Lead) -> Vec<TeamUse> {
+    fn team_use(&self, lead: &Lead, board: &Board) -> Vec<TeamUse> {
         let teams = &self.settings.teams;
         let mut used: Vec<TeamUse> = teams
             .iter()
@@ -167,15 +154,13 @@
                 gpus: 0.0,
                 cpus_max: t.cpus_max,
                 gpus_max: t.gpus_max,
+                cpus_own: t.cpus,
+                gpus_own: t.gpus,
             })
             .collect();
-        for m in lead.machines.values() {
-            for t in m.tasks.values() {
-                if let Some(u) = t.team.and_then(|i| used.get_mut(i)) {
-                    u.cpus += t.needs.cpus;
-                    u.gpus += t.needs.gpus;
-                }
-            }
+        for (i, u) in used.iter_mut().enumerate() {
+            let held = board.used(i);
+            (u.cpus, u.gpus) = (held.cpus, held.gpus);
         }
         if lead.unresolved.is_empty() {
             return used;
@@ -209,7 +194,7 @@
     }
 
     /// Jobs that fit into their team's guarantee together with the team's earlier unfinished ones.
-    fn guaranteed(&self, lead: &Lead) -> Vec<JobId> {
+    fn guaranteed(&self, lead: &Lead) -> BTreeSet<JobId> {
         let mut jobs: Vec<(&JobId, &Job)> = self
             .mirror
             .jobs
@@ -217,7 +202,7 @@
             .filter(|(id, _)| lead.runs.contains_key(*id))
             .collect();
         jobs.sort_by(|a, b| (a.1.submitted, a.0).cmp(&(b.1.submitted, b.0)));
-        let mut out = Vec::new();
+        let mut out = BTreeSet::new();
         for team in &self.settings.teams {
             if team.cpus <= 0.0 && team.gpus <= 0.0 {
                 continue;
@@ -228,7 +213,7 @@
                 if sum.cpus > team.cpus + 1e-6 || sum.gpus > team.gpus + 1e-6 {
                     break;
                 }
-                out.push((*id).clone());
+                out.insert((*id).clone());
             }
         }
         out
@@ -331,118 +316,119 @@
         line
     }
 
-    fn snapshot(&self, lead: &Lead) -> (Snapshot, Vec<MachineId>, Vec<JobId>, Vec<TaskKey>) {
-        let now = self.now.mono;
-        let view = self.view(lead);
-        let patience = self.settings.report * 9 / 4;
-        let mut hosts = Vec::new();
-        let mut running = Vec::new();
-        let mut keys = Vec::new();
-        let mut index: BTreeMap<&MachineId, usize> = BTreeMap::new();
-        let mut over: Vec<TeamUse> = self
-            .settings
-            .teams
-            .iter()
-            .map(|_| TeamUse::default())
-            .collect();
-        for m in lead.machines.values() {
-            let Some(room) = view.room(&m.kind) else {
-                continue;
-            };
-            let avoided = m.faults.avoid_until.is_some_and(|t| now < t);
-            if !m.usable(now, patience) || lead.unresolved.contains(&m.id) || avoided {
-                continue;
-            }
-            let host = hosts.len();
-            index.insert(&m.id, host);
-            hosts.push(Host {
-                id: m.id.clone(),
-                kind: m.kind.clone(),
-                zone: m.zone.clone(),
-                spot: m.spot,
-                room,
-                free: view.free(m, room),
-                fetch_gb_per_s: self.type_of(&m.kind).map_or(0.0, |t| t.fetch_gb_per_s),
-                images: m.images.iter().map(|(i, _)| i.clone()).collect(),
-                fetching: usize::from(m.tasks.values().any(|t| !t.runs())),
-                doubt: m.faults.pace.delay() + f64::from(m.faults.failures) * 4.0,
-            });
-            for (key, t) in &m.tasks {
-                let job = self.mirror.jobs.get(&key.job);
-                let ran = t
-                    .running_since
-                    .map_or(Duration::ZERO, |s| now.saturating_duration_since(s));
-                let at_stake = match job {
-                    Some(j) if !j.spec.checkpoint.is_zero() => ran.min(j.spec.checkpoint),
-                    _ => ran,
-                };
-                running.push(Running {
-                    host,
-                    job: usize::MAX,
-                    row: key.row,
-                    needs: t.needs,
-                    ends_in: view.ends_in(m, key, t),
-                    at_stake,
-                    rank: job.map_or(Rank::Low, |j| j.spec.rank),
-                    borrowed: false,
-                    stopping: t.stopping.is_some(),
-                });
-                keys.push(key.clone());
+    /// Puts what changed about machines on the board.
+    pub(super) fn refresh_board(&mut self) {
+        let Some(lead) = &mut self.lead else { return };
+        let changed = lead.machines.take_noted();
+        let mut board = std::mem::take(&mut lead.board);
+        let mut opened = Vec::with_capacity(changed.len());
+        if let Some(lead) = &self.lead {
+            let view = self.view(lead);
+            for id in changed {
+                let m = lead.machines.get(&id);
+                match m.and_then(|m| self.host(&mut board, &view, m)) {
+                    Some(host) => {
+                        opened.push((id, host.usage == Use::Open));
+                        board.put(host);
+                    }
+                    None => board.remove(&id),
+                }
             }
         }
-        // What a team runs beyond its guarantee is borrowed: its youngest tasks.
-        let mut oldest: Vec<usize> = (0..running.len()).collect();
-        oldest.sort_by_key(|&i| std::cmp::Reverse(running[i].at_stake));
-        let team_of = |key: &TaskKey| {
-            let job = self.mirror.jobs.get(&key.job)?;
-            self.settings.team_index(&job.spec.team)
+        let Some(lead) = &mut self.lead else { return };
+        for (id, open) in opened {
+            lead.machines.set_open(&id, open);
+        }
+        lead.board = board;
+    }
+
+    /// A machine as the board shows it; `None` while its type is unknown.
+    fn host(&self, board: &mut Board, view: &View, m: &Machine) -> Option<Host> {
+        let now = self.now.mono;
+        let t = self.type_of(&m.kind)?;
+        let offer = (m.kind.clone(), m.zone.clone(), m.spot);
+        let mut free = t.room();
+        for task in m.tasks.values() {
+            free.sub(&task.needs);
+        }
+        let unresolved = view.lead.unresolved.contains(&m.id);
+        let open = m.usable(now, self.settings.report * 9 / 4) && !unresolved && !m.avoided(now);
+        let usage = if open {
+            Use::Open
+        } else if m.deleting.is_some() || m.notice.is_some() || m.session_over {
+            Use::Closed
+        } else if (m.session == 0 && !unresolved) || !m.recorded {
+            let boot = Duration::from_secs_f64((t.boot_s * 1.1).min(1e6));
+            Use::Booting(m.known_since + boot.saturating_sub(m.age))
+        } else {
+            Use::Resting
         };
-        for i in oldest {
-            if let Some(t) = team_of(&keys[i]) {
-                let team = &self.settings.teams[t];
-                over[t].cpus += running[i].needs.cpus;
-                over[t].gpus += running[i].needs.gpus;
-                running[i].borrowed =
-                    over[t].cpus > team.cpus + 1e-6 || over[t].gpus > team.gpus + 1e-6;
+        let quiet = m.tasks.is_empty()
+            && m.session > 0
+            && m.call.is_none()
+            && m.doubt.is_none()
+            && usage != Use::Closed
+            && !unresolved;
+        let tasks = m.tasks.iter().map(|(key, task)| {
+            let job = view.jobs.get(&key.job);
+            Held {
+                key: key.clone(),
+                needs: task.needs,
+                ends: view.ends_in(m, key, task).map(|d| now + d),
+                since: task.running_since,
+                checkpoint: job.map(|j| j.spec.checkpoint).filter(|c| !c.is_zero()),
+                rank: job.map_or(Rank::Low, |j| j.spec.rank),
+                team: task.team,
+                stopping: task.stopping.is_some(),
             }
-        }
+        });
+        Some(Host {
+            id: m.id.clone(),
+            class: board.class(&offer, t.room(), t.fetch_gb_per_s),
+            free,
+            usage,
+            images: m.images.iter().map(|(i, _)| *i).collect(),
+            fetching: usize::from(m.tasks.values().any(|t| !t.runs())),
+            doubt: m.faults.pace.delay() + f64::from(m.faults.failures) * 4.0,
+            idle_since: quiet.then_some(m.idle_since),
+            tasks: tasks.collect(),
+        })
+    }
+
+    /// The queue as the plan sees it.
+    fn queue<'a>(&'a self, view: &View<'a>) -> Vec<Waiting<'a>> {
+        let now = self.now.mono;
+        let lead = view.lead;
         let mut queue = Vec::new();
-        let mut ids = Vec::new();
-        for entry in self.line(&view) {
+        for entry in self.line(view) {
             let (job, run) = (entry.job, entry.run);
-            let gang = job.spec.kind == Kind::Gang;
-            let rows: Vec<u32> = run
-                .queued
-                .iter()
-                .filter(|r| run.held.get(r).is_none_or(|t| now >= *t))
-                .take(if gang { usize::MAX } else { MOST_ROWS })
-                .copied()
-                .collect();
+            let whole = job.spec.kind == Kind::Gang;
+            let held = |t: &Instant| now < *t;
             // A gang starts whole: not while some of it is still elsewhere or held back.
-            let partly = gang && (!run.placed.is_empty() || rows.len() < run.queued.len());
-            if rows.is_empty() || partly {
+            if whole && (!run.placed.is_empty() || run.held.values().any(held)) {
                 continue;
             }
             let mut zones = BTreeMap::new();
-            for machine in run.placed.values() {
-                if let Some(m) = lead.machines.get(machine) {
-                    *zones.entry(m.zone.clone()).or_insert(0) += 1;
+            if job.spec.one_zone || job.spec.spread {
+                for machine in run.placed.values() {
+                    if let Some(m) = lead.machines.get(machine) {
+                        *zones.entry(m.zone.clone()).or_insert(0) += 1;
+                    }
                 }
             }
             let avoid = if run.suspect() {
                 Vec::new()
             } else {
-                run.failures
-                    .keys()
-                    .filter_map(|m| index.get(m).copied())
-                    .collect()
+                let slots = run.failures.keys().filter_map(|m| lead.board.slot(m));
+                slots.collect()
             };
             queue.push(Waiting {
                 spec: job.spec.clone(),
+                image: image_tag(&job.spec.image),
                 team: entry.team,
-                per_entry: if gang { rows.len() as u32 } else { 1 },
-                rows,
-                waited: Duration::from_secs_f64(entry.facts.wait),
+                queued: &run.queued,
+                held: &run.held,
+                whole,
                 estimate: entry.estimate,
                 zones,
                 avoid,
@@ -450,22 +436,8 @@
                 may_preempt: self.policy.truth(Entry::Preempt, &entry.facts),
                 merit: self.policy.number(Entry::Merit, &entry.facts) as f32,
             });
-            ids.push(entry.id.clone());
-        }
-        let names = hosts.iter().map(|h| h.id.clone()).collect();
-        for (i, key) in keys.iter().enumerate() {
-            if let Some(j) = ids.iter().position(|id| *id == key.job) {
-                running[i].job = j;
-            }
         }
-        let snap = Snapshot {
-            hosts,
-            running,
-            queue,
-            teams: self.team_use(lead),
-            largest: Resources::default(),
-        };
-        (snap, names, ids, keys)
+        queue
     }
 
     /// What is left of a gang that lost a task is stopped, so that it starts whole again.
@@ -488,42 +460,35 @@
 
     fn place(&mut self) {
         let now = self.now.mono;
-        let Some(lead) = &self.lead else { return };
-        let (snap, hosts, jobs, keys) = self.snapshot(lead);
-        let on: Vec<usize> = snap.running.iter().map(|r| r.host).collect();
-        let specs: Vec<_> = snap
-            .queue
-            .iter()
-            .map(|w| (w.spec.clone(), w.team))
-            .collect();
+        self.refresh_board();
+        let Some(lead) = &mut self.lead else { return };
+        let mut board = std::mem::take(&mut lead.board);
         let mut scratch = std::mem::take(&mut self.scratch);
-        let decided = if snap.queue.is_empty() || snap.hosts.is_empty() {
-            plan::Plan::default()
-        } else {
-            plan::plan(snap, &mut scratch)
-        };
+        let mut decided = plan::Plan::default();
+        let mut jobs = Vec::new();
+        if let Some(lead) = &self.lead {
+            let mut queue = self.queue(&self.view(lead));
+            let mut teams = self.team_use(lead, &board);
+            decided = plan::plan(&mut board, &mut queue, &mut teams, now, &mut scratch);
+            jobs = queue.into_iter().map(|w| (w.spec, w.team)).collect();
+        }
         self.scratch = scratch;
-        let caches: BTreeMap<String, f64> = self
-            .types
-            .iter()
-            .map(|t| (t.name.clone(), t.cache_gb))
-            .collect();
         let Some(lead) = &mut self.lead else { return };
+        lead.board = board;
         lead.planned = Some(now);
         // A step repeats at once while it starts tasks.
         lead.plan_again = !decided.starts.is_empty();
-        lead.head = decided.head.map(|(j, after)| (jobs[j].clone(), after));
+        lead.head = decided.head.map(|(j, after)| (jobs[j].0.id.clone(), after));
         let mut gang_attempt = None;
         for s in decided.starts {
-            let (Some(run), Some(m)) = (
-                lead.runs.get_mut(&jobs[s.job]),
-                lead.machines.get_mut(&hosts[s.host]),
-            ) else {
+            let (spec, team) = &jobs[s.job];
+            let id = lead.board.host(s.host).id.clone();
+            let (Some(run), Some(m)) = (lead.runs.get_mut(&spec.id), lead.machines.get_mut(&id))
+            else {
                 continue;
             };
-            let (spec, team) = &specs[s.job];
             let key = TaskKey {
-                job: jobs[s.job].clone(),
+                job: spec.id.clone(),
                 row: s.row,
             };
             if m.tasks.contains_key(&key) || !run.queued.remove(&s.row) {
@@ -538,9 +503,10 @@
             }
             // Unique for ever, as terms are: an attempt is never used twice.
             let attempt = (lead.term << 32) | lead.attempts;
-            log::debug!("task {key} attempt {attempt} placed on {}", m.id);
-            let cache = caches.get(&m.kind).copied().unwrap_or(0.0);
-            m.use_image(&spec.image, spec.image_gb, cache);
+            log::debug!("task {key} attempt {attempt} placed on {id}");
+            let t = self.types.iter().find(|t| t.name == m.kind);
+            let cache = t.map_or(0.0, |t| t.cache_gb);
+            m.use_image(image_tag(&spec.image), spec.image_gb, cache);
             m.tasks.insert(
                 key,
                 Placement {
@@ -555,11 +521,12 @@
             );
             m.push = true;
         }
-        for i in decided.stops {
-            if let Some(m) = lead.machines.get_mut(&hosts[on[i]])
-                && let Some(t) = m.tasks.get_mut(&keys[i])
+        for (slot, key) in decided.stops {
+            let id = lead.board.host(slot).id.clone();
+            if let Some(m) = lead.machines.get_mut(&id)
+                && let Some(t) = m.tasks.get_mut(&key)
             {
-                log::info!("task {} on {} makes room", keys[i], m.id);
+                log::info!("task {key} on {id} makes room");
                 t.stop(StopReason::Preempted, now);
                 m.push = true;
             }
@@ -568,15 +535,17 @@
 
     fn tend_fleet(&mut self) {
         let now = self.now.mono;
+        self.refresh_board();
         let Some(lead) = &mut self.lead else { return };
         lead.fleet_at = Some(now);
+        lead.board.sum_again();
         let Some(lead) = &self.lead else { return };
         if self.types.is_empty() {
             return;
         }
         let view = self.view(lead);
-        let units = self.units(&view);
         let unmet = self.unmet(&view);
+        let coming = self.coming(lead);
         let mut zones: BTreeMap<&str, (u32, u32)> = BTreeMap::new();
         for m in lead.machines.values().filter(|m| m.session > 0) {
             let z = zones.entry(&m.zone).or_default();
@@ -598,12 +567,12 @@
                 .map(|(z, _)| z.to_string())
                 .collect(),
         };
-        let rents = fleet::rent(&units, &unmet, &market);
+        let rents = fleet::rent(&lead.board, &coming, &unmet, &market, now);
         // A new leader first learns what there is.
         let settled = lead.unresolved.is_empty()
             && now.saturating_duration_since(lead.since) > self.settings.report * 2;
         let returns = if settled {
-            fleet::give_back(&units, &unmet, |u| self.idle_keep(lead, u))
+            fleet::give_back(&lead.board, &unmet, now, |id| self.idle_keep(lead, id))
         } else {
             Vec::new()
         };
@@ -660,21 +629,21 @@
         );
     }
 
-    fn idle_keep(&self, lead: &Lead, u: &Unit) -> Duration {
-        let t = self.type_of(&u.kind);
-        let m = lead.machines.get(&u.id);
-        let age = m.map_or(Duration::ZERO, |m| {
-            m.age + self.now.mono.saturating_duration_since(m.known_since)
-        });
+    fn idle_keep(&self, lead: &Lead, id: &MachineId) -> Duration {
+        let Some(m) = lead.machines.get(id) else {
+            return Duration::ZERO;
+        };
+        let t = self.type_of(&m.kind);
+        let age = m.age + self.now.mono.saturating_duration_since(m.known_since);
         let price = t.map_or(0.0, |t| {
-            if u.spot {
+            if m.spot {
                 t.spot_price.unwrap_or(t.price)
             } else {
                 t.price
             }
         });
         let facts = MachineFacts {
-            spot: u.spot,
+            spot: m.spot,
             price,
             cpus: t.map_or(0.0, |t| t.cpus),
             ram: t.map_or(0.0, |t| t.ram),
@@ -685,66 +654,25 @@
         Duration::from_secs_f64(s.clamp(0.0, 1e7))
     }
 
-    fn units(&self, view: &View) -> Vec<Unit> {
-        let now = self.now.mono;
-        let lead = view.lead;
-        let mut units = Vec::new();
-        for m in lead.machines.values() {
-            let (Some(room), Some(t)) = (view.room(&m.kind), self.type_of(&m.kind)) else {
-                continue;
-            };
-            let suspended = m.notice.is_some() || m.session_over;
-            if m.deleting.is_some() || suspended {
-                continue;
-            }
-            let boots = m.session == 0 && !lead.unresolved.contains(&m.id);
-            let age = m.age + now.saturating_duration_since(m.known_since);
-            let boot = Duration::from_secs_f64((t.boot_s * 1.1).min(1e6));
-            let quiet = m.tasks.is_empty()
-                && m.session > 0
-                && m.call.is_none()
-                && m.doubt.is_none()
-                && !lead.unresolved.contains(&m.id);
-            units.push(Unit {
-                id: m.id.clone(),
-                kind: m.kind.clone(),
-                zone: m.zone.clone(),
-                spot: m.spot,
-                free: view.free(m, room),
-                ready_in: (boots || !m.recorded)
-                    .then(|| boot.saturating_sub(age).max(Duration::from_secs(1))),
-                idle: quiet.then(|| now.saturating_duration_since(m.idle_since)),
-                ends: m
-                    .tasks
-                    .iter()
-                    .filter_map(|(k, t)| Some((view.ends_in(m, k, t)?, t.needs)))
-                    .collect(),
-            });
-        }
-        for op in lead.market.rents.values() {
-            let Some(t) = self.type_of(&op.body.kind) else {
-                continue;
-            };
-            for _ in 0..op.body.count {
-                units.push(Unit {
-                    id: "".into(),
-                    kind: op.body.kind.clone(),
-                    zone: op.body.zone.clone(),
-                    spot: op.body.spot,
-                    free: t.room(),
-                    ready_in: Some(Duration::from_secs_f64(t.boot_s.min(1e6))),
-                    idle: None,
-                    ends: Vec::new(),
-                });
-            }
-        }
-        units
+    /// Machines that were asked for and not named yet.
+    fn coming(&self, lead: &Lead) -> Vec<Coming> {
+        let rents = lead.market.rents.values();
+        let coming = rents.filter_map(|op| {
+            let t = self.type_of(&op.body.kind)?;
+            Some(Coming {
+                offer: (op.body.kind.clone(), op.body.zone.clone(), op.body.spot),
+                room: t.room(),
+                count: op.body.count,
+                ready_in: Duration::from_secs_f64(t.boot_s.min(1e6)),
+            })
+        });
+        coming.collect()
     }
 
     /// What waits for room, in the queue's order, within the teams' limits.
     fn unmet(&self, view: &View) -> Vec<Unmet> {
         let lead = view.lead;
-        let teams = self.team_use(lead);
+        let teams = self.team_use(lead, &lead.board);
         let mut spare: Vec<f64> = teams
             .iter()
             .map(|t| t.cpus_max.map_or(f64::INFINITY, |m| m - t.cpus))
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -1,27 +1,11 @@
-//! Renting and returning: from a snapshot of demand and machines to calls on the cloud. Pure.
+//! Renting and returning: from the board and what waits to calls on the cloud. Pure.
 
+use crate::board::{Board, Offer, Use};
 use crate::job::{JobSpec, MachineId, Resources};
 use crate::wire::MachineType;
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::time::Duration;
-
-/// A machine as far as renting and returning is concerned.
-#[derive(Clone, Debug)]
-pub struct Unit {
-    pub id: MachineId,
-    pub kind: String,
-    pub zone: String,
-    pub spot: bool,
-    /// Room left for more tasks; all of it for a machine that boots.
-    pub free: Resources,
-    /// Time until it can take tasks; `None` when it can now.
-    pub ready_in: Option<Duration>,
-    /// It holds nothing and has held nothing for this long.
-    pub idle: Option<Duration>,
-    /// Times at which its running tasks are expected to end, with what they free.
-    pub ends: Vec<(Duration, Resources)>,
-}
+use std::time::{Duration, Instant};
 
 /// Tasks of one job that wait for room.
 #[derive(Clone, Debug)]
@@ -34,8 +18,14 @@
     pub patience: Duration,
 }
 
-/// A kind of machine in a zone, ordinary or spot.
-pub type Offer = (String, String, bool);
+/// Machines that were asked for and have no names yet.
+#[derive(Clone, Debug)]
+pub struct Coming {
+    pub offer: Offer,
+    pub room: Resources,
+    pub count: u32,
+    pub ready_in: Duration,
+}
 
 #[derive(Clone, Debug, Default)]
 pub struct Market {
@@ -54,158 +44,222 @@
 
 /// Most machines that one request may name.
 const MOST_PER_REQUEST: u32 = 50;
-/// Entries looked at in one step; more would only cost time.
-const MOST_ENTRIES: usize = 400;
 
-fn price(t: &MachineType, spot: bool) -> Option<f64> {
-    if spot { t.spot_price } else { Some(t.price) }
+/// Room that comes by itself: what running tasks and booting machines will give.
+struct Forecast<'a> {
+    board: &'a Board,
+    /// Machines that are on their way come after the board's, numbered on.
+    coming: Vec<&'a Coming>,
+    /// What becomes free and when, the earliest first.
+    gains: BTreeMap<(Duration, usize), Resources>,
+    /// Room of each machine that was too little for a job, and may add up with more. A machine
+    /// that is missing here has been looked at by nobody yet.
+    rest: BTreeMap<usize, Resources>,
+    /// When each machine that boots is expected.
+    boots: BTreeMap<usize, Duration>,
+    last_boot: Duration,
 }
 
-/// Which machines to rent so that no waiting task waits longer than its job's patience.
-pub fn rent(units: &[Unit], unmet: &[Unmet], market: &Market) -> Vec<Rent> {
-    // What each machine frees and when, earliest first, used up by the queue in its order.
-    let mut slots: Vec<(Duration, usize)> = Vec::new();
-    let mut free: Vec<Resources> = units.iter().map(|u| u.free).collect();
-    let mut gains: BTreeMap<(Duration, usize), Resources> = BTreeMap::new();
-    for (i, u) in units.iter().enumerate() {
-        if let Some(r) = u.ready_in {
-            slots.push((r, i));
-            gains.insert((r, i), free[i]);
-            free[i] = Resources::default();
+/// Slots on the board are below this, machines that are on their way above.
+const ON_ITS_WAY: usize = 1 << 32;
+
+impl<'a> Forecast<'a> {
+    fn new(board: &'a Board, coming: &'a [Coming], now: Instant, horizon: Duration) -> Self {
+        let mut gains: BTreeMap<(Duration, usize), Resources> = BTreeMap::new();
+        let mut boots = BTreeMap::new();
+        for (at, slot, t) in board.ends(now) {
+            let after = at.saturating_duration_since(now);
+            if after > horizon {
+                break;
+            }
+            if board.host(slot).usage != Use::Closed {
+                gains.entry((after, slot)).or_default().add(&t.needs);
+            }
         }
-        for (at, needs) in &u.ends {
-            gains
-                .entry((*at, i))
-                .and_modify(|r| r.add(needs))
-                .or_insert(*needs);
-            slots.push((*at, i));
+        for slot in board.booting() {
+            let h = board.host(slot);
+            if let Use::Booting(at) = h.usage {
+                // Later than expected: at any moment, as far as one knows.
+                let after = at.saturating_duration_since(now);
+                let after = after.max(Duration::from_secs(1));
+                gains.insert((after, slot), h.free);
+                boots.insert(slot, after);
+            }
+        }
+        let coming: Vec<&Coming> = coming
+            .iter()
+            .flat_map(|c| (0..c.count).map(move |_| c))
+            .collect();
+        for (i, c) in coming.iter().enumerate() {
+            gains.insert((c.ready_in, ON_ITS_WAY + i), c.room);
+            boots.insert(ON_ITS_WAY + i, c.ready_in);
+        }
+        let last_boot = boots.values().copied().max().unwrap_or_default();
+        Forecast {
+            last_boot,
+            board,
+            coming,
+            gains,
+            rest: BTreeMap::new(),
+            boots,
         }
     }
-    slots.sort();
-    slots.dedup();
-    let mut out: BTreeMap<Offer, u32> = BTreeMap::new();
-    let mut seen = 0usize;
-    for u in unmet {
-        if seen >= MOST_ENTRIES {
-            break;
+
+    fn offer(&self, unit: usize) -> &Offer {
+        if unit >= ON_ITS_WAY {
+            &self.coming[unit - ON_ITS_WAY].offer
+        } else {
+            &self.board.class_of(unit).offer
         }
-        let asked = u.tasks.min((MOST_ENTRIES - seen) as u32);
-        seen += asked as usize;
-        let mut left = asked;
-        let allowed = |i: usize| {
-            let m = &units[i];
-            (u.spec.spot || !m.spot) && u.spec.allows_type(&m.kind) && u.spec.allows_zone(&m.zone)
+    }
+
+    /// Gives what it can of the coming room to a job's tasks, in time or where a machine is
+    /// booting anyway, and says how many are left. Each task gives its room back after its run.
+    fn serve(&mut self, u: &Unmet) -> u32 {
+        let mut left = u.tasks;
+        let needs = u.spec.needs;
+        let allowed = |(kind, zone, spot): &Offer| {
+            (u.spec.spot || !spot) && u.spec.allows_type(kind) && u.spec.allows_zone(zone)
         };
-        // Tasks go where room comes first; each then gives the room back after its run time.
-        let mut pending: Vec<(Duration, usize, Resources)> = gains
-            .iter()
-            .filter(|((at, i), _)| {
-                // A machine that boots counts however late it comes, or it is rented again.
-                allowed(*i) && (*at <= u.patience || units[*i].ready_in == Some(*at))
-            })
-            .map(|((at, i), r)| (*at, *i, *r))
-            .collect();
-        let mut used = 0usize;
-        while used < pending.len() && left > 0 {
-            let (at, i, gain) = pending[used];
-            used += 1;
-            gains.remove(&(at, i));
-            free[i].add(&gain);
-            while left > 0 && u.spec.needs.fits(&free[i]) {
-                free[i].sub(&u.spec.needs);
-                left -= 1;
-                let end = at + u.estimate;
-                gains
-                    .entry((end, i))
-                    .and_modify(|r| r.add(&u.spec.needs))
-                    .or_insert(u.spec.needs);
-                if end <= u.patience && !u.spec.estimate.is_zero() {
-                    let place = pending.partition_point(|p| (p.0, p.1) <= (end, i));
-                    match pending[used..].iter_mut().find(|p| p.0 == end && p.1 == i) {
-                        Some(p) => p.2.add(&u.spec.needs),
-                        None => pending.insert(place.max(used), (end, i, u.spec.needs)),
-                    }
+        let mut from = (Duration::ZERO, 0);
+        while left > 0
+            && let Some((&(at, unit), &gain)) = self.gains.range(from..).next()
+        {
+            from = (at, unit + 1);
+            if at > u.patience.max(self.last_boot) {
+                break;
+            }
+            // A machine that boots counts however late it comes, or it is rented again.
+            let in_time = at <= u.patience || self.boots.get(&unit) == Some(&at);
+            if !in_time || !allowed(self.offer(unit)) {
+                continue;
+            }
+            self.gains.remove(&(at, unit));
+            let idle = || {
+                if self.boots.contains_key(&unit) {
+                    Resources::default()
+                } else {
+                    self.board.host(unit).free
                 }
+            };
+            let mut room = self.rest.remove(&unit).unwrap_or_else(idle);
+            room.add(&gain);
+            let n = needs.count_in(&room).min(left);
+            room.sub(&needs.times(f64::from(n)));
+            left -= n;
+            if left == 0 {
+                // What this job does not need is there for the next one, at the same time.
+                self.gains.insert((at, unit), room);
+                self.rest.insert(unit, Resources::default());
+            } else {
+                self.rest.insert(unit, room);
+            }
+            if n > 0 {
+                let back = self.gains.entry((at + u.estimate, unit)).or_default();
+                back.add(&needs.times(f64::from(n)));
             }
         }
+        left
+    }
+}
+
+/// Which machines to rent so that no waiting task waits longer than its job's patience.
+pub fn rent(
+    board: &Board,
+    coming: &[Coming],
+    unmet: &[Unmet],
+    market: &Market,
+    now: Instant,
+) -> Vec<Rent> {
+    let Some(horizon) = unmet.iter().map(|u| u.patience).max() else {
+        return Vec::new();
+    };
+    let mut forecast = Forecast::new(board, coming, now, horizon);
+    let mut out: BTreeMap<Offer, u32> = BTreeMap::new();
+    for u in unmet {
+        let left = forecast.serve(u);
         if left > 0 {
             shop(u, left, market, &mut out);
         }
     }
-    out.into_iter()
-        .map(|(offer, count)| Rent {
-            offer,
-            count: count.min(MOST_PER_REQUEST),
-        })
-        .collect()
+    let mut rents = Vec::new();
+    for (offer, mut count) in out {
+        while count > 0 {
+            let part = count.min(MOST_PER_REQUEST);
+            let offer = offer.clone();
+            rents.push(Rent { offer, count: part });
+            count -= part;
+        }
+    }
+    rents
 }
 
 /// Picks the offers that carry `left` tasks of a job for the least money.
 fn shop(u: &Unmet, mut left: u32, market: &Market, out: &mut BTreeMap<Offer, u32>) {
-    while left > 0 {
-        let mut best: Option<(f64, Offer, u32)> = None;
-        for t in market.types.iter().filter(|t| u.spec.allows_type(&t.name)) {
-            let fit = u.spec.needs.count_in(&t.room());
-            if fit == 0 {
+    // Price of each offer before its size against what is left counts.
+    let mut offers: Vec<(f64, u32, Offer)> = Vec::new();
+    for t in market.types.iter().filter(|t| u.spec.allows_type(&t.name)) {
+        let fit = u.spec.needs.count_in(&t.room());
+        if fit == 0 {
+            continue;
+        }
+        // The time before a machine does anything useful is paid for as well.
+        let fetch = u.spec.image_gb / t.fetch_gb_per_s.max(0.01);
+        let useful = 120.0 / (120.0 + t.boot_s + fetch);
+        // A large machine is paid for until its last task ends.
+        let bulk = 1.0 + 0.02 * f64::from(fit.min(16) - 1);
+        for zone in &t.zones {
+            if !u.spec.allows_zone(zone) || market.cut.contains(zone) {
                 continue;
             }
-            for zone in &t.zones {
-                if !u.spec.allows_zone(zone) || market.cut.contains(zone) {
-                    continue;
-                }
-                for spot in [true, false] {
-                    if spot && !u.spec.spot {
-                        continue;
-                    }
-                    let offer = (t.name.clone(), zone.clone(), spot);
-                    let Some(price) = price(t, spot) else {
-                        continue;
-                    };
-                    if market.refused.contains(&offer) {
-                        continue;
-                    }
-                    // The time before a machine does anything useful is paid for as well.
-                    let fetch = u.spec.image_gb / t.fetch_gb_per_s.max(0.01);
-                    let useful = 120.0 / (120.0 + t.boot_s + fetch);
-                    let carried = fit.min(left);
-                    // A large machine is paid for until its last task ends.
-                    let bulk = 1.0 + 0.02 * f64::from(fit.min(16) - 1);
-                    let cost = price / f64::from(carried) / useful
-                        * bulk
-                        * (1.0 + 0.001 * f64::from(out.get(&offer).copied().unwrap_or(0)));
-                    if best.as_ref().is_none_or(|(c, _, _)| cost < *c) {
-                        best = Some((cost, offer, fit));
-                    }
+            for spot in [true, false] {
+                let price = if spot { t.spot_price } else { Some(t.price) };
+                let offer = (t.name.clone(), zone.clone(), spot);
+                if let Some(price) = price
+                    && (u.spec.spot || !spot)
+                    && !market.refused.contains(&offer)
+                {
+                    offers.push((price / useful * bulk, fit, offer));
                 }
             }
         }
-        let Some((_, offer, fit)) = best else { return };
-        let n = out.entry(offer).or_default();
-        if *n >= MOST_PER_REQUEST {
+    }
+    while left > 0 {
+        let cost = |(cost, fit, offer): &(f64, u32, Offer)| {
+            // Among equals, zones take turns.
+            let taken = f64::from(out.get(offer).copied().unwrap_or(0));
+            cost / f64::from((*fit).min(left)) * (1.0 + 0.001 * taken)
+        };
+        let Some((_, fit, offer)) = offers.iter().min_by(|a, b| cost(a).total_cmp(&cost(b))) else {
             return;
-        }
-        *n += 1;
-        left = left.saturating_sub(fit);
+        };
+        *out.entry(offer.clone()).or_default() += 1;
+        left = left.saturating_sub(*fit);
     }
 }
 
 /// Machines that have idled longer than `keep` and are not wanted.
 pub fn give_back(
-    units: &[Unit],
+    board: &Board,
     unmet: &[Unmet],
-    keep: impl Fn(&Unit) -> Duration,
+    now: Instant,
+    keep: impl Fn(&MachineId) -> Duration,
 ) -> Vec<MachineId> {
-    units
-        .iter()
-        .filter(|m| m.idle.is_some_and(|d| d > keep(m)))
-        .filter(|m| {
-            !unmet.iter().any(|u| {
-                (u.spec.spot || !m.spot)
-                    && u.spec.allows_type(&m.kind)
-                    && u.spec.allows_zone(&m.zone)
-                    && u.spec.needs.fits(&m.free)
-            })
-        })
-        .map(|m| m.id.clone())
+    let idle = |slot: &usize| {
+        let h = board.host(*slot);
+        let idle = h.idle_since.map(|t| now.saturating_duration_since(t));
+        idle.is_some_and(|d| d > keep(&h.id))
+    };
+    let unwanted = |slot: &usize| {
+        let (h, class) = (board.host(*slot), board.class_of(*slot));
+        !unmet
+            .iter()
+            .any(|u| class.allowed(&u.spec) && u.spec.needs.fits(&h.free))
+    };
+    board
+        .idle()
+        .filter(idle)
+        .filter(unwanted)
+        .map(|slot| board.host(slot).id.clone())
         .collect()
 }
--- a/src/plan.rs
+++ b/src/plan.rs
@@ -1,69 +1,38 @@
-//! Placement: from a snapshot of machines and queue to starts and stops. Pure.
+//! Placement: from the board and the queue to starts and stops. Pure.
 //!
 //! This is the thesis's LOS with its Max-Slowdown merit (sections 3.2 to 3.5): the head starts if
 //! it fits, else it gets a reservation at its shadow time, and a dynamic program picks the set of
 //! later entries that fills the free room best without delaying that reservation.
 
-use crate::job::{JobSpec, MachineId, Rank, Resources};
-use std::collections::BTreeMap;
+use crate::board::{Board, Class, ImageTag, Use};
+use crate::job::{JobSpec, Resources, TaskKey};
+use std::cmp::Ordering;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// The dynamic program looks at this many fitting entries (limited lookahead, section 3.5.1).
 pub const LOOKAHEAD: usize = 50;
-/// Room is counted in at most this many units, which bounds the program's memory and time.
+/// The dynamic program's tables have at most this many units a side, which bounds its memory and
+/// time; where the entries together are larger, its unit is coarser.
 const MOST_UNITS: usize = 128;
 
-/// A machine that may be given tasks.
-#[derive(Clone, Debug)]
-pub struct Host {
-    pub id: MachineId,
-    pub kind: String,
-    pub zone: String,
-    pub spot: bool,
-    pub room: Resources,
-    pub free: Resources,
-    pub fetch_gb_per_s: f64,
-    /// Images that are on the machine or being fetched.
-    pub images: Vec<String>,
-    /// How many fetches share the machine's rate now.
-    pub fetching: usize,
-    /// Doubts about the machine, in seconds of delay that it is worth to avoid it.
-    pub doubt: f64,
-}
-
-/// A task that holds room.
-#[derive(Clone, Debug)]
-pub struct Running {
-    pub host: usize,
-    pub job: usize,
-    pub row: u32,
-    pub needs: Resources,
-    /// Estimated time to its end; `None` for services and overruns, which count as endless.
-    pub ends_in: Option<Duration>,
-    /// Work that would be lost if it were stopped now.
-    pub at_stake: Duration,
-    pub rank: Rank,
-    /// It runs beyond its team's guarantee.
-    pub borrowed: bool,
-    pub stopping: bool,
-}
-
 /// A job with queued entries. Jobs come in the order of the queue.
-#[derive(Clone, Debug)]
-pub struct Waiting {
+#[derive(Clone)]
+pub struct Waiting<'a> {
     pub spec: Arc<JobSpec>,
+    pub image: ImageTag,
     pub team: usize,
-    /// Rows that may be started now.
-    pub rows: Vec<u32>,
-    /// Tasks per entry: 1, or all of them for a job that starts whole.
-    pub per_entry: u32,
-    pub waited: Duration,
+    /// Rows that wait, and those of them that may not be started before some moment.
+    pub queued: &'a BTreeSet<u32>,
+    pub held: &'a BTreeMap<u32, Instant>,
+    /// It starts with all of its tasks or not at all.
+    pub whole: bool,
     /// Expected run time of a task.
     pub estimate: Duration,
-    /// Tasks of this job that hold room already, by zone.
+    /// Tasks of this job that hold room already, by zone; only kept where its zones are bound.
     pub zones: BTreeMap<String, u32>,
-    /// Hosts this job should avoid because its tasks failed there.
+    /// Machines this job should avoid because its tasks failed there.
     pub avoid: Vec<usize>,
     /// The job fits into its team's guarantee.
     pub guaranteed: bool,
@@ -73,6 +42,40 @@
     pub merit: f32,
 }
 
+impl<'a> Waiting<'a> {
+    /// Rows that may be started now.
+    fn rows(&self, now: Instant) -> impl Iterator<Item = u32> + 'a {
+        let (queued, held) = (self.queued, self.held);
+        queued
+            .iter()
+            .filter(move |r| held.get(r).is_none_or(|t| now >= *t))
+            .copied()
+    }
+
+    /// Tasks per entry.
+    fn per_entry(&self) -> u32 {
+        if self.whole {
+            self.queued.len() as u32
+        } else {
+            1
+        }
+    }
+
+    fn bound_to_zones(&self) -> bool {
+        self.spec.one_zone || self.spec.spread
+    }
+
+    fn zone_allows(&self, zone: &str) -> bool {
+        if !self.bound_to_zones() {
+            return true;
+        }
+        if self.spec.one_zone && self.zones.keys().any(|z| z != zone) {
+            return false;
+        }
+        self.zones.get(zone).copied().unwrap_or(0) < self.spec.zone_cap()
+    }
+}
+
 /// What a team uses and may use.
 #[derive(Clone, Debug, Default)]
 pub struct TeamUse {
@@ -80,6 +83,9 @@
     pub gpus: f64,
     pub cpus_max: Option<f64>,
     pub gpus_max: Option<f64>,
+    /// Its guarantee; what its tasks hold beyond it is borrowed.
+    pub cpus_own: f64,
+    pub gpus_own: f64,
 }
 
 impl TeamUse {
@@ -96,28 +102,19 @@
     }
 }
 
-#[derive(Clone, Debug, Default)]
-pub struct Snapshot {
-    pub hosts: Vec<Host>,
-    pub running: Vec<Running>,
-    pub queue: Vec<Waiting>,
-    pub teams: Vec<TeamUse>,
-    /// The most that a machine has of each resource; `plan` fills it in.
-    pub largest: Resources,
-}
-
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Start {
     pub job: usize,
     pub row: u32,
+    /// The machine's slot on the board.
     pub host: usize,
 }
 
 #[derive(Clone, Debug, Default)]
 pub struct Plan {
     pub starts: Vec<Start>,
-    /// Indices into `Snapshot::running`.
-    pub stops: Vec<usize>,
+    /// Tasks to stop, with their machines.
+    pub stops: Vec<(usize, TaskKey)>,
     /// The head's job, and when it may start, if it has to wait.
     pub head: Option<(usize, Option<Duration>)>,
 }
@@ -208,28 +205,6 @@
     chosen
 }
 
-/// Whether the job allows its tasks on this machine.
-pub fn eligible(spec: &JobSpec, host: &Host) -> bool {
-    (spec.spot || !host.spot) && spec.allows_type(&host.kind) && spec.allows_zone(&host.zone)
-}
-
-fn zone_allows(w: &Waiting, zone: &str) -> bool {
-    if w.spec.one_zone && w.zones.keys().any(|z| z != zone) {
-        return false;
-    }
-    w.zones.get(zone).copied().unwrap_or(0) < w.spec.zone_cap()
-}
-
-/// Seconds until a task of `spec` could run on `host`, as far as its image decides that.
-pub fn fetch_delay(spec: &JobSpec, host: &Host) -> f64 {
-    if host.images.contains(&spec.image) || host.fetch_gb_per_s <= 0.0 {
-        return 0.0;
-    }
-    spec.image_gb / host.fetch_gb_per_s * (1.0 + host.fetching as f64)
-}
-
-/// The host for one task: warm images first, then spot machines for work that may use them, then
-/// the fullest machine, so that others empty and can be returned.
 /// What it is worth, in seconds, to leave ordinary machines to work that needs them, and to let
 /// them empty, since they cost a multiple of spot ones.
 const ORDINARY_COST: f64 = 15.0;
@@ -237,76 +212,169 @@
 /// its last task ends.
 const SIZE_COST: f64 = 2.0;
 
-fn first_fit(
-    hosts: &[Host],
-    largest: &Resources,
-    w: &Waiting,
-    allowed: impl Fn(usize, &Host) -> bool,
-) -> Option<usize> {
-    let mut best: Option<(f64, usize)> = None;
-    for (i, h) in hosts.iter().enumerate() {
-        if !w.spec.needs.fits(&h.free)
-            || !eligible(&w.spec, h)
-            || !zone_allows(w, &h.zone)
-            || !allowed(i, h)
-        {
-            continue;
+/// How a job looks at machines: which classes it may use, and what each of their machines costs
+/// it beside what that machine itself adds.
+struct Taste {
+    allowed: Vec<Option<f64>>,
+    fetch_s: Vec<f64>,
+    image: ImageTag,
+    needs: Resources,
+}
+
+impl Taste {
+    fn new(board: &Board, w: &Waiting) -> Taste {
+        let largest = board.largest();
+        let cost = |c: &Class| {
+            let ordinary = w.spec.spot && !c.offer.2;
+            let cost = if ordinary { ORDINARY_COST } else { 0.0 };
+            c.allowed(&w.spec)
+                .then(|| cost + SIZE_COST * c.room.share_of(&largest).min(1.0))
+        };
+        let fetch = |c: &Class| w.spec.image_gb / c.fetch_gb_per_s.max(0.01);
+        Taste {
+            allowed: board.classes.iter().map(cost).collect(),
+            fetch_s: board.classes.iter().map(fetch).collect(),
+            image: w.image,
+            needs: w.spec.needs,
         }
-        let mut cost = fetch_delay(&w.spec, h) + h.doubt;
-        if w.avoid.contains(&i) {
-            cost += 1000.0;
+    }
+
+    /// The cost of one more task on this machine, in seconds; `None` where it may not or cannot
+    /// go. Warm images first, then spot machines for work that may use them, then the fullest
+    /// machine, so that others empty and can be returned.
+    fn cost(&self, board: &Board, w: &Waiting, slot: usize) -> Option<f64> {
+        let h = board.host(slot);
+        let mut cost = self.allowed[h.class]?;
+        if h.usage != Use::Open || !self.needs.fits(&h.free) {
+            return None;
+        }
+        let class = &board.classes[h.class];
+        if !w.zone_allows(&class.offer.1) {
+            return None;
         }
-        if w.spec.spot && !h.spot {
-            cost += ORDINARY_COST;
+        if !h.images.contains(&self.image) {
+            cost += self.fetch_s[h.class] * (1.0 + h.fetching as f64);
         }
-        cost += 0.5 * h.free.share_of(&h.room).min(1.0);
-        cost += SIZE_COST * h.room.share_of(largest).min(1.0);
-        if best.is_none_or(|(c, _)| cost < c) {
-            best = Some((cost, i));
+        if w.avoid.contains(&slot) {
+            cost += 1000.0;
+        }
+        Some(cost + h.doubt + 0.5 * h.free.share_of(&class.room).min(1.0))
+    }
+}
+
+/// Machines by what they cost a job, the cheapest first; among equals the first on the board.
+#[derive(PartialEq)]
+struct Bid {
+    cost: f64,
+    slot: usize,
+}
+
+impl Eq for Bid {}
+
+impl Ord for Bid {
+    fn cmp(&self, other: &Bid) -> Ordering {
+        // The heap gives the greatest first.
+        (other.cost.total_cmp(&self.cost)).then(other.slot.cmp(&self.slot))
+    }
+}
+
+impl PartialOrd for Bid {
+    fn partial_cmp(&self, other: &Bid) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+/// Finds machines for the tasks of one job, one after the other. Each machine is looked at once,
+/// and again after it was given a task.
+struct Finder {
+    taste: Taste,
+    heap: BinaryHeap<Bid>,
+}
+
+impl Finder {
+    fn new(board: &mut Board, hosts: &[usize], w: &Waiting) -> Finder {
+        let taste = Taste::new(board, w);
+        board.looked += hosts.len() as u64;
+        let bid = |&slot: &usize| {
+            let cost = taste.cost(board, w, slot)?;
+            Some(Bid { cost, slot })
+        };
+        let heap = hosts.iter().filter_map(bid).collect();
+        Finder { taste, heap }
+    }
+
+    /// Places one more task; what was taken is told to the board, the job and its team. The flag
+    /// says whether the machine has to fetch the image for it.
+    fn place(
+        &mut self,
+        board: &mut Board,
+        w: &mut Waiting,
+        teams: &mut [TeamUse],
+        allowed: &dyn Fn(&Board, usize) -> bool,
+    ) -> Option<(usize, bool)> {
+        while let Some(bid) = self.heap.pop() {
+            // Its zone may have become full since the machine was looked at.
+            if !w.zone_allows(board.zone_of(bid.slot)) || !allowed(board, bid.slot) {
+                continue;
+            }
+            let fetches = take(board, w, teams, bid.slot);
+            if let Some(cost) = self.taste.cost(board, w, bid.slot) {
+                self.heap.push(Bid { cost, ..bid });
+            }
+            return Some((bid.slot, fetches));
         }
+        None
     }
-    best.map(|(_, i)| i)
 }
 
-fn take(hosts: &mut [Host], w: &mut Waiting, teams: &mut [TeamUse], host: usize) {
-    let h = &mut hosts[host];
+fn take(board: &mut Board, w: &mut Waiting, teams: &mut [TeamUse], slot: usize) -> bool {
+    board.looked += 1;
+    let h = board.host_mut(slot);
     h.free.sub(&w.spec.needs);
-    if !h.images.contains(&w.spec.image) {
-        h.images.push(w.spec.image.clone());
+    let fetches = !h.images.contains(&w.image);
+    if fetches {
+        h.images.push(w.image);
         h.fetching += 1;
     }
-    *w.zones.entry(h.zone.clone()).or_default() += 1;
+    if w.bound_to_zones() {
+        let zone = board.zone_of(slot).to_string();
+        *w.zones.entry(zone).or_default() += 1;
+    }
     teams[w.team].add(&w.spec.needs, 1.0);
+    fetches
 }
 
-/// Places one entry of `per_entry` tasks whole, or nothing of it.
-fn place_entry(
-    snap: &mut Snapshot,
+/// Places all of a job's rows, or none.
+fn place_whole(
+    board: &mut Board,
+    hosts: &[usize],
     job: usize,
-    rows: &[u32],
-    allowed: &dyn Fn(usize, &Host) -> bool,
+    w: &mut Waiting,
+    teams: &mut [TeamUse],
+    now: Instant,
+    allowed: &dyn Fn(&Board, usize) -> bool,
 ) -> Option<Vec<Start>> {
-    if rows.len() == 1 {
-        let w = &mut snap.queue[job];
-        let host = first_fit(&snap.hosts, &snap.largest, w, allowed)?;
-        take(&mut snap.hosts, w, &mut snap.teams, host);
-        return Some(vec![Start {
-            job,
-            row: rows[0],
-            host,
-        }]);
-    }
-    let saved = (
-        snap.hosts.clone(),
-        snap.queue[job].zones.clone(),
-        snap.teams.clone(),
-    );
+    let saved = (w.zones.clone(), teams.to_vec());
+    let mut undo = Vec::new();
     let mut starts = Vec::new();
-    for row in rows {
-        match place_entry(snap, job, std::slice::from_ref(row), allowed) {
-            Some(mut s) => starts.append(&mut s),
+    let mut finder = Finder::new(board, hosts, w);
+    for row in w.rows(now) {
+        match finder.place(board, w, teams, allowed) {
+            Some((host, fetches)) => {
+                undo.push((host, fetches));
+                starts.push(Start { job, row, host });
+            }
             None => {
-                (snap.hosts, snap.queue[job].zones, snap.teams) = saved;
+                for (slot, fetches) in undo.into_iter().rev() {
+                    let h = board.host_mut(slot);
+                    h.free.add(&w.spec.needs);
+                    if fetches {
+                        h.images.pop();
+                        h.fetching -= 1;
+                    }
+                }
+                w.zones = saved.0;
+                teams.clone_from_slice(&saved.1);
                 return None;
             }
         }
@@ -314,52 +382,107 @@
     Some(starts)
 }
 
-/// The head's reservation: when it can start, on which hosts its tasks then go, and what is free
-/// on each host at that time before it starts.
+/// The head's reservation: when it can start, and on which machines its tasks then go.
+#[derive(Default)]
 struct Shadow {
     after: Duration,
-    freed: Vec<Resources>,
-    reserved: Vec<Resources>,
+    /// Room that ends by then free up, by machine.
+    freed: BTreeMap<usize, Resources>,
+    reserved: BTreeMap<usize, Resources>,
+}
+
+impl Shadow {
+    /// What a machine will have left at the shadow time beside the head's tasks.
+    fn left(&self, board: &Board, slot: usize) -> Resources {
+        let mut room = board.host(slot).free;
+        if let Some(more) = self.freed.get(&slot) {
+            room.add(more);
+        }
+        if let Some(kept) = self.reserved.get(&slot) {
+            room.sub(kept);
+        }
+        room
+    }
 }
 
 /// Walks the running tasks by remaining estimate, adding their room until first-fit places the
 /// head (section 3.2.1). Fitting is asked of machines, not of sums: a sum hides fragments.
-fn shadow(snap: &Snapshot, job: usize, rows: &[u32]) -> Option<Shadow> {
-    let mut order: Vec<&Running> = snap
-        .running
-        .iter()
-        .filter(|r| r.ends_in.is_some() && eligible(&snap.queue[job].spec, &snap.hosts[r.host]))
-        .collect();
-    order.sort_by_key(|r| r.ends_in);
-    let mut later = Snapshot {
-        hosts: snap.hosts.clone(),
-        running: Vec::new(),
-        queue: vec![snap.queue[job].clone()],
-        teams: snap.teams.clone(),
-        largest: snap.largest,
+fn shadow(board: &Board, hosts: &[usize], w: &Waiting, now: Instant) -> Option<Shadow> {
+    let n = w.per_entry();
+    let needs = &w.spec.needs;
+    let allowed: Vec<bool> = board.classes.iter().map(|c| c.allowed(&w.spec)).collect();
+    let usable = |slot: usize| {
+        let h = board.host(slot);
+        h.usage == Use::Open && allowed[h.class]
     };
-    for r in order {
-        later.hosts[r.host].free.add(&r.needs);
-        let needs = &snap.queue[job].spec.needs;
-        if rows.len() == 1 && !needs.fits(&later.hosts[r.host].free) {
+    // How many of its tasks go where; only machines with room for one are of interest.
+    let mut places: BTreeMap<usize, u32> = BTreeMap::new();
+    if n > 1 {
+        for &slot in hosts.iter().filter(|s| usable(**s)) {
+            places.insert(slot, needs.count_in(&board.host(slot).free));
+        }
+    }
+    let mut s = Shadow::default();
+    for (at, slot, t) in board.ends(now) {
+        if !usable(slot) {
             continue;
         }
-        let freed: Vec<Resources> = later.hosts.iter().map(|h| h.free).collect();
-        if let Some(starts) = place_entry(&mut later, 0, rows, &|_, _| true) {
-            let mut reserved = vec![Resources::default(); snap.hosts.len()];
-            for s in starts {
-                reserved[s.host].add(needs);
+        s.freed.entry(slot).or_default().add(&t.needs);
+        let fit = needs.count_in(&s.left(board, slot));
+        if fit == 0 || fit == places.insert(slot, fit).unwrap_or(0) {
+            continue;
+        }
+        if let Some(chosen) = spread(board, w, &places, n) {
+            s.after = at.saturating_duration_since(now);
+            for (slot, tasks) in chosen {
+                s.reserved.insert(slot, needs.times(f64::from(tasks)));
             }
-            return Some(Shadow {
-                after: r.ends_in.unwrap_or_default(),
-                freed,
-                reserved,
-            });
+            return Some(s);
         }
     }
     None
 }
 
+/// Which of `places` take `n` tasks of a job together, if they do.
+fn spread(
+    board: &Board,
+    w: &Waiting,
+    places: &BTreeMap<usize, u32>,
+    n: u32,
+) -> Option<Vec<(usize, u32)>> {
+    let take = |zone: Option<&str>| {
+        let mut left = n;
+        let mut by_zone = w.zones.clone();
+        let mut chosen = Vec::new();
+        for (&slot, &fit) in places {
+            let here = board.zone_of(slot);
+            if zone.is_some_and(|z| z != here) || (zone.is_none() && !w.zone_allows(here)) {
+                continue;
+            }
+            let mut most = fit.min(left);
+            if w.bound_to_zones() {
+                let have = by_zone.entry(here.to_string()).or_default();
+                most = most.min(w.spec.zone_cap().saturating_sub(*have));
+                *have += most;
+            }
+            if most > 0 {
+                chosen.push((slot, most));
+                left -= most;
+            }
+            if left == 0 {
+                return Some(chosen);
+            }
+        }
+        None
+    };
+    if !w.spec.one_zone {
+        return take(None);
+    }
+    let zones: BTreeSet<&str> = places.keys().map(|s| board.zone_of(*s)).collect();
+    let mut allowed = zones.into_iter().filter(|z| w.zone_allows(z));
+    allowed.find_map(|z| take(Some(z)))
+}
+
 fn units(room: &Resources, unit: f64, whole: &Resources) -> usize {
     let smallest = |x: f64, of: f64| if of > 0.0 { x / of } else { f64::INFINITY };
     let share = smallest(room.cpus, whole.cpus).min(smallest(room.ram, whole.ram));
@@ -370,153 +493,229 @@
     }
 }
 
-/// One planning step.
-pub fn plan(mut snap: Snapshot, scratch: &mut Scratch) -> Plan {
-    for h in &snap.hosts {
-        snap.largest.cpus = snap.largest.cpus.max(h.room.cpus);
-        snap.largest.gpus = snap.largest.gpus.max(h.room.gpus);
-        snap.largest.ram = snap.largest.ram.max(h.room.ram);
-    }
+fn anywhere(_: &Board, _: usize) -> bool {
+    true
+}
+
+/// One planning step. The board's free room shows afterwards what the plan has taken; whoever
+/// carries it out puts the machines again.
+pub fn plan(
+    board: &mut Board,
+    queue: &mut [Waiting],
+    teams: &mut [TeamUse],
+    now: Instant,
+    scratch: &mut Scratch,
+) -> Plan {
     let mut plan = Plan::default();
-    let mut head: Option<(usize, usize)> = None;
-    let anywhere = |_: usize, _: &Host| true;
+    // Machines without room for even the smallest task need no further look.
+    let Some(smallest) = queue.iter().map(|w| w.spec.needs).reduce(|a, b| Resources {
+        cpus: a.cpus.min(b.cpus),
+        gpus: a.gpus.min(b.gpus),
+        ram: a.ram.min(b.ram),
+    }) else {
+        return plan;
+    };
+    let open: Vec<usize> = board.open().collect();
+    board.looked += open.len() as u64;
+    let hosts: Vec<usize> = open
+        .into_iter()
+        .filter(|&s| smallest.fits(&board.host(s).free))
+        .collect();
+    let mut head: Option<usize> = None;
     // Heads start one after the other as long as first-fit places them.
-    'queue: for job in 0..snap.queue.len() {
-        let per = snap.queue[job].per_entry.max(1) as usize;
-        let rows = snap.queue[job].rows.clone();
-        for (nth, entry) in rows.chunks(per).enumerate() {
-            let w = &snap.queue[job];
+    'queue: for (job, w) in queue.iter_mut().enumerate() {
+        if w.whole {
             // A team at its limit waits for itself, not for room: it is no head.
-            if !snap.teams[w.team].takes(&w.spec.needs, per as u32) {
-                break;
+            if !teams[w.team].takes(&w.spec.needs, w.per_entry()) {
+                continue;
             }
-            match place_entry(&mut snap, job, entry, &anywhere) {
+            match place_whole(board, &hosts, job, w, teams, now, &anywhere) {
                 Some(starts) => plan.starts.extend(starts),
                 None => {
-                    head = Some((job, nth));
+                    head = Some(job);
+                    break 'queue;
+                }
+            }
+            continue;
+        }
+        let mut finder = None;
+        for row in w.rows(now) {
+            if !teams[w.team].takes(&w.spec.needs, 1) {
+                break;
+            }
+            let finder = finder.get_or_insert_with(|| Finder::new(board, &hosts, w));
+            match finder.place(board, w, teams, &anywhere) {
+                Some((host, _)) => plan.starts.push(Start { job, row, host }),
+                None => {
+                    head = Some(job);
                     break 'queue;
                 }
             }
         }
     }
-    let Some((head_job, head_nth)) = head else {
+    let Some(head) = head else {
         return plan;
     };
-    let per = snap.queue[head_job].per_entry.max(1) as usize;
-    let head_rows = snap.queue[head_job].rows[head_nth * per..][..per].to_vec();
-    let reservation = shadow(&snap, head_job, &head_rows);
-    plan.head = Some((head_job, reservation.as_ref().map(|s| s.after)));
-
+    let reservation = shadow(board, &hosts, &queue[head], now);
+    plan.head = Some((head, reservation.as_ref().map(|s| s.after)));
     backfill(
-        &mut snap,
-        &mut plan,
-        (head_job, head_nth),
+        board,
+        &hosts,
+        queue,
+        head,
+        teams,
+        now,
         reservation.as_ref(),
+        &mut plan,
         scratch,
     );
-    preempt(&snap, &mut plan, head_job, head_nth, reservation.as_ref());
+    let placed = plan.starts.iter().filter(|s| s.job == head).count();
+    let waiting = queue[head].rows(now).count().saturating_sub(placed);
+    preempt(
+        board,
+        &mut queue[head],
+        waiting,
+        teams,
+        now,
+        reservation.as_ref(),
+        &mut plan,
+    );
     plan
 }
 
 /// Steps 2 to 5 for the entries behind the head.
+#[allow(clippy::too_many_arguments)]
 fn backfill(
-    snap: &mut Snapshot,
-    plan: &mut Plan,
-    (head_job, head_nth): (usize, usize),
+    board: &mut Board,
+    hosts: &[usize],
+    queue: &mut [Waiting],
+    head: usize,
+    teams: &mut [TeamUse],
+    now: Instant,
     reservation: Option<&Shadow>,
+    plan: &mut Plan,
     scratch: &mut Scratch,
 ) {
-    let whole = snap.largest;
-    // An eighth of the largest machine at most; finer where waiting tasks are small, since with a
-    // coarse unit small machines and rounded-up tasks would count as no room at all.
-    let mut unit = 0.125f64;
-    for w in &snap.queue[head_job..] {
-        let share = w.spec.needs.share_of(&whole);
-        if share > 0.0 {
-            unit = unit.min(share / 4.0);
-        }
-    }
-    let total = |rooms: &mut dyn Iterator<Item = Resources>, unit: f64| -> usize {
-        rooms.map(|r| units(&r, unit, &whole)).sum()
-    };
-    let mut n = total(&mut snap.hosts.iter().map(|h| h.free), unit);
-    if n > MOST_UNITS {
-        unit *= n as f64 / MOST_UNITS as f64;
-        n = total(&mut snap.hosts.iter().map(|h| h.free), unit);
-    }
-    if n == 0 {
-        return;
-    }
-    let size = |needs: &Resources, per: u32| {
-        let share = needs.share_of(&whole) * f64::from(per);
-        ((share - 1e-9) / unit).ceil().max(1.0) as usize
-    };
-    let head_size = size(
-        &snap.queue[head_job].spec.needs,
-        snap.queue[head_job].per_entry,
-    );
-    let extra = reservation.map_or(0, |s| {
-        total(&mut s.freed.iter().copied(), unit).saturating_sub(head_size)
-    });
-    let mut items = Vec::new();
-    let mut entries: Vec<(usize, Vec<u32>, bool)> = Vec::new();
-    let mut use_with = snap.teams.clone();
-    'jobs: for job in head_job..snap.queue.len() {
-        let w = &snap.queue[job];
-        let per = w.per_entry.max(1) as usize;
-        let skip = if job == head_job { head_nth + 1 } else { 0 };
-        if job == head_job && per == 1 {
-            // Its other tasks are as large as the one that did not fit.
-            continue;
-        }
-        let entry_size = size(&w.spec.needs, w.per_entry);
-        let fits = snap
-            .hosts
-            .iter()
-            .any(|h| w.spec.needs.fits(&h.free) && eligible(&w.spec, h));
-        if entry_size > n || !fits {
+    let hosts: Vec<usize> = hosts
+        .iter()
+        .copied()
+        .filter(|&s| board.host(s).free.cpus > 0.0)
+        .collect();
+    // The first entries behind the head that fit, within their teams' limits. The head's other
+    // tasks are as large as the one that did not fit.
+    let mut entries: Vec<(usize, Option<u32>, bool)> = Vec::new();
+    let mut use_with = teams.to_vec();
+    'jobs: for (job, w) in queue.iter().enumerate().skip(head + 1) {
+        let needs = &w.spec.needs;
+        let fits = |&s: &usize| {
+            let h = board.host(s);
+            needs.fits(&h.free) && board.classes[h.class].allowed(&w.spec)
+        };
+        if !hosts.iter().any(fits) {
             continue;
         }
         let outlasts = match reservation {
             Some(s) => w.spec.estimate.is_zero() || w.estimate > s.after,
             None => false,
         };
-        for rows in w.rows.chunks(per).skip(skip) {
-            if !use_with[w.team].takes(&w.spec.needs, per as u32) {
+        let mut rows = w.rows(now).peekable();
+        while let Some(row) = rows.next() {
+            if !use_with[w.team].takes(needs, w.per_entry()) {
                 break;
             }
-            if items.len() >= LOOKAHEAD {
+            if entries.len() >= LOOKAHEAD {
                 break 'jobs;
             }
-            use_with[w.team].add(&w.spec.needs, per as f64);
-            items.push(Item {
-                size: entry_size,
-                shadow_size: if outlasts { entry_size } else { 0 },
-                merit: w.merit,
-            });
-            entries.push((job, rows.to_vec(), outlasts));
+            use_with[w.team].add(needs, f64::from(w.per_entry()));
+            entries.push((job, (!w.whole).then_some(row), outlasts));
+            if w.whole {
+                break;
+            }
         }
     }
-    let mut freed = reservation.map(|s| s.freed.clone()).unwrap_or_default();
+    if entries.is_empty() {
+        return;
+    }
+    let whole = board.largest();
+    // An eighth of the largest machine at most; finer where these tasks are small, since with a
+    // coarse unit small machines and rounded-up tasks would count as no room at all.
+    let size = |w: &Waiting, unit: f64| {
+        let share = w.spec.needs.share_of(&whole) * f64::from(w.per_entry());
+        ((share - 1e-9) / unit).ceil().max(1.0) as usize
+    };
+    let shares = entries
+        .iter()
+        .map(|e| queue[e.0].spec.needs.share_of(&whole));
+    let mut unit = shares
+        .filter(|s| *s > 0.0)
+        .fold(0.125, |u: f64, s| u.min(s / 4.0));
+    let total = |unit: f64| -> usize {
+        let room = |&s: &usize| units(&board.host(s).free, unit, &whole);
+        hosts.iter().map(room).sum()
+    };
+    let wanted = |unit: f64| -> usize { entries.iter().map(|e| size(&queue[e.0], unit)).sum() };
+    // No set uses more room than all entries together, so the tables need no more units.
+    let side = total(unit).min(wanted(unit));
+    if side > MOST_UNITS {
+        unit *= side as f64 / MOST_UNITS as f64;
+    }
+    let n = total(unit);
+    if n == 0 {
+        return;
+    }
+    let extra = reservation.map_or(0, |s| {
+        let gained: usize = s
+            .freed
+            .keys()
+            .map(|&slot| {
+                let now = board.host(slot).free;
+                let mut then = now;
+                then.add(&s.freed[&slot]);
+                units(&then, unit, &whole).saturating_sub(units(&now, unit, &whole))
+            })
+            .sum();
+        (n + gained).saturating_sub(size(&queue[head], unit))
+    });
+    let items: Vec<Item> = entries
+        .iter()
+        .map(|(job, _, outlasts)| {
+            let size = size(&queue[*job], unit);
+            Item {
+                size,
+                shadow_size: if *outlasts { size } else { 0 },
+                merit: queue[*job].merit,
+            }
+        })
+        .collect();
+    // What is given to work that ends by the shadow time is there again for the head.
+    let mut back: BTreeMap<usize, Resources> = BTreeMap::new();
     for chosen in choose(&items, n, extra, scratch) {
-        let (job, rows, outlasts) = &entries[chosen];
-        let needs = snap.queue[*job].spec.needs;
+        let (job, row, outlasts) = entries[chosen];
+        let w = &mut queue[job];
+        let needs = w.spec.needs;
         // The sums do not say which machine the head waits for; its place there is kept.
-        let allowed = |i: usize, _: &Host| match reservation {
-            Some(s) if *outlasts => {
-                let mut left = freed[i];
-                left.sub(&s.reserved[i]);
+        let allowed = |board: &Board, slot: usize| match reservation {
+            Some(s) if outlasts => {
+                let mut left = s.left(board, slot);
+                if let Some(b) = back.get(&slot) {
+                    left.add(b);
+                }
                 needs.fits(&left)
             }
             _ => true,
         };
-        if let Some(starts) = place_entry(snap, *job, rows, &allowed) {
-            if *outlasts && reservation.is_some() {
-                for s in &starts {
-                    freed[s.host].sub(&needs);
-                }
+        let starts = match row {
+            Some(row) => {
+                let found = Finder::new(board, &hosts, w).place(board, w, teams, &allowed);
+                found.map(|(host, _)| vec![Start { job, row, host }])
             }
-            plan.starts.extend(starts);
+            None => place_whole(board, &hosts, job, w, teams, now, &allowed),
+        };
+        for s in starts.into_iter().flatten() {
+            if !outlasts {
+                back.entry(s.host).or_default().add(&needs);
+            }
+            plan.starts.push(s);
         }
     }
 }
@@ -526,86 +725,138 @@
 /// Entries of the head's job that may be helped in one step.
 const MOST_PREEMPTED: usize = 16;
 
+/// What could be stopped on one machine, the youngest first.
+struct Victims {
+    free: Resources,
+    tasks: Vec<(Duration, usize)>,
+}
+
 /// Stops work so that the head's job can start: of lower rank, or borrowed beyond a guarantee
 /// where the head is within its own. Per task the host with the least work at stake is chosen.
 fn preempt(
-    snap: &Snapshot,
-    plan: &mut Plan,
-    head_job: usize,
-    head_nth: usize,
+    board: &Board,
+    w: &mut Waiting,
+    waiting: usize,
+    teams: &mut [TeamUse],
+    now: Instant,
     reservation: Option<&Shadow>,
+    plan: &mut Plan,
 ) {
-    let w = &snap.queue[head_job];
     if !w.may_preempt || reservation.is_some_and(|s| s.after <= SOON) {
         return;
     }
-    let per = w.per_entry.max(1) as usize;
-    let mut wanted = (w.rows.len() - head_nth * per).min(MOST_PREEMPTED.max(per));
-    let mut teams = snap.teams.clone();
-    let mut taken = vec![false; snap.running.len()];
-    // Room that earlier stops are about to free is spoken for by the head first.
-    let mut free: Vec<Resources> = snap.hosts.iter().map(|h| h.free).collect();
-    for r in snap.running.iter().filter(|r| r.stopping) {
-        free[r.host].add(&r.needs);
-    }
-    let mut stops = Vec::new();
-    let mut zones = w.clone();
-    while wanted > 0 && teams[w.team].takes(&w.spec.needs, 1) {
-        let mut best: Option<(Duration, usize, Vec<usize>)> = None;
-        for (i, h) in snap.hosts.iter().enumerate() {
-            if !eligible(&w.spec, h) || !zone_allows(&zones, &h.zone) || w.avoid.contains(&i) {
-                continue;
-            }
-            let mut victims: Vec<usize> = (0..snap.running.len())
-                .filter(|&v| {
-                    let r = &snap.running[v];
-                    r.host == i
-                        && !taken[v]
-                        && !r.stopping
-                        && r.job != head_job
-                        && (r.rank > w.spec.rank || (w.guaranteed && r.borrowed))
-                })
-                .collect();
-            victims.sort_by_key(|&v| snap.running[v].at_stake);
-            let (mut room, mut loss, mut picked) = (free[i], Duration::ZERO, Vec::new());
-            for v in victims {
-                if w.spec.needs.fits(&room) {
-                    break;
-                }
-                room.add(&snap.running[v].needs);
-                loss += snap.running[v].at_stake;
-                picked.push(v);
+    let borrowed = if w.guaranteed {
+        borrowed(board, teams, now)
+    } else {
+        BTreeSet::new()
+    };
+    let mut at: BTreeMap<usize, Victims> = BTreeMap::new();
+    for (slot, h) in board.hosts() {
+        if h.usage != Use::Open || !board.classes[h.class].allowed(&w.spec) {
+            continue;
+        }
+        if w.avoid.contains(&slot) {
+            continue;
+        }
+        let mut v = Victims {
+            free: h.free,
+            tasks: Vec::new(),
+        };
+        for (n, t) in h.tasks.iter().enumerate() {
+            if t.stopping {
+                // Room that earlier stops are about to free is spoken for by the head first.
+                v.free.add(&t.needs);
+            } else if t.key.job != w.spec.id
+                && (t.rank > w.spec.rank || borrowed.contains(&(slot, n)))
+            {
+                v.tasks.push((t.at_stake(now), n));
             }
-            if w.spec.needs.fits(&room) && best.as_ref().is_none_or(|(l, _, _)| loss < *l) {
-                best = Some((loss, i, picked));
+        }
+        v.tasks.sort();
+        if w.spec.needs.fits(&v.free) || !v.tasks.is_empty() {
+            at.insert(slot, v);
+        }
+    }
+    // What must be stopped on a machine to fit one more task, and the work it throws away.
+    let needs = w.spec.needs;
+    let price = |v: &Victims, h: &crate::board::Host| {
+        let (mut room, mut loss, mut n) = (v.free, Duration::ZERO, 0);
+        for (stake, task) in &v.tasks {
+            if needs.fits(&room) {
+                break;
             }
+            room.add(&h.tasks[*task].needs);
+            loss += *stake;
+            n += 1;
+        }
+        needs.fits(&room).then_some((loss, n))
+    };
+    let mut offers: BTreeSet<(Duration, usize, usize)> = at
+        .iter()
+        .filter_map(|(&slot, v)| price(v, board.host(slot)).map(|(loss, n)| (loss, slot, n)))
+        .collect();
+    let per = w.per_entry() as usize;
+    let mut wanted = waiting.min(MOST_PREEMPTED.max(per));
+    while wanted > 0
+        && teams[w.team].takes(&needs, 1)
+        && let Some((loss, slot, n)) = offers.pop_first()
+    {
+        if !w.zone_allows(board.zone_of(slot)) {
+            continue;
         }
-        let Some((loss, host, picked)) = best else {
-            break;
-        };
         // Work is not thrown away to gain less time than was spent on it.
         if reservation.is_some_and(|s| s.after < loss * 3 + SOON) {
             break;
         }
-        for v in picked {
-            taken[v] = true;
-            free[host].add(&snap.running[v].needs);
-            stops.push(v);
-        }
-        free[host].sub(&w.spec.needs);
-        teams[w.team].add(&w.spec.needs, 1.0);
-        *zones
-            .zones
-            .entry(snap.hosts[host].zone.clone())
-            .or_default() += 1;
+        let (h, Some(v)) = (board.host(slot), at.get_mut(&slot)) else {
+            break;
+        };
+        for (_, task) in v.tasks.drain(..n) {
+            v.free.add(&h.tasks[task].needs);
+            plan.stops.push((slot, h.tasks[task].key.clone()));
+        }
+        v.free.sub(&needs);
+        teams[w.team].add(&needs, 1.0);
+        if w.bound_to_zones() {
+            let zone = board.zone_of(slot).to_string();
+            *w.zones.entry(zone).or_default() += 1;
+        }
+        if let Some((loss, n)) = price(v, h) {
+            offers.insert((loss, slot, n));
+        }
         wanted -= 1;
     }
-    plan.stops = stops;
+}
+
+/// What teams run beyond their guarantees: their youngest tasks.
+fn borrowed(board: &Board, teams: &[TeamUse], now: Instant) -> BTreeSet<(usize, usize)> {
+    let mut tasks: Vec<(Duration, usize, usize, usize)> = Vec::new();
+    for (slot, h) in board.hosts().filter(|(_, h)| h.usage == Use::Open) {
+        for (n, t) in h.tasks.iter().enumerate() {
+            if let Some(team) = t.team {
+                tasks.push((t.at_stake(now), slot, n, team));
+            }
+        }
+    }
+    tasks.sort_by_key(|t| std::cmp::Reverse(t.0));
+    let mut sums = vec![Resources::default(); teams.len()];
+    let mut out = BTreeSet::new();
+    for (_, slot, n, team) in tasks {
+        sums[team].add(&board.host(slot).tasks[n].needs);
+        let over = sums[team].cpus > teams[team].cpus_own + 1e-6
+            || sums[team].gpus > teams[team].gpus_own + 1e-6;
+        if over {
+            out.insert((slot, n));
+        }
+    }
+    out
 }
 
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::board::{Held, Host};
+    use crate::job::Rank;
     use rand::rngs::SmallRng;
     use rand::{RngExt, SeedableRng};
 
@@ -689,85 +940,112 @@
         s
     }
 
-    fn waiting(spec: JobSpec) -> Waiting {
-        Waiting {
+    /// A job in the queue, with the rows that it lends to the plan.
+    struct Line {
+        spec: JobSpec,
+        rows: BTreeSet<u32>,
+        held: BTreeMap<u32, Instant>,
+        zones: BTreeMap<String, u32>,
+        whole: bool,
+        guaranteed: bool,
+        may_preempt: bool,
+    }
+
+    fn line(spec: JobSpec) -> Line {
+        Line {
             rows: (0..spec.tasks).collect(),
-            team: 0,
-            per_entry: 1,
-            waited: Duration::ZERO,
-            estimate: spec.estimate,
+            held: BTreeMap::new(),
             zones: BTreeMap::new(),
-            avoid: Vec::new(),
+            whole: false,
             guaranteed: false,
             may_preempt: false,
-            merit: 1.0,
-            spec: Arc::new(spec),
+            spec,
         }
     }
 
-    fn host(id: &str, zone: &str, cpus: f64, free: f64) -> Host {
-        let r = |c| Resources {
-            cpus: c,
+    impl Line {
+        fn waiting(&self) -> Waiting<'_> {
+            Waiting {
+                spec: Arc::new(self.spec.clone()),
+                image: 7,
+                team: 0,
+                queued: &self.rows,
+                held: &self.held,
+                whole: self.whole,
+                estimate: self.spec.estimate,
+                zones: self.zones.clone(),
+                avoid: Vec::new(),
+                guaranteed: self.guaranteed,
+                may_preempt: self.may_preempt,
+                merit: 1.0,
+            }
+        }
+    }
+
+    fn room(cpus: f64) -> Resources {
+        Resources {
+            cpus,
             gpus: 0.0,
-            ram: c,
-        };
-        Host {
+            ram: cpus,
+        }
+    }
+
+    fn host(board: &mut Board, id: &str, zone: &str, cpus: f64, tasks: Vec<Held>) -> usize {
+        let kind = format!("k{cpus}");
+        let class = board.class(&(kind, zone.into(), false), room(cpus), 1.0);
+        let mut free = room(cpus);
+        for t in &tasks {
+            free.sub(&t.needs);
+        }
+        board.put(Host {
             id: id.into(),
-            kind: "k".into(),
-            zone: zone.into(),
-            spot: false,
-            room: r(cpus),
-            free: r(free),
-            fetch_gb_per_s: 1.0,
+            class,
+            free,
+            usage: Use::Open,
             images: vec![],
             fetching: 0,
             doubt: 0.0,
-        }
+            idle_since: None,
+            tasks,
+        });
+        board.slot(&id.into()).unwrap()
     }
 
-    fn running(host: usize, cpus: f64, ends: Option<u64>) -> Running {
-        Running {
-            host,
-            job: usize::MAX,
-            row: 0,
-            needs: Resources {
-                cpus,
-                gpus: 0.0,
-                ram: cpus,
+    fn held(cpus: f64, ends: Option<Instant>, since: Instant) -> Held {
+        Held {
+            key: TaskKey {
+                job: "wk-0".into(),
+                row: cpus as u32,
             },
-            ends_in: ends.map(Duration::from_secs),
-            at_stake: Duration::from_secs(5),
+            needs: room(cpus),
+            ends,
+            since: Some(since),
+            checkpoint: None,
             rank: Rank::Low,
-            borrowed: false,
+            team: None,
             stopping: false,
         }
     }
 
-    fn snapshot(hosts: Vec<Host>, running: Vec<Running>, queue: Vec<Waiting>) -> Snapshot {
-        Snapshot {
-            hosts,
-            running,
-            queue,
-            teams: vec![TeamUse::default()],
-            largest: Resources::default(),
-        }
+    fn decide(board: &mut Board, lines: &[Line], team: TeamUse, now: Instant) -> Plan {
+        let mut queue: Vec<Waiting> = lines.iter().map(Line::waiting).collect();
+        plan(board, &mut queue, &mut [team], now, &mut Scratch::default())
     }
 
     #[test]
     fn the_head_is_never_delayed_by_what_runs_past_its_reservation() {
         // The head needs 8 of 10; 4 are free now and 10 in 30 s: 2 remain beside it then.
-        let queue = vec![
-            waiting(spec("wk-1", 1, 8.0, 100)),
-            waiting(spec("wk-2", 1, 4.0, 100)),
-            waiting(spec("wk-3", 1, 2.0, 100)),
-            waiting(spec("wk-4", 1, 2.0, 20)),
+        let now = Instant::now();
+        let queue = [
+            line(spec("wk-1", 1, 8.0, 100)),
+            line(spec("wk-2", 1, 4.0, 100)),
+            line(spec("wk-3", 1, 2.0, 100)),
+            line(spec("wk-4", 1, 2.0, 20)),
         ];
-        let snap = snapshot(
-            vec![host("m", "a", 10.0, 4.0)],
-            vec![running(0, 6.0, Some(30))],
-            queue,
-        );
-        let p = plan(snap, &mut Scratch::default());
+        let mut b = Board::default();
+        let end = now + Duration::from_secs(30);
+        host(&mut b, "m", "a", 10.0, vec![held(6.0, Some(end), now)]);
+        let p = decide(&mut b, &queue, TeamUse::default(), now);
         assert_eq!(p.head, Some((0, Some(Duration::from_secs(30)))));
         let jobs: Vec<usize> = p.starts.iter().map(|s| s.job).collect();
         assert_eq!(jobs, [2, 3]);
@@ -775,88 +1053,118 @@
 
     #[test]
     fn a_head_behind_endless_work_has_no_shadow_and_blocks_nobody() {
-        let queue = vec![
-            waiting(spec("wk-1", 1, 8.0, 100)),
-            waiting(spec("wk-2", 1, 4.0, 1000)),
+        let now = Instant::now();
+        let queue = [
+            line(spec("wk-1", 1, 8.0, 100)),
+            line(spec("wk-2", 1, 4.0, 1000)),
         ];
-        let snap = snapshot(
-            vec![host("m", "a", 10.0, 4.0)],
-            vec![running(0, 6.0, None)],
-            queue,
-        );
-        let p = plan(snap, &mut Scratch::default());
-        assert_eq!(p.head, Some((0, None)));
-        assert_eq!(p.starts.len(), 1);
+        for ends in [None, Some(now - Duration::from_secs(1))] {
+            let mut b = Board::default();
+            host(&mut b, "m", "a", 10.0, vec![held(6.0, ends, now)]);
+            let p = decide(&mut b, &queue, TeamUse::default(), now);
+            assert_eq!(p.head, Some((0, None)));
+            assert_eq!(p.starts.len(), 1);
+        }
     }
 
     #[test]
     fn zones_limits_and_whole_entries_are_kept() {
-        let hosts = || vec![host("m", "a", 8.0, 8.0), host("n", "b", 3.0, 3.0)];
-        let mut w = waiting(spec("wk-1", 6, 1.0, 10));
-        Arc::make_mut(&mut w.spec).spread = true;
-        let p = plan(
-            snapshot(hosts(), vec![], vec![w.clone()]),
-            &mut Scratch::default(),
-        );
-        let in_a = p.starts.iter().filter(|s| s.host == 0).count();
+        let now = Instant::now();
+        let fresh = || {
+            let mut b = Board::default();
+            let m = host(&mut b, "m", "a", 8.0, vec![]);
+            let n = host(&mut b, "n", "b", 3.0, vec![]);
+            (b, m, n)
+        };
+        let free = TeamUse::default;
+        let mut w = line(spec("wk-1", 6, 1.0, 10));
+        w.spec.spread = true;
+        let (mut b, m, _) = fresh();
+        let p = decide(&mut b, std::slice::from_ref(&w), free(), now);
+        let in_a = p.starts.iter().filter(|s| s.host == m).count();
         assert_eq!((p.starts.len(), in_a), (6, 3));
 
-        Arc::make_mut(&mut w.spec).spread = false;
-        Arc::make_mut(&mut w.spec).one_zone = true;
+        w.spec.spread = false;
+        w.spec.one_zone = true;
         w.zones.insert("b".into(), 1);
-        let p = plan(
-            snapshot(hosts(), vec![], vec![w.clone()]),
-            &mut Scratch::default(),
-        );
-        assert!(p.starts.iter().all(|s| s.host == 1));
+        let (mut b, _, n) = fresh();
+        let p = decide(&mut b, std::slice::from_ref(&w), free(), now);
+        assert!(p.starts.iter().all(|s| s.host == n));
         assert_eq!(p.starts.len(), 3);
 
         w.zones.clear();
-        Arc::make_mut(&mut w.spec).one_zone = false;
-        let mut snap = snapshot(hosts(), vec![], vec![w.clone()]);
-        snap.teams[0].cpus_max = Some(4.0);
-        snap.teams[0].cpus = 2.0;
-        assert_eq!(plan(snap, &mut Scratch::default()).starts.len(), 2);
-
-        // A whole-job entry of twelve tasks starts with all of them or not at all.
-        let mut gang = waiting(spec("wk-2", 12, 1.0, 10));
-        gang.per_entry = 12;
-        let p = plan(
-            snapshot(hosts(), vec![], vec![gang.clone()]),
-            &mut Scratch::default(),
-        );
+        w.spec.one_zone = false;
+        let limited = TeamUse {
+            cpus: 2.0,
+            cpus_max: Some(4.0),
+            ..TeamUse::default()
+        };
+        let (mut b, _, _) = fresh();
+        let p = decide(&mut b, std::slice::from_ref(&w), limited, now);
+        assert_eq!(p.starts.len(), 2);
+
+        // A job that starts whole starts with all of its tasks or not at all.
+        let mut gang = line(spec("wk-2", 12, 1.0, 10));
+        gang.whole = true;
+        let (mut b, m, _) = fresh();
+        let p = decide(&mut b, std::slice::from_ref(&gang), free(), now);
         assert!(p.starts.is_empty());
-        gang.rows.truncate(11);
-        gang.per_entry = 11;
-        let p = plan(
-            snapshot(hosts(), vec![], vec![gang]),
-            &mut Scratch::default(),
-        );
+        // Nothing is left behind of the attempt.
+        assert_eq!(b.host(m).free, room(8.0));
+        assert!(b.host(m).images.is_empty() && b.host(m).fetching == 0);
+        gang.rows = (0..11).collect();
+        let (mut b, _, _) = fresh();
+        let p = decide(&mut b, std::slice::from_ref(&gang), free(), now);
         assert_eq!(p.starts.len(), 11);
     }
 
+    #[test]
+    fn a_gang_waits_for_the_end_that_lets_all_of_it_start() {
+        let now = Instant::now();
+        let at = |s| Some(now + Duration::from_secs(s));
+        let mut b = Board::default();
+        host(&mut b, "m", "a", 4.0, vec![held(4.0, at(10), now)]);
+        host(&mut b, "n", "b", 4.0, vec![held(4.0, at(20), now)]);
+        host(&mut b, "o", "a", 4.0, vec![held(4.0, at(30), now)]);
+        let mut gang = line(spec("wk-1", 6, 1.0, 10));
+        gang.whole = true;
+        let p = decide(&mut b, std::slice::from_ref(&gang), TeamUse::default(), now);
+        assert_eq!(p.head, Some((0, Some(Duration::from_secs(20)))));
+        gang.spec.one_zone = true;
+        let p = decide(&mut b, std::slice::from_ref(&gang), TeamUse::default(), now);
+        assert_eq!(p.head, Some((0, Some(Duration::from_secs(30)))));
+    }
+
     #[test]
     fn only_lower_ranks_or_borrowed_work_is_stopped_and_the_youngest_first() {
-        let mut w = waiting(spec("wk-1", 1, 4.0, 10));
+        let now = Instant::now() + Duration::from_secs(1000);
+        let mut w = line(spec("wk-1", 1, 4.0, 10));
         w.may_preempt = true;
-        let mut old = running(0, 4.0, Some(50));
-        old.at_stake = Duration::from_secs(40);
-        let young = running(0, 4.0, Some(50));
-        let stops = |rank, borrowed, guaranteed, w: &Waiting| {
-            let mut runs = vec![old.clone(), young.clone()];
-            for r in &mut runs {
-                r.rank = rank;
-                r.borrowed = borrowed;
+        let stops = |rank, own: f64, guaranteed, w: &Line| {
+            let end = Some(now + Duration::from_secs(500));
+            let mut old = held(4.0, end, now - Duration::from_secs(40));
+            let mut young = held(4.0, end, now - Duration::from_secs(5));
+            (old.key.row, young.key.row) = (0, 1);
+            for t in [&mut old, &mut young] {
+                (t.rank, t.team) = (rank, Some(1));
             }
-            let mut w = w.clone();
-            w.guaranteed = guaranteed;
-            let snap = snapshot(vec![host("m", "a", 8.0, 0.0)], runs, vec![w]);
-            plan(snap, &mut Scratch::default()).stops
+            let mut b = Board::default();
+            host(&mut b, "m", "a", 8.0, vec![old, young]);
+            let mut queue = [w.waiting()];
+            queue[0].guaranteed = guaranteed;
+            let theirs = TeamUse {
+                cpus_own: own,
+                ..TeamUse::default()
+            };
+            let mut teams = [TeamUse::default(), theirs];
+            let p = plan(&mut b, &mut queue, &mut teams, now, &mut Scratch::default());
+            p.stops.iter().map(|s| s.1.row).collect::<Vec<_>>()
         };
-        assert_eq!(stops(Rank::Low, false, false, &w), [1]);
-        assert_eq!(stops(Rank::Normal, false, true, &w), [0usize; 0]);
-        assert_eq!(stops(Rank::Production, true, true, &w), [1]);
+        assert_eq!(stops(Rank::Low, 100.0, false, &w), [1]);
+        assert_eq!(stops(Rank::Normal, 100.0, true, &w), [0u32; 0]);
+        assert_eq!(stops(Rank::Production, 4.0, true, &w), [1]);
+        assert_eq!(stops(Rank::Production, 0.0, false, &w), [0u32; 0]);
         w.may_preempt = false;
-        assert_eq!(stops(Rank::Low, false, false, &w), [0usize; 0]);
+        assert_eq!(stops(Rank::Low, 100.0, false, &w), [0u32; 0]);
     }
 }
--- a/src/service.rs
+++ b/src/service.rs
@@ -39,6 +39,12 @@
 const PEER_CONNECT: Duration = Duration::from_millis(100);
 const WATCH_WAIT: Duration = Duration::from_secs(10);
 const STACK: usize = 192 * 1024;
+/// Sockets for the lease, the watch, the listeners and the process's own files.
+const SPARE_SOCKETS: usize = 32;
+/// Memory that is kept for everything but connections, and what one takes with its thread: both
+/// measured at a thousand machines, with a margin.
+const BASE_MB: f64 = 48.0;
+const CONNECTION_MB: f64 = 0.05;
 
 /// A command, and where its answer goes if it has one.
 struct Envelope {
@@ -171,7 +177,7 @@
     keep_lease(&settings, &inbox_side, give_up_lease)?;
     watch(&settings, &inbox_side)?;
     serve_peers(back, inbox_side.clone())?;
-    let most = (settings.sockets * 6 / 10).min(900);
+    let most = most_connections(&settings);
     let handler_inbox = inbox_side.clone();
     spawn("public", move || {
         let handle = move |r: Request| route(&handler_inbox, &ready, r);
@@ -189,6 +195,18 @@
     Ok(())
 }
 
+/// Connections to serve at a time: every worker keeps one open to the leader, so as many as the
+/// process may have, less what it opens itself and what its memory allows for threads.
+fn most_connections(settings: &Settings) -> usize {
+    let peers = settings.peers.len() * PEER_THREADS + MOST_PEER_CONNECTIONS;
+    let own = STATE_THREADS + CLOUD_THREADS + DIRECT_THREADS + peers + SPARE_SOCKETS;
+    let by_memory = (settings.memory_mb - BASE_MB).max(1.0) / CONNECTION_MB;
+    settings
+        .sockets
+        .saturating_sub(own)
+        .clamp(16, by_memory.max(16.0) as usize)
+}
+
 /// The owner's loop.
 fn own(mut core: Core, inbox: Receiver<Envelope>, outbox: Outbox) {
     let mut waiting: BTreeMap<Ticket, SyncSender<Answer>> = BTreeMap::new();
