--- a/src/plan.rs
+++ b/src/plan.rs
@@ -618,8 +618,7 @@
             Some(s) => w.spec.estimate.is_zero() || w.estimate > s.after,
             None => false,
         };
-        let mut rows = w.rows(now).peekable();
-        while let Some(row) = rows.next() {
+        for row in w.rows(now) {
             if !use_with[w.team].takes(needs, w.per_entry()) {
                 break;
             }
