Cloud and direct calls go out only when there is room for them

The owner now takes from the budget itself, and keeps direct calls to what its threads finish in time; a new leader asks zones in turns.

--- a/src/cloud.rs
+++ b/src/cloud.rs
@@ -13,7 +13,8 @@
 const TIMEOUT: Duration = Duration::from_millis(3000);
 /// Most names that one deletion may carry.
 pub const MOST_DELETED: usize = 100;
-const PAGE: usize = 500;
+/// Machines on one page of the list.
+pub const PAGE: usize = 500;
 
 #[derive(Clone, Debug, PartialEq)]
 pub enum CloudRequest {
--- a/src/core/leadership.rs
+++ b/src/core/leadership.rs
@@ -52,6 +52,10 @@
     pub gone: BTreeSet<MachineId>,
     /// Machines that an earlier leader may have given tasks that we have not seen yet.
     pub unresolved: BTreeSet<MachineId>,
+    /// Those of them that are still to be asked, the next one last.
+    pub to_ask: Vec<MachineId>,
+    /// Direct calls on their way.
+    pub calls_out: usize,
     pub runs: BTreeMap<JobId, super::jobs::Run>,
     pub writes: Writes,
     pub market: super::machines::Market,
@@ -265,6 +269,8 @@
             board: Board::default(),
             gone: BTreeSet::new(),
             unresolved: BTreeSet::new(),
+            to_ask: Vec::new(),
+            calls_out: 0,
             runs: BTreeMap::new(),
             writes: Writes::default(),
             market: Default::default(),
--- a/src/core/machines.rs
+++ b/src/core/machines.rs
@@ -8,7 +8,7 @@
 use super::mirror::MachineValue;
 use super::{Core, Effect, Pending, Ticket, note};
 use crate::board::{ImageTag, Offer, image_tag};
-use crate::cloud::{CloudOutcome, CloudRequest, MOST_DELETED};
+use crate::cloud::{CloudOutcome, CloudRequest, MOST_DELETED, PAGE};
 use crate::http::Answer;
 use crate::job::{JobId, Kind, MachineId, Resources, TaskKey};
 use crate::wire::{
@@ -22,6 +22,11 @@
 
 /// More orders than this would make an answer longer than a worker accepts.
 const MOST_ORDERS: usize = 400;
+/// Deletions on their way at a time.
+const MOST_DELETIONS: usize = 2;
+/// Direct calls on their way at a time: what the threads that make them finish well within the
+/// leader's word, so that none is given up unsent for having queued too long.
+pub(super) const MOST_DIRECT: usize = 2 * crate::service::DIRECT_THREADS;
 /// Added to a worker's lease before its tasks count as gone: for drift, and for slow timers.
 const LEASE_MARGIN: Duration = Duration::from_millis(1500);
 
@@ -165,10 +170,6 @@
         self.all.remove(id)
     }
 
-    pub fn keys(&self) -> impl Iterator<Item = &MachineId> {
-        self.all.keys()
-    }
-
     pub fn values(&self) -> impl Iterator<Item = &Machine> {
         self.all.values()
     }
@@ -325,6 +326,8 @@
     pub next_rent: u64,
     pub list_asked: Option<Instant>,
     pub listing: bool,
+    /// How many machines the newest list had.
+    pub listed: usize,
     pub deletions: BTreeMap<MachineId, Instant>,
     pub delete_calls: usize,
 }
@@ -877,7 +880,11 @@
             .map(|m| m.id.clone())
             .collect();
         for id in due {
-            let Some(m) = self.lead.as_ref().and_then(|l| l.machines.get(&id)) else {
+            let Some(lead) = &self.lead else { return };
+            if lead.calls_out >= MOST_DIRECT {
+                return;
+            }
+            let Some(m) = lead.machines.get(&id) else {
                 continue;
             };
             let orders = self.orders(m, false);
@@ -896,8 +903,11 @@
                 continue;
             }
             let call = self.call(Pending::Direct(id.clone()));
-            if let Some(m) = self.lead.as_mut().and_then(|l| l.machines.get_mut(&id)) {
+            if let Some(lead) = &mut self.lead
+                && let Some(m) = lead.machines.get_mut(&id)
+            {
                 m.call = Some(call);
+                lead.calls_out += 1;
             }
             self.out.push(Effect::Direct {
                 call,
@@ -906,6 +916,7 @@
                 not_after: until,
             });
         }
+        self.ask_machines();
     }
 
     pub(super) fn direct_outcome(&mut self, call: u64, outcome: DirectOutcome) {
@@ -915,6 +926,7 @@
         };
         let Some(lead) = &mut self.lead else { return };
         let term = lead.term;
+        lead.calls_out = lead.calls_out.saturating_sub(1);
         let Some(m) = lead.machines.get_mut(&id) else {
             return;
         };
@@ -1155,72 +1167,74 @@
 
     // ------------------------------------------------------------ cloud
 
+    /// Sends the calls that the cloud's limit allows now. What would have to wait stays here: a
+    /// call that queues elsewhere outlives the leader's word for it, is asked again, and so makes
+    /// the queue longer still.
     fn tend_cloud(&mut self) {
         let now = self.now.mono;
-        let until = self.leader_until();
         let Some(lead) = &mut self.lead else { return };
         let hurry = lead.machines.values().any(|m| {
             m.session == 0 || now.saturating_duration_since(m.seen) > self.settings.report * 2
         });
-        let every = if hurry {
-            Duration::from_secs(2)
-        } else {
-            Duration::from_secs(6)
-        };
+        // A list takes a call for each page of machines: no more than a third of what is allowed.
+        let pages = 1.0 + lead.market.listed as f64 / PAGE as f64;
+        let every = Duration::from_secs_f64(3.0 * pages / self.settings.cloud_rps);
+        let every = every.max(Duration::from_secs(if hurry { 2 } else { 6 }));
         let list = !lead.market.listing && lead.market.list_asked.is_none_or(|t| now >= t + every);
-        if list {
+        if list && self.cloud_budget.try_take(now) {
+            let Some(lead) = &mut self.lead else { return };
             lead.market.listing = true;
             lead.market.list_asked = Some(now);
+            self.ask_cloud(Pending::List { sent: now }, CloudRequest::List);
         }
-        let mut names = Vec::new();
-        if lead.market.delete_calls < 2 {
-            for (id, at) in &mut lead.market.deletions {
-                if *at <= now && names.len() < MOST_DELETED {
-                    names.push(id.clone());
-                    *at = now + Duration::from_secs(4);
-                }
-            }
-            if !names.is_empty() {
+        let Some(lead) = &mut self.lead else { return };
+        if lead.market.delete_calls < MOST_DELETIONS {
+            let due = lead.market.deletions.iter().filter(|(_, at)| **at <= now);
+            let names: Vec<MachineId> = due.map(|d| d.0.clone()).take(MOST_DELETED).collect();
+            if !names.is_empty() && self.cloud_budget.try_take(now) {
                 lead.market.delete_calls += 1;
+                for id in &names {
+                    let again = now + Duration::from_secs(4);
+                    lead.market.deletions.insert(id.clone(), again);
+                }
+                let request = CloudRequest::Delete(names.clone());
+                self.ask_cloud(Pending::Delete(names), request);
             }
         }
-        let rents: Vec<String> = lead
-            .market
-            .rents
-            .iter()
-            .filter(|(_, r)| r.call.is_none() && now >= r.again_at)
-            .map(|(name, _)| name.clone())
-            .collect();
-        if list {
-            let call = self.call(Pending::List { sent: now });
-            self.out.push(Effect::Cloud {
-                call,
-                request: CloudRequest::List,
-                not_after: until,
-            });
-        }
-        if !names.is_empty() {
-            let call = self.call(Pending::Delete(names.clone()));
-            self.out.push(Effect::Cloud {
-                call,
-                request: CloudRequest::Delete(names),
-                not_after: until,
-            });
-        }
+        let Some(lead) = &self.lead else { return };
+        let due = lead.market.rents.iter();
+        let due = due.filter(|(_, r)| r.call.is_none() && now >= r.again_at);
+        let rents: Vec<String> = due.map(|(name, _)| name.clone()).collect();
         for name in rents {
-            let call = self.call(Pending::Rent(name.clone()));
-            let Some(lead) = &mut self.lead else { return };
-            if let Some(op) = lead.market.rents.get_mut(&name) {
+            if !self.cloud_budget.try_take(now) {
+                return;
+            }
+            let op = self.lead.as_ref().and_then(|l| l.market.rents.get(&name));
+            let Some(body) = op.map(|op| op.body.clone()) else {
+                return;
+            };
+            let call = self.ask_cloud(Pending::Rent(name.clone()), CloudRequest::Rent(body));
+            let op = self
+                .lead
+                .as_mut()
+                .and_then(|l| l.market.rents.get_mut(&name));
+            if let Some(op) = op {
                 op.call = Some(call);
-                self.out.push(Effect::Cloud {
-                    call,
-                    request: CloudRequest::Rent(op.body.clone()),
-                    not_after: until,
-                });
             }
         }
     }
 
+    fn ask_cloud(&mut self, pending: Pending, request: CloudRequest) -> u64 {
+        let not_after = self.leader_until();
+        let call = self.call(pending);
+        self.out.push(Effect::Cloud {
+            call,
+            request,
+            not_after,
+        });
+        call
+    }
+
     /// Queues a rental under a name that no controller has ever used.
     pub(super) fn rent(&mut self, offer: Offer, count: u32) {
         let now = self.now.mono;
@@ -1266,6 +1280,10 @@
             Some(Pending::List { sent }) => {
                 lead.market.listing = false;
                 if let CloudOutcome::Listed(list) = outcome {
+                    lead.market.listed = list.len();
+                    for _ in 0..list.len() / PAGE {
+                        self.cloud_budget.take(now);
+                    }
                     self.machine_list(sent, list);
                 }
             }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -29,7 +29,7 @@
 use crate::peer::{PeerAnswer, PeerRequest};
 use crate::policy::Policy;
 use crate::settings::Settings;
-use crate::state::{StateOutcome, StateRequest};
+use crate::state::{Budget, StateOutcome, StateRequest};
 use crate::wire::{Event, Item, MachineType, Report};
 use crate::worker::{DirectOutcome, DirectRequest};
 use std::collections::BTreeMap;
@@ -185,6 +185,8 @@
     probes: u64,
     ready: Option<bool>,
     scratch: crate::plan::Scratch,
+    /// What the cloud's limit allows the leader now.
+    cloud_budget: Budget,
     pub stats: Stats,
 }
 
@@ -219,7 +221,10 @@
 
 impl Core {
     pub fn new(settings: Arc<Settings>, policy: Arc<Policy>, nonce: u64, now: Now) -> Core {
+        // Less than all, as the others ask for machine types, and an old leader for more.
+        let cloud_budget = Budget::new(settings.cloud_rps * 0.85, now.mono);
         Core {
+            cloud_budget,
             settings,
             policy,
             nonce,
--- a/src/core/recovery.rs
+++ b/src/core/recovery.rs
@@ -4,9 +4,11 @@
 //! task of an old job that nobody has shown yet is started only when each of those machines has
 //! shown all it has, or can have nothing.
 
-use super::machines::Machine;
+use super::machines::{MOST_DIRECT, Machine};
 use super::{Core, Effect, Pending};
+use crate::job::MachineId;
 use crate::worker::DirectRequest;
+use std::collections::BTreeMap;
 
 impl Core {
     /// Begins a leadership: all recorded machines are asked at once.
@@ -23,32 +25,54 @@
             lead.machines.get_or_add(id, || m);
             lead.unresolved.insert(id.clone());
         }
-        let machines: Vec<_> = lead.machines.keys().cloned().collect();
-        if !machines.is_empty() {
-            log::info!(
-                "term {}: {} machines to hear from",
-                lead.term,
-                machines.len()
-            );
+        // Zones take turns, so that one that is cut off does not hold up the others.
+        let mut zones: BTreeMap<&str, Vec<&MachineId>> = BTreeMap::new();
+        for (id, value) in &self.mirror.machines {
+            zones.entry(&value.zone).or_default().push(id);
+        }
+        let mut turns = Vec::new();
+        while zones.values().any(|z| !z.is_empty()) {
+            turns.extend(zones.values_mut().filter_map(|z| z.pop()).cloned());
         }
-        for id in machines {
-            self.ask_machine(&id);
+        turns.reverse();
+        if !turns.is_empty() {
+            log::info!("term {}: {} machines to hear from", lead.term, turns.len());
+        }
+        lead.to_ask = turns;
+        self.ask_machines();
+    }
+
+    /// Asks as many machines as there are calls to spare; those that have reported meanwhile
+    /// need not be asked.
+    pub(super) fn ask_machines(&mut self) {
+        while let Some(lead) = &mut self.lead
+            && lead.calls_out < MOST_DIRECT
+            && let Some(id) = lead.to_ask.pop()
+        {
+            let idle = lead.machines.get(&id).is_some_and(|m| m.call.is_none());
+            if idle && lead.unresolved.contains(&id) {
+                self.ask_machine(&id);
+            }
         }
     }
 
     /// Shows a machine the new token and asks what it has.
-    fn ask_machine(&mut self, id: &crate::job::MachineId) {
+    fn ask_machine(&mut self, id: &MachineId) {
         let Some(until) = self.leader_until() else {
             return;
         };
+        let machine = self.lead.as_ref().and_then(|l| l.machines.get(id));
+        let Some(Ok(addr)) = machine.map(|m| m.addr.parse()) else {
+            return;
+        };
         let call = self.call(Pending::Direct(id.clone()));
         let Some(lead) = &mut self.lead else { return };
         let term = lead.term;
         let Some(m) = lead.machines.get_mut(id) else {
             return;
         };
-        let Ok(addr) = m.addr.parse() else { return };
         m.call = Some(call);
+        lead.calls_out += 1;
         self.out.push(Effect::Direct {
             call,
             addr,
@@ -60,7 +84,7 @@
     }
 
     /// A machine has shown everything, or has nothing.
-    pub(super) fn resolve(&mut self, id: &crate::job::MachineId, how: &str) {
+    pub(super) fn resolve(&mut self, id: &MachineId, how: &str) {
         let Some(lead) = &mut self.lead else { return };
         if lead.unresolved.remove(id) {
             lead.plan_again = true;
--- a/src/service.rs
+++ b/src/service.rs
@@ -28,8 +28,8 @@
 const QUEUE: usize = 2048;
 const BATCH: usize = 256;
 const STATE_THREADS: usize = 4;
-const CLOUD_THREADS: usize = 2;
-const DIRECT_THREADS: usize = 12;
+const CLOUD_THREADS: usize = 4;
+pub const DIRECT_THREADS: usize = 24;
 const PEER_THREADS: usize = 3;
 const MOST_PEER_CONNECTIONS: usize = 32;
 /// A user waits 2 s for a poll; an answer later than this is of no use.
@@ -316,13 +316,10 @@
 
 fn cloud_pool(settings: &Settings, inbox: &Inbox) -> io::Result<Sender<CloudCall>> {
     let addr = settings.cloud_addr;
-    let budget = Budget::new((settings.cloud_rps * 0.7).max(0.2), Instant::now());
-    let budget = Arc::new(Mutex::new(budget));
     pool("cloud", CLOUD_THREADS, || {
-        let (inbox, budget) = (inbox.clone(), budget.clone());
+        let inbox = inbox.clone();
         let mut client = CloudClient::new(addr);
         Box::new(move |(call, request, not_after): CloudCall| {
-            paced(&budget);
             let outcome = if not_after.is_some_and(|t| Instant::now() >= t) {
                 CloudOutcome::Trouble("the leader's time was over".into())
             } else {
--- a/src/state.rs
+++ b/src/state.rs
@@ -212,6 +212,15 @@
         }
     }
 
+    /// Takes one call from the budget if it can be made at once.
+    pub fn try_take(&mut self, now: Instant) -> bool {
+        if !self.take(now).is_zero() {
+            self.left += 1.0;
+            return false;
+        }
+        true
+    }
+
     /// Takes one call from the budget and says how long to wait before making it.
     pub fn take(&mut self, now: Instant) -> Duration {
         let gained = now.saturating_duration_since(self.at).as_secs_f64() * self.per_second;
@@ -236,6 +245,8 @@
         assert!((0..10).all(|_| b.take(t).is_zero()));
         let waits: Vec<u64> = (0..3).map(|_| b.take(t).as_millis() as u64).collect();
         assert_eq!(waits, [100, 200, 300]);
+        assert!(!b.try_take(t) && !b.try_take(t));
+        assert!(b.try_take(t + Duration::from_millis(400)));
         assert!(b.take(t + Duration::from_secs(5)).is_zero());
     }
 }
