Machines on record in pages; a writes budget; cheaper asking of machines at a takeover

Cause: one change of the state service for each machine (502 at a start, 40 or 50 changes a second allowed), progress and machine records ahead of jobs being accepted (429s), and two requests to each machine at a takeover. Change: src/core/records.rs keeps machines in pages as large as a value; records of earlier versions are read and cleared; the term's new form keeps earlier versions from leading, which would not know the pages. The leader's own writes take at most 70 % of the changes. Asking a machine is one request where it is in its first session. Read timeouts are set when they change.

--- a/src/core/leadership.rs
+++ b/src/core/leadership.rs
@@ -5,9 +5,9 @@
 
 use super::machines::Machines;
 use super::mirror::{
-    self, DoneValue, JobValue, LEADER, LeaderValue, MachineValue, TERM, TYPES, TermValue, done_key,
-    job_key, key, machine_key,
+    self, DoneValue, JobValue, LEADER, LeaderValue, TERM, TYPES, TermValue, done_key, job_key, key,
 };
+use super::records::Records;
 use super::{CallId, Core, Effect, Pending, Ticket};
 use crate::board::Board;
 use crate::http::Answer;
@@ -29,7 +29,10 @@
 /// A controller gives leadership up for deafness at most this often.
 const RESIGN_AGAIN: Duration = Duration::from_secs(90);
 /// Done ranges may wait this long to be written together; users may be told 3 s late.
-const PROGRESS_DELAY: Duration = Duration::from_millis(1000);
+const PROGRESS_DELAY: Duration = Duration::from_millis(2000);
+/// The part of the state service's changes that the leader's own writes may take; the rest is
+/// for accepting jobs, which must not wait behind them.
+pub(super) const WRITE_SHARE: f64 = 0.7;
 /// A transaction may have 64 KiB; this leaves room for its frame.
 const MOST_TXN_BYTES: usize = 56 * 1024;
 
@@ -81,8 +84,8 @@
 pub enum WriteOp {
     End(JobId, Final),
     Progress(JobId, Vec<u32>),
-    Record(MachineId),
-    Unrecord(MachineId),
+    /// A page of machines, and who is on it.
+    Page(usize, Vec<MachineId>),
     Types,
 }
 
@@ -90,10 +93,9 @@
 #[derive(Default)]
 pub struct Writes {
     pub ends: BTreeMap<JobId, Final>,
-    pub progress: BTreeSet<JobId>,
-    pub progress_since: Option<Instant>,
-    pub record: BTreeSet<MachineId>,
-    pub unrecord: BTreeSet<MachineId>,
+    /// Jobs with done tasks that are not written yet, and since when.
+    pub progress: BTreeMap<JobId, Instant>,
+    pub records: Records,
     pub types: bool,
     pub sent: Option<Sent>,
 }
@@ -105,6 +107,47 @@
     pub again_at: Instant,
 }
 
+/// A transaction in the making.
+#[derive(Default)]
+struct Batch {
+    /// Changes that it may have.
+    most: usize,
+    bytes: usize,
+    changes: Vec<Change>,
+    ops: Vec<WriteOp>,
+}
+
+impl Batch {
+    /// Adds changes that belong together, if there is room for all of them.
+    fn add(&mut self, mut new: Vec<Change>) -> bool {
+        let size: usize = new.iter().map(|c| to_json(c).len() + 2).sum();
+        if self.changes.len() + new.len() > self.most || self.bytes + size > MOST_TXN_BYTES {
+            return false;
+        }
+        self.bytes += size;
+        self.changes.append(&mut new);
+        true
+    }
+
+    /// Adds pages of machines: those with new ones, or also those that are merely out of date.
+    fn pages(&mut self, records: &mut Records, now: Instant, only_new: bool) {
+        while self.changes.len() < self.most
+            && let Some((n, change, ids)) = records.next(now, only_new)
+        {
+            if !self.add(vec![change]) {
+                return records.again(n);
+            }
+            self.ops.push(WriteOp::Page(n, ids));
+        }
+        while !only_new
+            && self.changes.len() < self.most
+            && let Some(change) = records.next_alone()
+        {
+            self.changes.push(change);
+        }
+    }
+}
+
 impl Core {
     /// Until when this process may act as the leader.
     pub(super) fn leader_until(&self) -> Option<Instant> {
@@ -286,6 +329,7 @@
             head: None,
             pace: BTreeMap::new(),
         };
+        lead.writes.records = Records::new(&self.mirror, self.settings.value_bytes);
         lead.writes.types = !self.types.is_empty() && self.types != self.mirror.types;
         self.lead = Some(lead);
         self.recover();
@@ -337,6 +381,9 @@
             }
             return;
         }
+        if self.write_budget.left(now) < 1.0 {
+            return;
+        }
         let Some((txn, ops)) = self.gather() else {
             return;
         };
@@ -355,19 +402,12 @@
         let now = self.now.mono;
         let piece = self.piece();
         let most = self.settings.txn_ops.saturating_sub(1).max(1);
+        let most = most.min(self.write_budget.left(now) as usize);
         let lead = self.lead.as_mut()?;
         let w = &mut lead.writes;
-        let mut changes: Vec<Change> = Vec::new();
-        let mut ops = Vec::new();
-        let mut bytes = 0;
-        let mut add = |changes: &mut Vec<Change>, mut new: Vec<Change>| {
-            let size: usize = new.iter().map(|c| to_json(c).len() + 2).sum();
-            if changes.len() + new.len() > most || bytes + size > MOST_TXN_BYTES {
-                return false;
-            }
-            bytes += size;
-            changes.append(&mut new);
-            true
+        let mut batch = Batch {
+            most,
+            ..Batch::default()
         };
         let put = |key, value| Change::Put {
             key,
@@ -382,66 +422,41 @@
                     key: done_key(id, *base),
                 }));
             }
-            if !add(&mut changes, new) {
+            if !batch.add(new) {
                 break;
             }
-            ops.push(WriteOp::End(id.clone(), *end));
+            batch.ops.push(WriteOp::End(id.clone(), *end));
         }
-        for id in &w.record {
-            let Some(m) = lead.machines.get(id) else {
+        batch.pages(&mut w.records, now, true);
+        let mut due: Vec<(Instant, &JobId)> = w.progress.iter().map(|(id, t)| (*t, id)).collect();
+        due.retain(|(t, id)| now >= *t + PROGRESS_DELAY && !w.ends.contains_key(*id));
+        due.sort();
+        'jobs: for (_, id) in due {
+            let (Some(run), Some(job)) = (lead.runs.get(id), self.mirror.jobs.get(id)) else {
                 continue;
             };
-            let value = MachineValue::from(m);
-            if !add(&mut changes, vec![put(machine_key(id), json(&value))]) {
-                break;
-            }
-            ops.push(WriteOp::Record(id.clone()));
-        }
-        let due = w.progress_since.is_some_and(|t| now >= t + PROGRESS_DELAY);
-        if due {
-            for id in &w.progress {
-                let (Some(run), Some(job)) = (lead.runs.get(id), self.mirror.jobs.get(id)) else {
-                    continue;
+            let bases: BTreeSet<u32> = run.unwritten.iter().map(|r| r / piece * piece).collect();
+            for base in bases {
+                let value = DoneValue {
+                    rows: job.done.ranges(base, piece),
                 };
-                if w.ends.contains_key(id) {
-                    continue;
-                }
-                let bases: BTreeSet<u32> =
-                    run.unwritten.iter().map(|r| r / piece * piece).collect();
-                let mut wrote = true;
-                for base in bases {
-                    let value = DoneValue {
-                        rows: job.done.ranges(base, piece),
-                    };
-                    let new = vec![put(done_key(id, base), json(&value))];
-                    if !add(&mut changes, new) {
-                        wrote = false;
-                        break;
-                    }
-                    let rows = run.unwritten.range(base..base + piece).copied().collect();
-                    ops.push(WriteOp::Progress(id.clone(), rows));
+                if !batch.add(vec![put(done_key(id, base), json(&value))]) {
+                    break 'jobs;
                 }
-                if !wrote {
-                    break;
-                }
-            }
-        }
-        for id in &w.unrecord {
-            let new = vec![Change::Delete {
-                key: machine_key(id),
-            }];
-            if !add(&mut changes, new) {
-                break;
+                let rows = run.unwritten.range(base..base + piece).copied().collect();
+                batch.ops.push(WriteOp::Progress(id.clone(), rows));
             }
-            ops.push(WriteOp::Unrecord(id.clone()));
         }
-        if w.types && add(&mut changes, vec![put(key(TYPES), json(&self.types))]) {
-            ops.push(WriteOp::Types);
+        batch.pages(&mut w.records, now, false);
+        if w.types && batch.add(vec![put(key(TYPES), json(&self.types))]) {
+            batch.ops.push(WriteOp::Types);
         }
+        let Batch { changes, ops, .. } = batch;
         if changes.is_empty() {
             w.types = false;
             return None;
         }
+        self.write_budget.spend(changes.len());
         // Conditional on the leader key: a transaction that arrives after the end of this
         // leadership must change nothing.
         let conditions = vec![Condition {
@@ -493,7 +508,12 @@
                 // Not expected of what `gather` makes; the other changes must not wait for it.
                 log::error!("state service refuses a write for good: {e}");
                 lead.writes.types = false;
-                lead.writes.sent = None;
+                let ops = lead.writes.sent.take().map(|s| s.ops);
+                for op in ops.unwrap_or_default() {
+                    if let WriteOp::Page(n, _) = op {
+                        lead.writes.records.again(n);
+                    }
+                }
             }
             StateOutcome::Refused(e) => {
                 log::debug!("write refused: {e}");
@@ -524,27 +544,23 @@
                     }
                     if run.unwritten.is_empty() {
                         lead.writes.progress.remove(&id);
+                    } else {
+                        lead.writes.progress.insert(id, self.now.mono);
                     }
                 } else {
                     lead.writes.progress.remove(&id);
                 }
-                if lead.writes.progress.is_empty() {
-                    lead.writes.progress_since = None;
-                } else {
-                    lead.writes.progress_since = Some(self.now.mono);
-                }
             }
-            WriteOp::Record(id) => {
-                lead.writes.record.remove(&id);
-                if let Some(m) = lead.machines.get_mut(&id) {
-                    m.recorded = true;
-                    lead.plan_again = true;
+            WriteOp::Page(_, ids) => {
+                for id in ids {
+                    if lead.machines.get(&id).is_some_and(|m| !m.recorded)
+                        && let Some(m) = lead.machines.get_mut(&id)
+                    {
+                        m.recorded = true;
+                        lead.plan_again = true;
+                    }
                 }
             }
-            WriteOp::Unrecord(id) => {
-                lead.writes.unrecord.remove(&id);
-                self.mirror.machines.remove(&id);
-            }
             WriteOp::Types => lead.writes.types = false,
         }
     }
--- a/src/core/machines.rs
+++ b/src/core/machines.rs
@@ -377,7 +377,8 @@
         m.lease_from = now;
         if !m.recorded {
             // Before its first task: a later leader must know every place a task may be.
-            lead.writes.record.insert(id.clone());
+            let value = MachineValue::from(&*m);
+            lead.writes.records.add(&id, value);
         }
         Some((ticket, id))
     }
@@ -721,8 +722,7 @@
         }
         if job.done.insert(key.row) {
             run.unwritten.insert(key.row);
-            lead.writes.progress.insert(key.job.clone());
-            lead.writes.progress_since.get_or_insert(now);
+            lead.writes.progress.entry(key.job.clone()).or_insert(now);
         }
         run.queued.remove(&key.row);
         run.held.remove(&key.row);
@@ -1110,6 +1110,7 @@
 
     /// It is certain that the machine and everything on it is gone.
     fn machine_gone(&mut self, id: &MachineId, how: &str) {
+        let now = self.now.mono;
         let Some(lead) = &mut self.lead else { return };
         let Some(m) = lead.machines.get(id) else {
             return;
@@ -1122,10 +1123,7 @@
         lead.machines.remove(id);
         lead.gone.insert(id.clone());
         lead.market.deletions.remove(id);
-        lead.writes.record.remove(id);
-        if self.mirror.machines.contains_key(id) || lead.writes.sent.is_some() {
-            lead.writes.unrecord.insert(id.clone());
-        }
+        lead.writes.records.remove(id, now);
         lead.plan_again = true;
     }
 
--- a/src/core/mirror.rs
+++ b/src/core/mirror.rs
@@ -1,7 +1,8 @@
 //! This node's copy of what the state service holds, kept current by the watch.
 //!
 //! Keys: `leader` (on the leader's lease), `term`, `types`, `j/<job>`, `d/<job>/<row>` (ranges of
-//! done tasks, counted from that row), `m/<machine>` (every machine that may hold a task).
+//! done tasks, counted from that row), `p/<n>` (pages of machines that may hold a task), and
+//! `m/<machine>` (such machines one by one, from earlier versions).
 
 use crate::job::{Final, JobId, JobSpec, MachineId};
 use crate::state::PREFIX;
@@ -27,6 +28,10 @@
     format!("{PREFIX}d/{id}/{base}")
 }
 
+pub fn page_key(n: usize) -> String {
+    format!("{PREFIX}p/{n}")
+}
+
 pub fn machine_key(id: &str) -> String {
     format!("{PREFIX}m/{id}")
 }
@@ -40,6 +45,9 @@
 
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct TermValue {
+    /// Earlier versions call it `term` and cannot read this: having seen it, they cannot raise
+    /// the term, so none of them leads again that would not know of the pages of machines.
+    #[serde(rename = "era", alias = "term")]
     pub term: u64,
 }
 
@@ -64,6 +72,11 @@
     pub spot: bool,
 }
 
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct PageValue {
+    pub machines: BTreeMap<MachineId, MachineValue>,
+}
+
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct DoneValue {
     pub rows: String,
@@ -162,6 +175,10 @@
     /// Finished jobs stay for ever, as little more than their ids.
     pub finished: BTreeMap<JobId, Final>,
     pub machines: BTreeMap<MachineId, MachineValue>,
+    /// Which of them are on which page.
+    pub pages: BTreeMap<usize, BTreeSet<MachineId>>,
+    /// Those under keys of their own.
+    pub alone: BTreeSet<MachineId>,
     /// Ranges that were read before their job.
     orphans: BTreeMap<(JobId, u32), String>,
 }
@@ -201,6 +218,12 @@
             Some(("j", id)) => serde_json::from_value(value).map(|v| self.put_job(id, v, version)),
             Some(("m", id)) => serde_json::from_value(value).map(|v| {
                 self.machines.insert(MachineId::from(id), v);
+                self.alone.insert(MachineId::from(id));
+            }),
+            Some(("p", n)) => serde_json::from_value(value).map(|v: PageValue| {
+                if let Ok(n) = n.parse() {
+                    self.put_page(n, v.machines);
+                }
             }),
             Some(("d", rest)) => serde_json::from_value(value).map(|v: DoneValue| {
                 if let Some((id, base)) = rest.split_once('/')
@@ -277,6 +300,21 @@
         }
     }
 
+    fn put_page(&mut self, n: usize, machines: BTreeMap<MachineId, MachineValue>) {
+        let now: BTreeSet<MachineId> = machines.keys().cloned().collect();
+        let before = if now.is_empty() {
+            self.pages.remove(&n)
+        } else {
+            self.pages.insert(n, now.clone())
+        };
+        for id in before.unwrap_or_default() {
+            if !now.contains(&id) && !self.alone.contains(&id) {
+                self.machines.remove(&id);
+            }
+        }
+        self.machines.extend(machines);
+    }
+
     fn put_done(&mut self, id: JobId, base: u32, rows: String) {
         if let Some(job) = self.jobs.get_mut(&id) {
             job.done.add_ranges(base, &rows, job.spec.tasks);
@@ -293,7 +331,12 @@
         if name == LEADER && self.leader.as_ref().is_some_and(|(_, v)| *v < version) {
             self.leader = None;
         } else if let Some(id) = name.strip_prefix("m/") {
-            self.machines.remove(id);
+            self.alone.remove(id);
+            if !self.pages.values().any(|p| p.contains(id)) {
+                self.machines.remove(id);
+            }
+        } else if let Some(Ok(n)) = name.strip_prefix("p/").map(str::parse) {
+            self.put_page(n, BTreeMap::new());
         }
     }
 }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -4,6 +4,7 @@
 //! - `leadership`: the lease, taking over, resigning, and the leader's durable writes.
 //! - `jobs`: what users ask for, and how jobs progress and end.
 //! - `machines`: reports, commands, losses; renting and returning through the cloud.
+//! - `records`: the machines that a later leader has to know of.
 //! - `recovery`: what a new leader does not know yet, and when it knows it.
 //! - `scheduling`: snapshots for `plan` and `fleet`, and their decisions carried out.
 
@@ -11,6 +12,7 @@
 mod leadership;
 mod machines;
 mod mirror;
+mod records;
 mod recovery;
 mod scheduling;
 mod status;
@@ -187,6 +189,8 @@
     scratch: crate::plan::Scratch,
     /// What the cloud's limit allows the leader now.
     cloud_budget: Budget,
+    /// Changes that the state service's limit allows the leader now.
+    write_budget: Budget,
     pub stats: Stats,
 }
 
@@ -223,7 +227,10 @@
     pub fn new(settings: Arc<Settings>, policy: Arc<Policy>, nonce: u64, now: Now) -> Core {
         // Less than all, as the others ask for machine types, and an old leader for more.
         let cloud_budget = Budget::new(settings.cloud_rps * 0.85, now.mono);
+        let writes = settings.state_write_rps * leadership::WRITE_SHARE;
+        let write_budget = Budget::new(writes, now.mono);
         Core {
+            write_budget,
             cloud_budget,
             settings,
             policy,
--- /dev/null
+++ b/src/core/records.rs
@@ -0,0 +1,221 @@
+//! The record of every machine that may hold a task, for leaders to come. Machines share pages of
+//! the state service, as many as fit into one value: a change is counted by key, and hundreds of
+//! machines come up together.
+
+use super::mirror::{MachineValue, Mirror, PageValue, machine_key, page_key};
+use crate::job::MachineId;
+use crate::wire::{Change, to_json};
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, Instant};
+
+/// A machine that is gone may stay on record this long: a new leader would only ask in vain.
+const FORGET_DELAY: Duration = Duration::from_secs(2);
+
+#[derive(Default)]
+struct Page {
+    machines: BTreeMap<MachineId, MachineValue>,
+    bytes: usize,
+}
+
+#[derive(Default)]
+pub struct Records {
+    /// Bytes that a page may have.
+    limit: usize,
+    pages: Vec<Page>,
+    home: BTreeMap<MachineId, usize>,
+    /// Pages that have new machines on them.
+    due: BTreeSet<usize>,
+    /// Pages that list machines which are gone, and since when.
+    stale: BTreeMap<usize, Instant>,
+    /// Machines recorded under keys of their own, as earlier versions did.
+    alone: BTreeSet<MachineId>,
+    /// Those of them that are gone.
+    to_drop: BTreeSet<MachineId>,
+}
+
+fn size(id: &MachineId, value: &MachineValue) -> usize {
+    id.len() + to_json(value).len() + 4
+}
+
+impl Records {
+    pub fn new(mirror: &Mirror, value_bytes: usize) -> Records {
+        let mut r = Records {
+            limit: value_bytes / 8 * 7,
+            alone: mirror.alone.clone(),
+            ..Records::default()
+        };
+        for (&n, ids) in &mirror.pages {
+            // A page far beyond any number written here is not ours; it stays as it is.
+            if n >= 1 << 16 {
+                continue;
+            }
+            if r.pages.len() <= n {
+                r.pages.resize_with(n + 1, Page::default);
+            }
+            for id in ids {
+                if let Some(value) = mirror.machines.get(id) {
+                    r.put(n, id.clone(), value.clone());
+                }
+            }
+        }
+        r
+    }
+
+    fn put(&mut self, n: usize, id: MachineId, value: MachineValue) {
+        let page = &mut self.pages[n];
+        page.bytes += size(&id, &value);
+        page.machines.insert(id.clone(), value);
+        self.home.insert(id, n);
+    }
+
+    pub fn add(&mut self, id: &MachineId, value: MachineValue) {
+        if let Some(n) = self.home.get(id) {
+            self.due.insert(*n);
+            return;
+        }
+        let more = size(id, &value);
+        let limit = self.limit;
+        let free = |p: &Page| p.machines.is_empty() || p.bytes + more <= limit;
+        let n = self.pages.iter().position(free).unwrap_or_else(|| {
+            self.pages.push(Page::default());
+            self.pages.len() - 1
+        });
+        self.put(n, id.clone(), value);
+        self.due.insert(n);
+    }
+
+    pub fn remove(&mut self, id: &MachineId, now: Instant) {
+        if self.alone.remove(id) {
+            self.to_drop.insert(id.clone());
+        }
+        let Some(n) = self.home.remove(id) else {
+            return;
+        };
+        let page = &mut self.pages[n];
+        if let Some(value) = page.machines.remove(id) {
+            page.bytes -= size(id, &value);
+        }
+        self.stale.entry(n).or_insert(now);
+    }
+
+    /// The next page to write, those with new machines first, and the machines that will then
+    /// be on record.
+    pub fn next(
+        &mut self,
+        now: Instant,
+        only_new: bool,
+    ) -> Option<(usize, Change, Vec<MachineId>)> {
+        let late = |(_, since): &(&usize, &Instant)| !only_new && now >= **since + FORGET_DELAY;
+        let n = match self.due.first() {
+            Some(n) => *n,
+            None => *self.stale.iter().find(late)?.0,
+        };
+        self.due.remove(&n);
+        self.stale.remove(&n);
+        let page = &self.pages[n];
+        let ids = page.machines.keys().cloned().collect();
+        let key = page_key(n);
+        let change = if page.machines.is_empty() {
+            Change::Delete { key }
+        } else {
+            let value = PageValue {
+                machines: page.machines.clone(),
+            };
+            Change::Put {
+                key,
+                value: serde_json::to_value(value).unwrap_or_default(),
+                lease: None,
+            }
+        };
+        Some((n, change, ids))
+    }
+
+    /// The page was not written after all.
+    pub fn again(&mut self, n: usize) {
+        self.due.insert(n);
+    }
+
+    /// The next key of a single machine to delete.
+    pub fn next_alone(&mut self) -> Option<Change> {
+        let id = self.to_drop.pop_first()?;
+        Some(Change::Delete {
+            key: machine_key(&id),
+        })
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::wire::{Event, Item};
+
+    fn value(i: usize) -> MachineValue {
+        MachineValue {
+            addr: format!("10.1.0.{}:9000", i % 250),
+            kind: "betonniere".into(),
+            zone: "saint-brieuc".into(),
+            spot: i.is_multiple_of(2),
+        }
+    }
+
+    fn told(mirror: &mut Mirror, change: Change, version: u64) {
+        let (put, delete, value) = match change {
+            Change::Put { key, value, .. } => (Some(key), None, value),
+            Change::Delete { key } => (None, Some(key), serde_json::Value::Null),
+        };
+        let event = Event {
+            put,
+            delete,
+            value,
+            version,
+            lease: None,
+        };
+        mirror.apply(vec![event], version);
+    }
+
+    /// What a leader writes is what the next one finds, page by page, machines that came one by
+    /// one and all at once, and those of an earlier version's keys too.
+    #[test]
+    fn a_thousand_machines_are_on_record_in_a_few_pages_and_leave_it_again() {
+        let mut mirror = Mirror::default();
+        let old = Item {
+            key: machine_key("i-old"),
+            value: serde_json::to_value(value(0)).unwrap(),
+            version: 1,
+            lease: None,
+        };
+        mirror.reset(vec![old], 1);
+        let now = Instant::now();
+        let mut r = Records::new(&mirror, 8192);
+        let ids: Vec<MachineId> = (0..1000).map(|i| format!("i-{i:06}").into()).collect();
+        let (mut version, mut writes) = (1, 0);
+        for (i, id) in ids.iter().enumerate() {
+            r.add(id, value(i));
+            if i % 100 == 99 {
+                while let Some((_, change, _)) = r.next(now, true) {
+                    assert!(to_json(&change).len() < 8192);
+                    version += 1;
+                    writes += 1;
+                    told(&mut mirror, change, version);
+                }
+            }
+        }
+        assert!(writes < 40, "{writes} writes for a thousand machines");
+        assert_eq!(mirror.machines.len(), 1001);
+
+        // Another leader takes over what it finds and forgets most of it.
+        let mut r = Records::new(&mirror, 8192);
+        for id in ids.iter().skip(10) {
+            r.remove(id, now);
+        }
+        r.remove(&"i-old".into(), now);
+        assert!(r.next(now, false).is_none());
+        while let Some((_, change, _)) = r.next(now + FORGET_DELAY, false) {
+            version += 1;
+            told(&mut mirror, change, version);
+        }
+        told(&mut mirror, r.next_alone().unwrap(), version + 1);
+        let left: Vec<&MachineId> = mirror.machines.keys().collect();
+        assert_eq!(left, ids.iter().take(10).collect::<Vec<_>>());
+    }
+}
--- a/src/http.rs
+++ b/src/http.rs
@@ -122,16 +122,48 @@
     }
 }
 
+/// A connection, with the timeout that is set on it: with a thousand workers, a system call saved
+/// on each report counts.
+struct Wire {
+    stream: TcpStream,
+    timeout: Duration,
+}
+
+impl Wire {
+    fn new(stream: TcpStream) -> Wire {
+        let _ = stream.set_nodelay(true);
+        let _ = stream.set_write_timeout(Some(WRITE_TIMEOUT));
+        Wire {
+            stream,
+            timeout: Duration::ZERO,
+        }
+    }
+
+    fn wait_at_most(&mut self, left: Duration) -> io::Result<()> {
+        // Whole seconds where there are some: a new request's patience is then the last one's.
+        let wanted = if left > Duration::from_secs(2) {
+            Duration::from_secs(left.as_secs() + u64::from(left.subsec_nanos() > 0))
+        } else {
+            left.max(Duration::from_millis(1))
+        };
+        if wanted != self.timeout {
+            self.stream.set_read_timeout(Some(wanted))?;
+            self.timeout = wanted;
+        }
+        Ok(())
+    }
+}
+
 /// Reads more bytes into `buf`, giving up at `deadline`. `Ok(0)` is the other side's end.
-fn read_more(stream: &mut TcpStream, buf: &mut Vec<u8>, deadline: Instant) -> io::Result<usize> {
+fn read_more(wire: &mut Wire, buf: &mut Vec<u8>, deadline: Instant) -> io::Result<usize> {
     let left = deadline.saturating_duration_since(Instant::now());
     if left.is_zero() {
         return Err(io::ErrorKind::TimedOut.into());
     }
-    stream.set_read_timeout(Some(left.max(Duration::from_millis(1))))?;
+    wire.wait_at_most(left)?;
     let mut chunk = [0u8; 8192];
     let n = loop {
-        match stream.read(&mut chunk) {
+        match wire.stream.read(&mut chunk) {
             Err(e) if e.kind() == io::ErrorKind::Interrupted => {
                 if Instant::now() >= deadline {
                     return Err(io::ErrorKind::TimedOut.into());
@@ -153,7 +185,7 @@
 }
 
 /// Reads one request; bytes of the next one stay in `buf`. The flag says whether to close after.
-fn read_request(stream: &mut TcpStream, buf: &mut Vec<u8>) -> Result<(Request, bool), Refusal> {
+fn read_request(wire: &mut Wire, buf: &mut Vec<u8>) -> Result<(Request, bool), Refusal> {
     let mut deadline = Instant::now()
         + if buf.is_empty() {
             IDLE
@@ -198,10 +230,10 @@
                         body: Vec::new(),
                     };
                     if expects && buf.len() < at + length {
-                        stream.write_all(b"HTTP/1.1 100 Continue\r\n\r\n")?;
+                        wire.stream.write_all(b"HTTP/1.1 100 Continue\r\n\r\n")?;
                     }
                     while buf.len() < at + length {
-                        if read_more(stream, buf, deadline)? == 0 {
+                        if read_more(wire, buf, deadline)? == 0 {
                             return Err(Refusal::Closed);
                         }
                     }
@@ -214,7 +246,7 @@
                 }
             }
         }
-        if read_more(stream, buf, deadline)? == 0 {
+        if read_more(wire, buf, deadline)? == 0 {
             return Err(Refusal::Closed);
         }
         if !started {
@@ -224,24 +256,26 @@
     }
 }
 
-fn serve_connection(mut stream: TcpStream, handle: &dyn Fn(Request) -> Option<Answer>) {
-    let _ = stream.set_nodelay(true);
-    let _ = stream.set_write_timeout(Some(WRITE_TIMEOUT));
+fn serve_connection(stream: TcpStream, handle: &dyn Fn(Request) -> Option<Answer>) {
+    let mut wire = Wire::new(stream);
     let mut buf = Vec::new();
     loop {
-        match read_request(&mut stream, &mut buf) {
+        match read_request(&mut wire, &mut buf) {
             Ok((request, close)) => {
                 let Some(answer) = handle(request) else {
                     return;
                 };
                 // A leader's word that comes too late is not given: silence is always safe.
-                if answer.expired() || write_answer(&mut stream, &answer, close).is_err() || close {
+                if answer.expired()
+                    || write_answer(&mut wire.stream, &answer, close).is_err()
+                    || close
+                {
                     return;
                 }
             }
             Err(Refusal::Closed) => return,
             Err(Refusal::Answer(answer)) => {
-                let _ = write_answer(&mut stream, &answer, true);
+                let _ = write_answer(&mut wire.stream, &answer, true);
                 return;
             }
         }
@@ -308,7 +342,7 @@
 pub struct Client {
     addr: SocketAddrV4,
     connect: Duration,
-    stream: Option<TcpStream>,
+    stream: Option<Wire>,
 }
 
 impl Client {
@@ -347,13 +381,12 @@
         body: &[u8],
         deadline: Instant,
     ) -> Result<(u16, Vec<u8>), CallError> {
-        let mut stream = match self.stream.take() {
-            Some(s) => s,
+        let mut wire = match self.stream.take() {
+            Some(w) => w,
             None => {
                 let s = TcpStream::connect_timeout(&SocketAddr::V4(self.addr), self.connect)
                     .map_err(|e| CallError::NotSent(e.to_string()))?;
-                let _ = s.set_nodelay(true);
-                s
+                Wire::new(s)
             }
         };
         let mut out = format!(
@@ -364,13 +397,10 @@
         .into_bytes();
         out.extend_from_slice(body);
         let unknown = |e: io::Error| CallError::Unknown(e.to_string());
-        stream
-            .set_write_timeout(Some(WRITE_TIMEOUT))
-            .and_then(|()| stream.write_all(&out))
-            .map_err(unknown)?;
-        let (status, body, keep) = read_answer(&mut stream, deadline).map_err(unknown)?;
+        wire.stream.write_all(&out).map_err(unknown)?;
+        let (status, body, keep) = read_answer(&mut wire, deadline).map_err(unknown)?;
         if keep {
-            self.stream = Some(stream);
+            self.stream = Some(wire);
         }
         Ok((status, body))
     }
@@ -380,10 +410,10 @@
     io::Error::new(io::ErrorKind::InvalidData, text.to_string())
 }
 
-fn read_answer(stream: &mut TcpStream, deadline: Instant) -> io::Result<(u16, Vec<u8>, bool)> {
+fn read_answer(wire: &mut Wire, deadline: Instant) -> io::Result<(u16, Vec<u8>, bool)> {
     let mut buf = Vec::new();
     loop {
-        if read_more(stream, &mut buf, deadline)? == 0 {
+        if read_more(wire, &mut buf, deadline)? == 0 {
             return Err(io::ErrorKind::UnexpectedEof.into());
         }
         let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
@@ -407,10 +437,10 @@
         };
         buf.drain(..at);
         if chunked {
-            return Ok((status, read_chunks(stream, buf, deadline)?, keep));
+            return Ok((status, read_chunks(wire, buf, deadline)?, keep));
         }
         let Some(length) = length else {
-            while read_more(stream, &mut buf, deadline)? > 0 {
+            while read_more(wire, &mut buf, deadline)? > 0 {
                 if buf.len() > MAX_ANSWER {
                     return Err(bad("answer too large"));
                 }
@@ -421,7 +451,7 @@
             return Err(bad("answer too large"));
         }
         while buf.len() < length {
-            if read_more(stream, &mut buf, deadline)? == 0 {
+            if read_more(wire, &mut buf, deadline)? == 0 {
                 return Err(io::ErrorKind::UnexpectedEof.into());
             }
         }
@@ -430,7 +460,7 @@
     }
 }
 
-fn read_chunks(stream: &mut TcpStream, mut buf: Vec<u8>, deadline: Instant) -> io::Result<Vec<u8>> {
+fn read_chunks(wire: &mut Wire, mut buf: Vec<u8>, deadline: Instant) -> io::Result<Vec<u8>> {
     let mut body = Vec::new();
     loop {
         match httparse::parse_chunk_size(&buf).map_err(|_| bad("bad chunk"))? {
@@ -440,7 +470,7 @@
                     return Err(bad("answer too large"));
                 }
                 while buf.len() < at + size + 2 {
-                    if read_more(stream, &mut buf, deadline)? == 0 {
+                    if read_more(wire, &mut buf, deadline)? == 0 {
                         return Err(io::ErrorKind::UnexpectedEof.into());
                     }
                 }
@@ -451,7 +481,7 @@
                 }
             }
             httparse::Status::Partial => {
-                if read_more(stream, &mut buf, deadline)? == 0 {
+                if read_more(wire, &mut buf, deadline)? == 0 {
                     return Err(io::ErrorKind::UnexpectedEof.into());
                 }
             }
--- a/src/state.rs
+++ b/src/state.rs
@@ -212,6 +212,18 @@
         }
     }
 
+    /// What may be used at once.
+    pub fn left(&mut self, now: Instant) -> f64 {
+        let gained = now.saturating_duration_since(self.at).as_secs_f64() * self.per_second;
+        self.at = self.at.max(now);
+        self.left = (self.left + gained).min(self.burst);
+        self.left
+    }
+
+    pub fn spend(&mut self, n: usize) {
+        self.left -= n as f64;
+    }
+
     /// Takes one call from the budget if it can be made at once.
     pub fn try_take(&mut self, now: Instant) -> bool {
         if !self.take(now).is_zero() {
@@ -223,9 +235,7 @@
 
     /// Takes one call from the budget and says how long to wait before making it.
     pub fn take(&mut self, now: Instant) -> Duration {
-        let gained = now.saturating_duration_since(self.at).as_secs_f64() * self.per_second;
-        self.at = self.at.max(now);
-        self.left = (self.left + gained).min(self.burst) - 1.0;
+        self.left = self.left(now) - 1.0;
         if self.left >= 0.0 {
             Duration::ZERO
         } else {
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -12,7 +12,6 @@
 pub const PATH_READY: &str = "/ready";
 pub const PATH_REPORT: &str = "/hello";
 pub const PATH_COMMANDS: &str = "/do";
-pub const PATH_MACHINE_STATUS: &str = "/status";
 pub const PATH_TYPES: &str = "/flavors";
 pub const PATH_MACHINES: &str = "/hosts";
 pub const PATH_DELETE: &str = "/hosts/delete";
--- a/src/worker.rs
+++ b/src/worker.rs
@@ -1,7 +1,7 @@
 //! The client of a worker's own address: direct commands.
 
 use crate::http::{CallError, Client};
-use crate::wire::{DirectBody, PATH_COMMANDS, PATH_MACHINE_STATUS, Report, to_json};
+use crate::wire::{DirectBody, PATH_COMMANDS, Report, to_json};
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
@@ -49,25 +49,28 @@
 /// Sends one request to a worker on a connection of its own.
 pub fn perform(addr: SocketAddrV4, request: &DirectRequest) -> DirectOutcome {
     let mut http = Client::new(addr, CONNECT);
-    let body = match request {
-        DirectRequest::Commands(body) => body.clone(),
+    match request {
+        DirectRequest::Commands(body) => command(&mut http, body),
         DirectRequest::Status { token } => {
-            let session = match http.call("GET", PATH_MACHINE_STATUS, b"", TIMEOUT, true) {
-                Ok((status, body)) => match parse(status, &body) {
-                    DirectOutcome::Report { report, .. } => report.session,
-                    other => return other,
-                },
-                Err(e) => return failed(e),
-            };
-            // An empty list of commands has no effect but the token's.
-            DirectBody {
+            // An empty list of commands has no effect but the token's. Most workers are in their
+            // first session; one that is not answers with its report, which says which it is in.
+            let show = |session| DirectBody {
                 token: *token,
                 session,
                 orders: Vec::new(),
+            };
+            match command(&mut http, &show(1)) {
+                DirectOutcome::Report { report, executed } if !executed && report.session > 1 => {
+                    command(&mut http, &show(report.session))
+                }
+                other => other,
             }
         }
-    };
-    match http.call("POST", PATH_COMMANDS, &to_json(&body), TIMEOUT, false) {
+    }
+}
+
+fn command(http: &mut Client, body: &DirectBody) -> DirectOutcome {
+    match http.call("POST", PATH_COMMANDS, &to_json(body), TIMEOUT, false) {
         Ok((status, answer)) => parse(status, &answer),
         Err(e) => failed(e),
     }
