--- a/src/core/jobs.rs
+++ b/src/core/jobs.rs
@@ -522,6 +522,9 @@
                 ..Run::default()
             };
             lead.runs.insert(id.clone(), run);
+            if job.version > lead.key_version {
+                lead.arrivals.note(self.now.mono, 1);
+            }
             lead.plan_again = true;
         }
         for id in over {
--- a/src/core/leadership.rs
+++ b/src/core/leadership.rs
@@ -77,6 +77,7 @@
     pub head: Option<(JobId, Option<Duration>)>,
     /// How actual run times compare with estimates, by class.
     pub pace: BTreeMap<String, super::scheduling::Pace>,
+    pub arrivals: super::scheduling::Arrivals,
 }
 
 /// One durable change of the leader's.
@@ -328,6 +329,7 @@
             zones_back: BTreeMap::new(),
             head: None,
             pace: BTreeMap::new(),
+            arrivals: super::scheduling::Arrivals::new(now),
         };
         lead.writes.records = Records::new(&self.mirror, self.settings.value_bytes);
         lead.writes.types = !self.types.is_empty() && self.types != self.mirror.types;
--- a/src/core/scheduling.rs
+++ b/src/core/scheduling.rs
@@ -40,6 +40,39 @@
     }
 }
 
+/// How often jobs arrive; older experience fades.
+#[derive(Clone, Copy, Debug)]
+pub struct Arrivals {
+    at: Instant,
+    seconds: f64,
+    jobs: f64,
+}
+
+impl Arrivals {
+    pub fn new(now: Instant) -> Arrivals {
+        // A new leader expects a job a minute until it knows better.
+        Arrivals {
+            at: now,
+            seconds: 60.0,
+            jobs: 1.0,
+        }
+    }
+
+    pub fn note(&mut self, now: Instant, jobs: u32) {
+        const FADE_S: f64 = 180.0;
+        let passed = now.saturating_duration_since(self.at).as_secs_f64();
+        let kept = (-passed / FADE_S).exp();
+        self.at = now;
+        self.seconds = self.seconds * kept + passed;
+        self.jobs = self.jobs * kept + f64::from(jobs);
+    }
+
+    /// Mean time between two jobs, in seconds.
+    pub fn pause(&self) -> f64 {
+        self.seconds / self.jobs.max(1e-3)
+    }
+}
+
 /// A job in the queue.
 struct InLine<'a> {
     id: &'a JobId,
@@ -538,6 +571,7 @@
         self.refresh_board();
         let Some(lead) = &mut self.lead else { return };
         lead.fleet_at = Some(now);
+        lead.arrivals.note(now, 0);
         lead.board.sum_again();
         let Some(lead) = &self.lead else { return };
         if self.types.is_empty() {
@@ -649,6 +683,7 @@
             ram: t.map_or(0.0, |t| t.ram),
             age: age.as_secs_f64(),
             boot: t.map_or(0.0, |t| t.boot_s),
+            pause: lead.arrivals.pause(),
         };
         let s = self.policy.machine_number(Entry::IdleKeep, &facts);
         Duration::from_secs_f64(s.clamp(0.0, 1e7))
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -64,16 +64,17 @@
     ("finish_goal", Type::Number),
     ("has_deadline", Type::Truth),
     ("deadline_left", Type::Number),
-    ("gleanable", Type::Truth),
+    ("spot", Type::Truth),
 ];
 
-const MACHINE_NAMES: [(&str, Type); 6] = [
+const MACHINE_NAMES: [(&str, Type); 7] = [
     ("spot", Type::Truth),
     ("price", Type::Number),
     ("cpus", Type::Number),
     ("ram", Type::Number),
     ("age", Type::Number),
     ("boot", Type::Number),
+    ("pause", Type::Number),
 ];
 
 fn names(about: About) -> &'static [(&'static str, Type)] {
@@ -136,6 +137,8 @@
     pub ram: f64,
     pub age: f64,
     pub boot: f64,
+    /// Mean time between the arrivals of jobs.
+    pub pause: f64,
 }
 
 impl MachineFacts {
@@ -147,6 +150,7 @@
             self.ram,
             self.age,
             self.boot,
+            self.pause,
         ]
     }
 }
