--- a/src/plan.rs
+++ b/src/plan.rs
@@ -211,6 +211,8 @@
 /// What it is worth to leave the largest machine empty instead of a tiny one: it is paid for until
 /// its last task ends.
 const SIZE_COST: f64 = 2.0;
+/// For longer work, the first weighs more and the wait for an image less.
+const USUAL_S: f64 = 15.0;
 
 /// How a job looks at machines: which classes it may use, and what each of their machines costs
 /// it beside what that machine itself adds.
@@ -224,13 +226,17 @@
 impl Taste {
     fn new(board: &Board, w: &Waiting) -> Taste {
         let largest = board.largest();
+        let length = w.estimate.as_secs_f64().max(1.0) / USUAL_S;
         let cost = |c: &Class| {
             let ordinary = w.spec.spot && !c.offer.2;
             let cost = if ordinary { ORDINARY_COST } else { 0.0 };
+            let size = SIZE_COST * c.room.share_of(&largest).min(1.0);
             c.allowed(&w.spec)
-                .then(|| cost + SIZE_COST * c.room.share_of(&largest).min(1.0))
+                .then(|| cost + size * length.clamp(0.5, 4.0))
+        };
+        let fetch = |c: &Class| {
+            w.spec.image_gb / c.fetch_gb_per_s.max(0.01) / length.clamp(1.0, 4.0)
         };
-        let fetch = |c: &Class| w.spec.image_gb / c.fetch_gb_per_s.max(0.01);
         Taste {
             allowed: board.classes.iter().map(cost).collect(),
             fetch_s: board.classes.iter().map(fetch).collect(),
