--- a/src/core/scheduling.rs
+++ b/src/core/scheduling.rs
@@ -200,16 +200,7 @@
         }
         // Old tasks that nobody has shown yet may run on machines that have not reported: no
         // more than those machines hold, and no more than there are.
-        let mut hidden = Resources::default();
-        for id in &lead.unresolved {
-            let Some(m) = lead.machines.get(id) else {
-                continue;
-            };
-            match self.type_of(&m.kind) {
-                Some(t) => hidden.add(&t.room()),
-                None => hidden = hidden.times(f64::INFINITY),
-            }
-        }
+        let hidden = self.hidden(lead);
         for (i, team) in teams.iter().enumerate() {
             let mut unseen = Resources::default();
             for (id, run) in &lead.runs {
@@ -226,6 +217,28 @@
         used
     }
 
+    /// What machines hold, or may hold, that the leader has not heard of yet.
+    fn hidden(&self, lead: &Lead) -> Resources {
+        let mut hidden = Resources::default();
+        for id in &lead.unresolved {
+            let Some(m) = lead.machines.get(id) else {
+                continue;
+            };
+            match self.type_of(&m.kind) {
+                Some(t) => hidden.add(&t.room()),
+                None => {
+                    let all = f64::INFINITY;
+                    return Resources {
+                        cpus: all,
+                        gpus: all,
+                        ram: all,
+                    };
+                }
+            }
+        }
+        hidden
+    }
+
     /// Jobs that fit into their team's guarantee together with the team's earlier unfinished ones.
     fn guaranteed(&self, lead: &Lead) -> BTreeSet<JobId> {
         let mut jobs: Vec<(&JobId, &Job)> = self
@@ -312,7 +325,7 @@
 
     /// Jobs with waiting tasks that may be started, in the queue's order: within the guarantee
     /// first, then by rank, then by the policy.
-    fn line<'a>(&'a self, view: &View<'a>) -> Vec<InLine<'a>> {
+    fn line<'a>(&'a self, view: &View<'a>, with_held: bool) -> Vec<InLine<'a>> {
         let lead = view.lead;
         let guaranteed = self.guaranteed(lead);
         let mut line = Vec::new();
@@ -320,7 +333,8 @@
             let Some(job) = view.jobs.get(id) else {
                 continue;
             };
-            if run.ending.is_some() || run.queued.is_empty() || Self::held_by_recovery(lead, job) {
+            let held = Self::held_by_recovery(lead, job) && !with_held;
+            if run.ending.is_some() || run.queued.is_empty() || held {
                 continue;
             }
             let Some(team) = self.settings.team_index(&job.spec.team) else {
@@ -433,7 +447,7 @@
         let now = self.now.mono;
         let lead = view.lead;
         let mut queue = Vec::new();
-        for entry in self.line(view) {
+        for entry in self.line(view, false) {
             let (job, run) = (entry.job, entry.run);
             let whole = job.spec.kind == Kind::Gang;
             let held = |t: &Instant| now < *t;
@@ -718,12 +732,20 @@
             .map(|t| t.boot_s)
             .fold(f64::INFINITY, f64::min);
         let mut out = Vec::new();
-        for entry in self.line(view) {
+        // Machines that a new leader has not heard of yet may be running what it does not see;
+        // what they cannot hold waits for certain, and renting for it need not wait.
+        let mut hidden = self.hidden(lead);
+        for entry in self.line(view, true) {
             if entry.run.suspect() {
                 continue;
             }
             let spec = &entry.job.spec;
             let mut tasks = entry.run.queued.len() as u32;
+            if Self::held_by_recovery(lead, entry.job) {
+                let there = spec.needs.count_in(&hidden).min(tasks);
+                hidden.sub(&spec.needs.times(f64::from(there)));
+                tasks -= there;
+            }
             if spec.needs.cpus > 0.0 {
                 let spare = &mut spare[entry.team];
                 let most = ((*spare + 1e-6) / spec.needs.cpus).floor().max(0.0);
