--- a/src/core/scheduling.rs
+++ b/src/core/scheduling.rs
@@ -443,7 +443,7 @@
     }
 
     /// The queue as the plan sees it.
-    fn queue<'a>(&'a self, view: &View<'a>) -> Vec<Waiting<'a>> {
+    fn queue<'a>(&'a self, view: &View<'a>, board: &Board) -> Vec<Waiting<'a>> {
         let now = self.now.mono;
         let lead = view.lead;
         let mut queue = Vec::new();
@@ -466,7 +466,7 @@
             let avoid = if run.suspect() {
                 Vec::new()
             } else {
-                let slots = run.failures.keys().filter_map(|m| lead.board.slot(m));
+                let slots = run.failures.keys().filter_map(|m| board.slot(m));
                 slots.collect()
             };
             queue.push(Waiting {
@@ -514,7 +514,7 @@
         let mut decided = plan::Plan::default();
         let mut jobs = Vec::new();
         if let Some(lead) = &self.lead {
-            let mut queue = self.queue(&self.view(lead));
+            let mut queue = self.queue(&self.view(lead), &board);
             let mut teams = self.team_use(lead, &board);
             decided = plan::plan(&mut board, &mut queue, &mut teams, now, &mut scratch);
             jobs = queue.into_iter().map(|w| (w.spec, w.team)).collect();
--- a/src/core/stories.rs
+++ b/src/core/stories.rs
@@ -590,6 +590,25 @@
     w.until(15.0, "renting goes on", |w| w.workers.len() > 100);
 }
 
+/// A machine that failed a task is not the first choice for it again, however warm its image.
+#[test]
+fn a_task_that_failed_is_tried_again_on_another_machine() {
+    let (mut w, leader) = begin(29);
+    w.capacity.clear();
+    w.submit(leader, &job("wk-1", 1, 2.0, 3));
+    w.run(0.5);
+    let id = w.places("wk-1")[0].0.clone();
+    w.until_done("wk-1", 20.0);
+    // The same image is there and nowhere else, so the next one would go there too.
+    w.workers.get_mut(&id).unwrap().sick = true;
+    w.submit(leader, &job("wk-2", 1, 2.0, 3));
+    w.run(30.0);
+    w.until_done("wk-2", 20.0);
+    let failed = |m: &super::world::Worker| m.tasks.keys().filter(|k| &*k.job == "wk-2").count();
+    assert!(w.workers.contains_key(&id) && failed(&w.workers[&id]) <= 1);
+    assert_eq!(w.starts, 3);
+}
+
 /// Jobs beyond what the memory is for are refused, and those that were accepted are served.
 #[test]
 fn more_waiting_tasks_than_the_memory_allows_are_put_off() {
