--- a/src/board.rs
+++ b/src/board.rs
@@ -14,6 +14,7 @@
 /// An image's name in short. Two names of one tag could only make a fetch look cheaper than it is.
 pub type ImageTag = u64;
 
+/// The tag that stands for an image's name.
 pub fn image_tag(name: &str) -> ImageTag {
     let mut h = DefaultHasher::new();
     name.hash(&mut h);
@@ -59,6 +60,7 @@
     Closed,
 }
 
+/// A machine as placing and renting see it.
 #[derive(Clone, Debug)]
 pub struct Host {
     pub id: MachineId,
@@ -87,12 +89,14 @@
 }
 
 impl Class {
+    /// Whether a job may use machines of this class.
     pub fn allowed(&self, spec: &JobSpec) -> bool {
         let (kind, zone, spot) = &self.offer;
         (spec.spot || !spot) && spec.allows_type(kind) && spec.allows_zone(zone)
     }
 }
 
+/// All machines, and the indices by which a step finds those that matter to it.
 #[derive(Default)]
 pub struct Board {
     pub classes: Vec<Class>,
@@ -117,6 +121,7 @@
 const CRUMB: f64 = 1e-3;
 
 impl Board {
+    /// The class of machines that an offer brings, with its type's newest figures.
     pub fn class(&mut self, offer: &Offer, room: Resources, fetch_gb_per_s: f64) -> usize {
         let i = match self.classes.iter().position(|c| c.offer == *offer) {
             Some(i) => i,
@@ -134,6 +139,7 @@
         i
     }
 
+    /// Counts what a step looks at.
     pub fn look(&self, n: usize) {
         self.looked.set(self.looked.get() + n as u64);
     }
@@ -201,6 +207,7 @@
         Some(host)
     }
 
+    /// The machine is gone.
     pub fn remove(&mut self, id: &MachineId) {
         if let Some(slot) = self.slots.remove(id) {
             self.withdraw(slot);
@@ -208,6 +215,7 @@
         }
     }
 
+    /// Where a machine stands on the board; its slot stays while it is there.
     pub fn slot(&self, id: &MachineId) -> Option<usize> {
         self.slots.get(id).copied()
     }
@@ -244,6 +252,7 @@
         self.idle.iter().copied()
     }
 
+    /// All machines: for what has no index, and is asked rarely.
     pub fn hosts(&self) -> impl Iterator<Item = (usize, &Host)> {
         self.look(self.hosts.len());
         let taken = |(i, h): (usize, &'_ Option<Host>)| h.as_ref().map(|_| i);
--- a/src/core/records.rs
+++ b/src/core/records.rs
@@ -17,6 +17,7 @@
     bytes: usize,
 }
 
+/// The pages as they are or will be in the state service, and what is to be written of them.
 #[derive(Default)]
 pub struct Records {
     /// Bytes that a page may have.
@@ -38,6 +39,7 @@
 }
 
 impl Records {
+    /// What a new leader finds on record.
     pub fn new(mirror: &Mirror, value_bytes: usize) -> Records {
         let mut r = Records {
             limit: value_bytes / 8 * 7,
@@ -68,6 +70,7 @@
         self.home.insert(id, n);
     }
 
+    /// Puts a machine on the first page with room for it, to be written soon.
     pub fn add(&mut self, id: &MachineId, value: MachineValue) {
         if let Some(n) = self.home.get(id) {
             self.due.insert(*n);
@@ -84,6 +87,7 @@
         self.due.insert(n);
     }
 
+    /// Takes a machine that is gone off its page, to be written when convenient.
     pub fn remove(&mut self, id: &MachineId, now: Instant) {
         if self.alone.remove(id) {
             self.to_drop.insert(id.clone());
