Found on reading the change once more: twins joined, repeated work taken out

One rule for which machines a job may use, for which machine takes tasks now (a machine not heard of yet was put on the board four times a second), and for noting a change; machines with a notice are noted only when a task of theirs is stopped. A thousand machines' story has one beginning.

--- a/src/board.rs
+++ b/src/board.rs
@@ -11,6 +11,11 @@
 /// A kind of machine in a zone, ordinary or spot.
 pub type Offer = (String, String, bool);
 
+/// Whether a job may use machines of this kind, in this zone, ordinary or spot.
+pub fn allows(spec: &JobSpec, (kind, zone, spot): &Offer) -> bool {
+    (spec.spot || !spot) && spec.allows_type(kind) && spec.allows_zone(zone)
+}
+
 /// An image's name in short. Two names of one tag could only make a fetch look cheaper than it is.
 pub type ImageTag = u64;
 
@@ -91,8 +96,7 @@
 impl Class {
     /// Whether a job may use machines of this class.
     pub fn allowed(&self, spec: &JobSpec) -> bool {
-        let (kind, zone, spot) = &self.offer;
-        (spec.spot || !spot) && spec.allows_type(kind) && spec.allows_zone(zone)
+        allows(spec, &self.offer)
     }
 }
 
@@ -255,9 +259,8 @@
     /// All machines: for what has no index, and is asked rarely.
     pub fn hosts(&self) -> impl Iterator<Item = (usize, &Host)> {
         self.look(self.hosts.len());
-        let taken = |(i, h): (usize, &'_ Option<Host>)| h.as_ref().map(|_| i);
-        let slots: Vec<usize> = self.hosts.iter().enumerate().filter_map(taken).collect();
-        slots.into_iter().map(|i| (i, self.host(i)))
+        let hosts = self.hosts.iter().enumerate();
+        hosts.filter_map(|(slot, h)| Some((slot, h.as_ref()?)))
     }
 
     /// Expected ends from `now` on, the earliest first. What should have ended already has
--- a/src/core/leadership.rs
+++ b/src/core/leadership.rs
@@ -3,7 +3,7 @@
 //! Leadership is a key attached to this process's lease. The transaction that creates it raises
 //! a persistent term, which the workers see as the upper part of their token.
 
-use super::machines::Machines;
+use super::machines::{Machine, Machines};
 use super::mirror::{
     self, DoneValue, JobValue, LEADER, LeaderValue, TERM, TYPES, TermValue, done_key, job_key, key,
 };
@@ -80,6 +80,13 @@
     pub arrivals: super::scheduling::Arrivals,
 }
 
+impl Lead {
+    /// Whether a machine may be given tasks now.
+    pub fn takes_tasks(&self, m: &Machine, now: Instant, report: Duration) -> bool {
+        m.usable(now, report * 9 / 4) && !m.avoided(now) && !self.unresolved.contains(&m.id)
+    }
+}
+
 /// One durable change of the leader's.
 #[derive(Clone, Debug)]
 pub enum WriteOp {
--- a/src/core/machines.rs
+++ b/src/core/machines.rs
@@ -147,21 +147,13 @@
 
     pub fn get_mut(&mut self, id: &MachineId) -> Option<&mut Machine> {
         let m = self.all.get_mut(id)?;
-        if !m.noted {
-            m.noted = true;
-            self.noted.push(id.clone());
-        }
-        Some(m)
+        Some(m.note_in(&mut self.noted))
     }
 
     /// The machine of this id, made first if there is none.
     pub fn get_or_add(&mut self, id: &MachineId, make: impl FnOnce() -> Machine) -> &mut Machine {
         let m = self.all.entry(id.clone()).or_insert_with(make);
-        if !m.noted {
-            m.noted = true;
-            self.noted.push(id.clone());
-        }
-        m
+        m.note_in(&mut self.noted)
     }
 
     pub fn remove(&mut self, id: &MachineId) -> Option<Machine> {
@@ -183,9 +175,8 @@
 
     /// The types of machines changed, and with them what each is good for.
     pub fn note_all(&mut self) {
-        let ids: Vec<MachineId> = self.all.keys().cloned().collect();
-        for id in ids {
-            self.get_mut(&id);
+        for m in self.all.values_mut() {
+            m.note_in(&mut self.noted);
         }
     }
 
@@ -292,6 +283,15 @@
         self.call.is_none() && self.doubt.is_none()
     }
 
+    /// Notes that it is about to change, once until that is taken notice of.
+    fn note_in(&mut self, noted: &mut Vec<MachineId>) -> &mut Machine {
+        if !self.noted {
+            self.noted = true;
+            noted.push(self.id.clone());
+        }
+        self
+    }
+
     /// It can be given tasks now.
     pub fn usable(&self, now: Instant, patience: Duration) -> bool {
         self.session > 0
@@ -1048,11 +1048,10 @@
             }
         }
         lead.zones_back = back;
-        let usable = self.settings.report * 9 / 4;
         let turned: Vec<MachineId> = lead
             .machines
             .values()
-            .filter(|m| m.open != (m.usable(now, usable) && !m.avoided(now)))
+            .filter(|m| m.open != lead.takes_tasks(m, now, report))
             .map(|m| m.id.clone())
             .collect();
         for id in turned {
@@ -1132,33 +1131,36 @@
     fn heed_notices(&mut self) {
         let now = self.now.mono;
         let Some(lead) = &mut self.lead else { return };
-        let noticed = lead.machines.values().filter(|m| m.notice.is_some());
-        let noticed: Vec<MachineId> = noticed.map(|m| m.id.clone()).collect();
-        for id in noticed {
-            let Some(m) = lead.machines.get_mut(&id) else {
-                continue;
+        let jobs = &self.mirror.jobs;
+        let hopeless = |key: &TaskKey, t: &Placement, left: Duration| {
+            let Some(job) = jobs.get(&key.job) else {
+                return false;
             };
+            let ran = t
+                .running_since
+                .map_or(Duration::ZERO, |s| now.saturating_duration_since(s));
+            let rest = job.spec.estimate.saturating_sub(ran);
+            let hopeless = t.running_since.is_none() || rest > left.mul_f64(1.5);
+            let saves = !job.spec.checkpoint.is_zero() || job.spec.kind == Kind::Service;
+            // What cannot save may be lucky and end in time; stopping it early only pays where it
+            // has hardly begun.
+            t.stopping.is_none()
+                && hopeless
+                && (saves || ran < Duration::from_secs(5) || rest > left * 3)
+        };
+        let mut moved = Vec::new();
+        for m in lead.machines.values() {
             let Some(at) = m.notice else { continue };
             let left = at.saturating_duration_since(now);
-            for (key, t) in &mut m.tasks {
-                let Some(job) = self.mirror.jobs.get(&key.job) else {
-                    continue;
-                };
-                let ran = t
-                    .running_since
-                    .map_or(Duration::ZERO, |s| now.saturating_duration_since(s));
-                let rest = job.spec.estimate.saturating_sub(ran);
-                let hopeless = t.running_since.is_none() || rest > left.mul_f64(1.5);
-                let saves = !job.spec.checkpoint.is_zero() || job.spec.kind == Kind::Service;
-                // What cannot save may be lucky and end in time; stopping it early only pays
-                // where it has hardly begun.
-                if t.stopping.is_none()
-                    && hopeless
-                    && (saves || ran < Duration::from_secs(5) || rest > left * 3)
-                {
-                    t.stop(StopReason::Moved, now);
-                    m.push = true;
-                }
+            let tasks = m.tasks.iter().filter(|(key, t)| hopeless(key, t, left));
+            moved.extend(tasks.map(|(key, _)| (m.id.clone(), key.clone())));
+        }
+        for (id, key) in moved {
+            if let Some(m) = lead.machines.get_mut(&id)
+                && let Some(t) = m.tasks.get_mut(&key)
+            {
+                t.stop(StopReason::Moved, now);
+                m.push = true;
             }
         }
     }
--- a/src/core/scheduling.rs
+++ b/src/core/scheduling.rs
@@ -10,6 +10,7 @@
 use crate::job::{JobId, Kind, MachineId, Rank, Resources, TaskKey};
 use crate::plan::{self, TeamUse, Waiting};
 use crate::policy::{Entry, JobFacts, MachineFacts};
+use crate::settings::Team;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
@@ -180,21 +181,18 @@
     /// What every team uses, tasks in doubt and tasks not seen yet included.
     fn team_use(&self, lead: &Lead, board: &Board) -> Vec<TeamUse> {
         let teams = &self.settings.teams;
-        let mut used: Vec<TeamUse> = teams
-            .iter()
-            .map(|t| TeamUse {
-                cpus: 0.0,
-                gpus: 0.0,
+        let of = |(i, t): (usize, &Team)| {
+            let held = board.used(i);
+            TeamUse {
+                cpus: held.cpus,
+                gpus: held.gpus,
                 cpus_max: t.cpus_max,
                 gpus_max: t.gpus_max,
                 cpus_own: t.cpus,
                 gpus_own: t.gpus,
-            })
-            .collect();
-        for (i, u) in used.iter_mut().enumerate() {
-            let held = board.used(i);
-            (u.cpus, u.gpus) = (held.cpus, held.gpus);
-        }
+            }
+        };
+        let mut used: Vec<TeamUse> = teams.iter().enumerate().map(of).collect();
         if lead.unresolved.is_empty() {
             return used;
         }
@@ -399,8 +397,7 @@
             free.sub(&task.needs);
         }
         let unresolved = view.lead.unresolved.contains(&m.id);
-        let open = m.usable(now, self.settings.report * 9 / 4) && !unresolved && !m.avoided(now);
-        let usage = if open {
+        let usage = if view.lead.takes_tasks(m, now, self.settings.report) {
             Use::Open
         } else if m.deleting.is_some() || m.notice.is_some() || m.session_over {
             Use::Closed
--- a/src/core/stories.rs
+++ b/src/core/stories.rs
@@ -18,6 +18,19 @@
     (w, leader)
 }
 
+/// A thousand machines in two zones and a leader that has heard from them; none can be rented.
+fn crowd(seed: u64, kind: &str) -> (World, usize) {
+    let mut w = World::new(seed);
+    w.capacity.clear();
+    for i in 0..1000 {
+        w.add_machine(kind, ["a", "b"][i % 2]);
+    }
+    w.until(10.0, "a leader", |w| w.leader().is_some());
+    w.run(4.0);
+    let leader = w.leader().unwrap();
+    (w, leader)
+}
+
 fn follower(leader: usize) -> usize {
     (leader + 1) % 3
 }
@@ -493,14 +506,7 @@
 /// the leader did little else.
 #[test]
 fn with_a_thousand_machines_a_step_costs_what_changed() {
-    let mut w = World::new(25);
-    w.capacity.clear();
-    for i in 0..1000 {
-        w.add_machine("large", ["a", "b"][i % 2]);
-    }
-    w.until(10.0, "a leader", |w| w.leader().is_some());
-    w.run(4.0);
-    let leader = w.leader().unwrap();
+    let (mut w, leader) = crowd(25, "large");
     let looked = |w: &World| {
         let lead = w.nodes[leader].core.lead.as_ref().unwrap();
         lead.board.looked.get()
@@ -546,14 +552,7 @@
 /// and jobs could not be accepted for it.
 #[test]
 fn a_thousand_machines_are_on_record_after_a_few_changes() {
-    let mut w = World::new(26);
-    w.capacity.clear();
-    for i in 0..1000 {
-        w.add_machine("small", ["a", "b"][i % 2]);
-    }
-    w.until(10.0, "a leader", |w| w.leader().is_some());
-    w.run(4.0);
-    let leader = w.leader().unwrap();
+    let (mut w, leader) = crowd(26, "small");
     let lead = w.nodes[leader].core.lead.as_ref().unwrap();
     assert!(lead.machines.values().all(|m| m.recorded));
     assert!(w.changes() < 100, "{} changes", w.changes());
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -1,6 +1,6 @@
 //! Renting and returning: from the board and what waits to calls on the cloud. Pure.
 
-use crate::board::{Board, Offer, Use};
+use crate::board::{Board, Offer, Use, allows};
 use crate::job::{JobSpec, MachineId, Resources};
 use crate::wire::MachineType;
 use std::collections::BTreeMap;
@@ -118,9 +118,6 @@
     fn serve(&mut self, u: &Unmet) -> u32 {
         let mut left = u.tasks;
         let needs = u.spec.needs;
-        let allowed = |(kind, zone, spot): &Offer| {
-            (u.spec.spot || !spot) && u.spec.allows_type(kind) && u.spec.allows_zone(zone)
-        };
         let mut from = (Duration::ZERO, 0);
         while left > 0
             && let Some((&(at, unit), &gain)) = self.gains.range(from..).next()
@@ -131,7 +128,7 @@
             }
             // A machine that boots counts however late it comes, or it is rented again.
             let in_time = at <= u.patience || self.boots.get(&unit) == Some(&at);
-            if !in_time || !allowed(self.offer(unit)) {
+            if !in_time || !allows(&u.spec, self.offer(unit)) {
                 continue;
             }
             self.gains.remove(&(at, unit));
--- a/src/plan.rs
+++ b/src/plan.rs
@@ -219,8 +219,6 @@
 struct Taste {
     allowed: Vec<Option<f64>>,
     fetch_s: Vec<f64>,
-    image: ImageTag,
-    needs: Resources,
 }
 
 impl Taste {
@@ -239,8 +237,6 @@
         Taste {
             allowed: board.classes.iter().map(cost).collect(),
             fetch_s: board.classes.iter().map(fetch).collect(),
-            image: w.image,
-            needs: w.spec.needs,
         }
     }
 
@@ -250,14 +246,14 @@
     fn cost(&self, board: &Board, w: &Waiting, slot: usize) -> Option<f64> {
         let h = board.host(slot);
         let mut cost = self.allowed[h.class]?;
-        if h.usage != Use::Open || !self.needs.fits(&h.free) {
+        if h.usage != Use::Open || !w.spec.needs.fits(&h.free) {
             return None;
         }
         let class = &board.classes[h.class];
         if !w.zone_allows(&class.offer.1) {
             return None;
         }
-        if !h.images.contains(&self.image) {
+        if !h.images.contains(&w.image) {
             cost += self.fetch_s[h.class] * (1.0 + h.fetching as f64);
         }
         if w.avoid.contains(&slot) {
--- a/src/state.rs
+++ b/src/state.rs
@@ -226,11 +226,11 @@
 
     /// Takes one call from the budget if it can be made at once.
     pub fn try_take(&mut self, now: Instant) -> bool {
-        if !self.take(now).is_zero() {
-            self.left += 1.0;
-            return false;
+        let yes = self.left(now) >= 1.0;
+        if yes {
+            self.spend(1);
         }
-        true
+        yes
     }
 
     /// Takes one call from the budget and says how long to wait before making it.
