--- a/src/core/leadership.rs
+++ b/src/core/leadership.rs
@@ -66,6 +66,9 @@
     /// Silence proves nothing before this moment.
     pub deaf_until: Instant,
     pub last_report: Option<Instant>,
+    /// With as many machines as there are, silence for this long means that this node does not
+    /// hear them.
+    pub deaf_after: Duration,
     pub planned: Option<Instant>,
     pub plan_again: bool,
     pub fleet_at: Option<Instant>,
@@ -240,8 +243,15 @@
                 let known = l.machines.values().any(|m| m.session > 0);
                 let silent = l.last_report.unwrap_or(l.since).max(l.deaf_until);
                 let waited = now.saturating_duration_since(silent.max(l.since));
-                (known || !l.unresolved.is_empty())
-                    && waited > self.settings.report * 2 + Duration::from_secs(2)
+                // Until the workers have found a new leader, little comes in any case.
+                let longest = self.settings.report * 2 + Duration::from_secs(2);
+                let settled = now.saturating_duration_since(l.since) > longest;
+                let after = if settled {
+                    l.deaf_after.min(longest)
+                } else {
+                    longest
+                };
+                (known || !l.unresolved.is_empty()) && waited > after
             });
             // Where no other controller hears them either, passing leadership around would only
             // keep all of them from finding out that the machines are gone.
@@ -328,6 +338,7 @@
             attempts: 0,
             deaf_until: now,
             last_report: None,
+            deaf_after: self.settings.report * 2,
             planned: None,
             plan_again: true,
             fleet_at: None,
--- a/src/core/machines.rs
+++ b/src/core/machines.rs
@@ -20,6 +20,9 @@
 use std::net::SocketAddrV4;
 use std::time::{Duration, Instant};
 
+/// Added to the time after which a leader that hears nobody resigns: for a takeover costs more
+/// than a moment's silence.
+const DEAF_MARGIN: Duration = Duration::from_millis(1000);
 /// More orders than this would make an answer longer than a worker accepts.
 const MOST_ORDERS: usize = 400;
 /// Deletions on their way at a time.
@@ -29,6 +32,9 @@
 pub(super) const MOST_DIRECT: usize = 2 * crate::service::DIRECT_THREADS;
 /// Added to a worker's lease before its tasks count as gone: for drift, and for slow timers.
 const LEASE_MARGIN: Duration = Duration::from_millis(1500);
+/// A worker that gets no answer at one node tries the next one this much later (the protocol's
+/// 4 s and 1 s): after a cut it takes that long until all are heard again.
+const WORKER_RETRY: Duration = Duration::from_secs(5);
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum StopReason {
@@ -339,6 +345,12 @@
     pub again_at: Instant,
 }
 
+/// So many machines are hardly ever all silent for this long: with reports spread over their
+/// interval, one in 400 times.
+fn hush(report: Duration, machines: u32) -> Duration {
+    (report * 6 / machines.max(1)).min(report * 2)
+}
+
 impl Core {
     /// Takes in a report; a ticket that comes back is answered at the end of the step.
     pub(super) fn report(&mut self, ticket: Ticket, report: Report) -> Option<(Ticket, MachineId)> {
@@ -975,23 +987,31 @@
         let run_out = self.settings.lease + self.settings.lease / 500 + LEASE_MARGIN;
         let fresh =
             |m: &Machine| m.session > 0 && now.saturating_duration_since(m.seen) < report * 2;
-        let mut zones: BTreeMap<&str, (u32, u32)> = BTreeMap::new();
+        let mut zones: BTreeMap<&str, (u32, u32, Instant)> = BTreeMap::new();
         for m in lead
             .machines
             .values()
             .filter(|m| m.session > 0 || lead.unresolved.contains(&m.id))
         {
-            let z = zones.entry(&m.zone).or_default();
+            let z = zones.entry(&m.zone).or_insert((0, 0, lead.since));
             z.0 += 1;
             z.1 += u32::from(fresh(m));
+            if m.session > 0 {
+                z.2 = z.2.max(m.seen);
+            }
         }
         // A zone from which next to nothing comes is cut off; its machines work on and their
-        // leases protect them, so they are not given up for their silence.
+        // leases protect them, so they are not given up for their silence. The first sign is
+        // that nobody is heard at all for longer than so many machines ever keep silent together:
+        // half of them are still fresh when the first ones are silent for too long.
         let reachable = |zone: &str| {
-            zones
-                .get(zone)
-                .is_some_and(|(all, up)| up * 2 >= *all && *up > 0)
+            zones.get(zone).is_some_and(|(all, up, newest)| {
+                let pause = hush(report, *up).max(report / 3);
+                up * 2 >= *all && *up > 0 && now.saturating_duration_since(*newest) <= pause
+            })
         };
+        let sessions = lead.machines.values().filter(|m| m.session > 0).count();
+        lead.deaf_after = hush(report, sessions as u32).max(report / 2) + DEAF_MARGIN;
         // After a cut, the machines behind it need a moment to be heard again.
         let back: BTreeMap<String, Instant> = zones
             .keys()
@@ -1023,7 +1043,8 @@
                 report * 5 / 2
             };
             let heard = heard_for(&m.zone).min(now.saturating_duration_since(lead.deaf_until));
-            if expected && m.deleting.is_none() && quiet > patience && heard >= report * 3 / 4 {
+            let all_heard = heard >= (report * 5 / 4).max(WORKER_RETRY);
+            if expected && m.deleting.is_none() && quiet > patience && all_heard {
                 silent.push((m.id.clone(), "it is silent"));
             }
             let taken = m
--- a/src/core/stories.rs
+++ b/src/core/stories.rs
@@ -368,6 +368,23 @@
     w.until_done("wk-1", 40.0);
 }
 
+/// A leader that lost its workers deleted a third of them for their silence, one by one, before it
+/// saw that all were silent, and resigned much later still.
+#[test]
+fn a_leader_of_many_that_lose_it_makes_way_soon_and_gives_none_up() {
+    let (mut w, leader) = crowd(25, "small");
+    w.run(4.0);
+    w.submit(leader, &job("wk-1", 4, 2.0, 3));
+    for m in w.workers.values_mut() {
+        m.cut.insert(leader);
+    }
+    w.until(3.0, "another leader", |w| {
+        w.leader().is_some_and(|l| l != leader)
+    });
+    w.until_done("wk-1", 20.0);
+    assert_eq!(w.workers.len(), 1000);
+}
+
 /// Found by the mixture below: all machines were gone, and each leader in turn resigned before
 /// it could find that out.
 #[test]
