--- a/src/core/leadership.rs
+++ b/src/core/leadership.rs
@@ -14,7 +14,7 @@
 use crate::job::{Final, JobId, MachineId};
 use crate::state::{StateOutcome, StateRequest};
 use crate::wire::{Change, Condition, Event, Item, Txn, to_json};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::{Duration, Instant};
 
 /// How long leadership outlives its last renewal.
@@ -57,6 +57,8 @@
     pub unresolved: BTreeSet<MachineId>,
     /// Those of them that are still to be asked, the next one last.
     pub to_ask: Vec<MachineId>,
+    /// Those that did not answer and are asked once more, and when.
+    pub ask_again: VecDeque<(Instant, MachineId)>,
     /// Direct calls on their way.
     pub calls_out: usize,
     pub runs: BTreeMap<JobId, super::jobs::Run>,
@@ -331,6 +333,7 @@
             gone: BTreeSet::new(),
             unresolved: BTreeSet::new(),
             to_ask: Vec::new(),
+            ask_again: VecDeque::new(),
             calls_out: 0,
             runs: BTreeMap::new(),
             writes: Writes::default(),
--- a/src/core/machines.rs
+++ b/src/core/machines.rs
@@ -20,6 +20,10 @@
 use std::net::SocketAddrV4;
 use std::time::{Duration, Instant};
 
+/// A machine that may hold old tasks is asked this often, so far apart, before it counts as dead:
+/// further than a lost packet takes to be sent again.
+const ASKED_IN_VAIN: u32 = 2;
+const ASK_PAUSE: Duration = Duration::from_millis(1000);
 /// Added to the time after which a leader that hears nobody resigns: for a takeover costs more
 /// than a moment's silence.
 const DEAF_MARGIN: Duration = Duration::from_millis(1000);
@@ -118,8 +122,8 @@
     /// It has something to be told before its next report.
     pub push: bool,
     pub push_after: Instant,
-    /// The last direct call got no answer.
-    pub unreachable: bool,
+    /// Direct calls in a row that got no answer.
+    pub unanswered: u32,
     pub notice: Option<Instant>,
     pub known_since: Instant,
     pub up_since: Option<Instant>,
@@ -265,7 +269,7 @@
             answered: false,
             push: false,
             push_after: now,
-            unreachable: false,
+            unanswered: 0,
             notice: None,
             known_since: now,
             up_since: None,
@@ -946,7 +950,11 @@
             return;
         }
         m.call = None;
-        m.unreachable = !matches!(outcome, DirectOutcome::Report { .. });
+        let answers = matches!(outcome, DirectOutcome::Report { .. });
+        m.unanswered = if answers { 0 } else { m.unanswered + 1 };
+        if !answers && lead.unresolved.contains(&id) && m.unanswered < ASKED_IN_VAIN {
+            lead.ask_again.push_back((now + ASK_PAUSE, id.clone()));
+        }
         match outcome {
             DirectOutcome::Report { report, executed } => {
                 if !executed {
@@ -1036,17 +1044,17 @@
             }
             let quiet = now.saturating_duration_since(m.seen.max(lead.deaf_until).max(lead.since));
             let expected = m.session > 0 || lead.unresolved.contains(&m.id);
-            // While old tasks wait for a machine to be heard of, patience with it costs more.
-            let patience = if lead.unresolved.contains(&m.id) && m.unreachable {
-                report * 5 / 4
-            } else {
-                report * 5 / 2
-            };
             let heard = heard_for(&m.zone).min(now.saturating_duration_since(lead.deaf_until));
             let all_heard = heard >= (report * 5 / 4).max(WORKER_RETRY);
-            if expected && m.deleting.is_none() && quiet > patience && all_heard {
+            if expected && m.deleting.is_none() && quiet > report * 5 / 2 && all_heard {
                 silent.push((m.id.clone(), "it is silent"));
             }
+            // All old tasks that nobody has shown wait for each machine not heard of, one that
+            // died with the old leader, say. Its neighbours answer, and it did not, twice.
+            let in_vain = lead.unresolved.contains(&m.id) && m.unanswered >= ASKED_IN_VAIN;
+            if in_vain && m.deleting.is_none() && reachable(&m.zone) {
+                silent.push((m.id.clone(), "it does not answer"));
+            }
             let taken = m
                 .notice
                 .is_some_and(|t| now > t + Duration::from_millis(500));
--- a/src/core/recovery.rs
+++ b/src/core/recovery.rs
@@ -4,11 +4,23 @@
 //! task of an old job that nobody has shown yet is started only when each of those machines has
 //! shown all it has, or can have nothing.
 
+use super::leadership::Lead;
 use super::machines::{MOST_DIRECT, Machine};
 use super::{Core, Effect, Pending};
 use crate::job::MachineId;
 use crate::worker::DirectRequest;
 use std::collections::BTreeMap;
+use std::time::Instant;
+
+impl Lead {
+    /// Those that were not asked yet come first: one that did not answer takes a call for long.
+    fn next_to_ask(&mut self, now: Instant) -> Option<MachineId> {
+        self.to_ask.pop().or_else(|| {
+            self.ask_again.front().filter(|(at, _)| *at <= now)?;
+            self.ask_again.pop_front().map(|(_, id)| id)
+        })
+    }
+}
 
 impl Core {
     /// Begins a leadership: all recorded machines are asked at once.
@@ -45,9 +57,10 @@
     /// Asks as many machines as there are calls to spare; those that have reported meanwhile
     /// need not be asked.
     pub(super) fn ask_machines(&mut self) {
+        let now = self.now.mono;
         while let Some(lead) = &mut self.lead
             && lead.calls_out < MOST_DIRECT
-            && let Some(id) = lead.to_ask.pop()
+            && let Some(id) = lead.next_to_ask(now)
         {
             let idle = lead.machines.get(&id).is_some_and(|m| m.call.is_none());
             if idle && lead.unresolved.contains(&id) {
