--- a/src/core/machines.rs
+++ b/src/core/machines.rs
@@ -1410,7 +1410,9 @@
                 Machine::new(l.id.clone(), &l.kind, &l.zone, l.spot, now)
             });
             m.listed.get_or_insert(now);
-            if l.age_s.is_finite() && l.age_s >= 0.0 && m.session == 0 {
+            // Also of machines that an earlier leader rented: taken for new, they would be kept
+            // idle for the minute that is paid at least.
+            if l.age_s.is_finite() && l.age_s >= 0.0 {
                 let age = Duration::from_secs_f64(l.age_s.min(1e7));
                 m.age = age.saturating_sub(now.saturating_duration_since(m.known_since));
             }
