--- a/src/core/leadership.rs
+++ b/src/core/leadership.rs
@@ -350,7 +350,7 @@
             zones_back: BTreeMap::new(),
             head: None,
             pace: BTreeMap::new(),
-            arrivals: super::scheduling::Arrivals::new(now),
+            arrivals: super::scheduling::Arrivals::new(self.now, self.mirror.jobs.values()),
         };
         lead.writes.records = Records::new(&self.mirror, self.settings.value_bytes);
         lead.writes.types = !self.types.is_empty() && self.types != self.mirror.types;
--- a/src/core/scheduling.rs
+++ b/src/core/scheduling.rs
@@ -1,10 +1,10 @@
 //! Snapshots for `plan` and `fleet`, and their decisions carried out.
 
-use super::Core;
 use super::jobs::Run;
 use super::leadership::Lead;
 use super::machines::{Machine, Phase, Placement, StopReason};
 use super::mirror::Job;
+use super::{Core, Now};
 use crate::board::{Board, Held, Host, Offer, Use, image_tag};
 use crate::fleet::{self, Coming, Unmet};
 use crate::job::{JobId, Kind, MachineId, Rank, Resources, TaskKey};
@@ -41,6 +41,9 @@
     }
 }
 
+/// Jobs submitted this short a while ago tell a new leader how often they come.
+const RECENT: Duration = Duration::from_secs(30);
+
 /// How often jobs arrive; older experience fades.
 #[derive(Clone, Copy, Debug)]
 pub struct Arrivals {
@@ -50,12 +53,18 @@
 }
 
 impl Arrivals {
-    pub fn new(now: Instant) -> Arrivals {
-        // A new leader expects a job a minute until it knows better.
+    /// What a new leader expects: as many as came in the last half minute and are not over yet,
+    /// and one in two minutes beside them. Without those, each takeover would keep idle machines
+    /// as if hardly any job came.
+    pub fn new<'a>(now: Now, jobs: impl Iterator<Item = &'a Job>) -> Arrivals {
+        let young = |j: &&Job| {
+            let age = now.wall.duration_since(j.submitted).unwrap_or_default();
+            age < RECENT
+        };
         Arrivals {
-            at: now,
-            seconds: 60.0,
-            jobs: 1.0,
+            at: now.mono,
+            seconds: RECENT.as_secs_f64() * 2.0,
+            jobs: jobs.filter(young).count() as f64 * 2.0 + 0.5,
         }
     }
 
