--- a/src/core/scheduling.rs
+++ b/src/core/scheduling.rs
@@ -20,6 +20,9 @@
 const PLAN_EVERY: Duration = Duration::from_millis(1000);
 const FLEET_EVERY: Duration = Duration::from_millis(1000);
 
+/// A policy's `dearest` from here on allows machines of any price.
+const ANY_PRICE: f64 = 100.0;
+
 /// How a class's run times compare with its estimates.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Pace {
@@ -488,6 +491,7 @@
                 guaranteed: entry.facts.guaranteed,
                 may_preempt: self.policy.truth(Entry::Preempt, &entry.facts),
                 merit: self.policy.number(Entry::Merit, &entry.facts) as f32,
+                shunned: self.shunned(job, &entry.facts),
             });
         }
         queue
@@ -724,6 +728,16 @@
         coming.collect()
     }
 
+    /// Offers that are too dear for a job. Work on idle time is not worth machines that cost a
+    /// multiple of others, neither renting them nor keeping them from being returned.
+    fn shunned(&self, job: &Job, facts: &JobFacts) -> Vec<Offer> {
+        let times = self.policy.number(Entry::Dearest, facts);
+        if times >= ANY_PRICE {
+            return Vec::new();
+        }
+        fleet::too_dear(&self.types, &job.spec, times.max(1.0))
+    }
+
     /// What waits for room, in the queue's order, within the teams' limits.
     fn unmet(&self, view: &View) -> Vec<Unmet> {
         let lead = view.lead;
@@ -771,6 +785,7 @@
                         Kind::Array => entry.estimate,
                     },
                     patience: Duration::from_secs_f64(patience),
+                    shunned: self.shunned(entry.job, &entry.facts),
                 });
             }
         }
--- a/src/core/stories.rs
+++ b/src/core/stories.rs
@@ -437,6 +437,25 @@
     w.until(120.0, "all machines returned", |w| w.workers.is_empty());
 }
 
+/// Guests' work on idle time had ordinary machines rented for it at a multiple of the price, and
+/// kept those that were there from being returned.
+#[test]
+fn work_on_idle_time_takes_cheap_machines_or_waits() {
+    let mut w = World::new(26);
+    w.run(3.0);
+    let mut idle = job("wk-1", 6, 4.0, 20);
+    idle.rank = Rank::Low;
+    idle.spot = true;
+    assert_eq!(w.submit(0, &idle), 201);
+    let mut usual = job("wk-2", 1, 4.0, 90);
+    usual.rank = Rank::Normal;
+    assert_eq!(w.submit(0, &usual), 201);
+    // Three batches one after the other on the two spot machines that there are.
+    w.until_done("wk-1", 150.0);
+    assert_eq!(w.rented, (2, 1));
+    w.until_done("wk-2", 150.0);
+}
+
 #[test]
 fn a_service_keeps_its_replicas_until_it_is_cancelled() {
     let (mut w, leader) = begin(20);
--- a/src/core/world.rs
+++ b/src/core/world.rs
@@ -218,6 +218,8 @@
     pub types: Vec<MachineType>,
     pub capacity: BTreeMap<(String, bool), u32>,
     hires: BTreeMap<String, Vec<MachineId>>,
+    /// How many machines were rented: spot ones, and ordinary ones.
+    pub rented: (u32, u32),
     next_machine: u32,
     next_ticket: Ticket,
     forwards: BTreeMap<Ticket, (usize, Ticket)>,
@@ -280,6 +282,7 @@
                 (("large".into(), false), 2),
             ]),
             hires: BTreeMap::new(),
+            rented: (0, 0),
             next_machine: 1,
             next_ticket: 1,
             forwards: BTreeMap::new(),
@@ -839,6 +842,11 @@
                         break;
                     }
                     *left -= 1;
+                    if body.spot {
+                        self.rented.0 += 1;
+                    } else {
+                        self.rented.1 += 1;
+                    }
                     let id = self.add_machine(&body.kind, &body.zone);
                     if let Some(w) = self.workers.get_mut(&id) {
                         w.spot = body.spot;
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -16,6 +16,36 @@
     pub estimate: Duration,
     /// Longest time the job's tasks should wait from now on before a machine is worth renting.
     pub patience: Duration,
+    /// Offers that cost more than the job is worth.
+    pub shunned: Vec<Offer>,
+}
+
+impl Unmet {
+    fn takes(&self, offer: &Offer) -> bool {
+        allows(&self.spec, offer) && !self.shunned.contains(offer)
+    }
+}
+
+/// Offers whose price per task is more than `times` the lowest that the job could have, whether
+/// that one is to be had now or not.
+pub fn too_dear(types: &[MachineType], spec: &JobSpec, times: f64) -> Vec<Offer> {
+    let mut offers: Vec<(f64, Offer)> = Vec::new();
+    for t in types.iter().filter(|t| spec.allows_type(&t.name)) {
+        let fit = spec.needs.count_in(&t.room());
+        for (spot, price) in [(true, t.spot_price), (false, Some(t.price))] {
+            if let Some(price) = price
+                && fit > 0
+                && (spec.spot || !spot)
+            {
+                let cost = price / f64::from(fit);
+                let zones = t.zones.iter().filter(|z| spec.allows_zone(z));
+                offers.extend(zones.map(|z| (cost, (t.name.clone(), z.clone(), spot))));
+            }
+        }
+    }
+    let lowest = offers.iter().map(|o| o.0).fold(f64::INFINITY, f64::min);
+    offers.retain(|(cost, _)| *cost > lowest * times);
+    offers.into_iter().map(|(_, offer)| offer).collect()
 }
 
 /// Machines that were asked for and have no names yet.
@@ -128,7 +158,7 @@
             }
             // A machine that boots counts however late it comes, or it is rented again.
             let in_time = at <= u.patience || self.boots.get(&unit) == Some(&at);
-            if !in_time || !allows(&u.spec, self.offer(unit)) {
+            if !in_time || !u.takes(self.offer(unit)) {
                 continue;
             }
             self.gains.remove(&(at, unit));
@@ -215,6 +245,7 @@
                 if let Some(price) = price
                     && (u.spec.spot || !spot)
                     && !market.refused.contains(&offer)
+                    && !u.shunned.contains(&offer)
                 {
                     offers.push((price / useful * bulk, fit, offer));
                 }
@@ -251,7 +282,7 @@
         let (h, class) = (board.host(*slot), board.class_of(*slot));
         !unmet
             .iter()
-            .any(|u| class.allowed(&u.spec) && u.spec.needs.fits(&h.free))
+            .any(|u| u.takes(&class.offer) && u.spec.needs.fits(&h.free))
     };
     board
         .idle()
--- a/src/plan.rs
+++ b/src/plan.rs
@@ -4,7 +4,7 @@
 //! it fits, else it gets a reservation at its shadow time, and a dynamic program picks the set of
 //! later entries that fills the free room best without delaying that reservation.
 
-use crate::board::{Board, Class, ImageTag, Use};
+use crate::board::{Board, Class, ImageTag, Offer, Use};
 use crate::job::{JobSpec, Resources, TaskKey};
 use std::cmp::Ordering;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
@@ -40,6 +40,8 @@
     pub may_preempt: bool,
     /// What settles ties between sets of the same size.
     pub merit: f32,
+    /// Machines that cost more than the job is worth.
+    pub shunned: Vec<Offer>,
 }
 
 impl<'a> Waiting<'a> {
@@ -61,6 +63,11 @@
         }
     }
 
+    /// Whether the job may, and is to, use machines of this class.
+    fn takes(&self, class: &Class) -> bool {
+        class.allowed(&self.spec) && !self.shunned.contains(&class.offer)
+    }
+
     fn bound_to_zones(&self) -> bool {
         self.spec.one_zone || self.spec.spread
     }
@@ -229,8 +236,7 @@
             let ordinary = w.spec.spot && !c.offer.2;
             let cost = if ordinary { ORDINARY_COST } else { 0.0 };
             let size = SIZE_COST * c.room.share_of(&largest).min(1.0);
-            c.allowed(&w.spec)
-                .then(|| cost + size * length.clamp(0.5, 4.0))
+            w.takes(c).then(|| cost + size * length.clamp(0.5, 4.0))
         };
         let fetch =
             |c: &Class| w.spec.image_gb / c.fetch_gb_per_s.max(0.01) / length.clamp(1.0, 4.0);
@@ -411,7 +417,7 @@
 fn shadow(board: &Board, hosts: &[usize], w: &Waiting, now: Instant) -> Option<Shadow> {
     let n = w.per_entry();
     let needs = &w.spec.needs;
-    let allowed: Vec<bool> = board.classes.iter().map(|c| c.allowed(&w.spec)).collect();
+    let allowed: Vec<bool> = board.classes.iter().map(|c| w.takes(c)).collect();
     let usable = |slot: usize| {
         let h = board.host(slot);
         h.usage == Use::Open && allowed[h.class]
@@ -609,7 +615,7 @@
         let needs = &w.spec.needs;
         let fits = |&s: &usize| {
             let h = board.host(s);
-            needs.fits(&h.free) && board.classes[h.class].allowed(&w.spec)
+            needs.fits(&h.free) && w.takes(&board.classes[h.class])
         };
         if !hosts.iter().any(fits) {
             continue;
@@ -757,7 +763,7 @@
     };
     let mut at: BTreeMap<usize, Victims> = BTreeMap::new();
     for (slot, h) in board.hosts() {
-        if h.usage != Use::Open || !board.classes[h.class].allowed(&w.spec) {
+        if h.usage != Use::Open || !w.takes(&board.classes[h.class]) {
             continue;
         }
         if w.avoid.contains(&slot) {
@@ -983,6 +989,7 @@
                 guaranteed: self.guaranteed,
                 may_preempt: self.may_preempt,
                 merit: 1.0,
+                shunned: Vec::new(),
             }
         }
     }
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -36,14 +36,16 @@
     Merit,
     Order,
     Patience,
+    Dearest,
     Preempt,
     IdleKeep,
 }
 
-const ENTRIES: [(Entry, &str, Type, About); 5] = [
+const ENTRIES: [(Entry, &str, Type, About); 6] = [
     (Entry::Merit, "merit", Type::Number, About::Job),
     (Entry::Order, "order", Type::Number, About::Job),
     (Entry::Patience, "patience", Type::Number, About::Job),
+    (Entry::Dearest, "dearest", Type::Number, About::Job),
     (Entry::Preempt, "preempt", Type::Truth, About::Job),
     (Entry::IdleKeep, "idle_keep", Type::Number, About::Machine),
 ];
