--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -1,7 +1,7 @@
 //! Renting and returning: from the board and what waits to calls on the cloud. Pure.
 
 use crate::board::{Board, Offer, Use, allows};
-use crate::job::{JobSpec, MachineId, Resources};
+use crate::job::{JobSpec, MachineId, Rank, Resources};
 use crate::wire::MachineType;
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -80,6 +80,8 @@
     board: &'a Board,
     /// Machines that are on their way come after the board's, numbered on.
     coming: Vec<&'a Coming>,
+    /// Machines on which work of the lowest rank can be stopped, a number for each task.
+    yielded: Vec<usize>,
     /// What becomes free and when, the earliest first.
     gains: BTreeMap<(Duration, usize), Resources>,
     /// Room of each machine that was too little for a job, and may add up with more. A machine
@@ -92,9 +94,19 @@
 
 /// Slots on the board are below this, machines that are on their way above.
 const ON_ITS_WAY: usize = 1 << 32;
+/// From here on: room that work of the lowest rank yields when others ask for it.
+const YIELDED: usize = 1 << 33;
+/// Stopping a task and starting another takes about this long.
+const YIELDS_AFTER: Duration = Duration::from_secs(4);
 
 impl<'a> Forecast<'a> {
-    fn new(board: &'a Board, coming: &'a [Coming], now: Instant, horizon: Duration) -> Self {
+    fn new(
+        board: &'a Board,
+        coming: &'a [Coming],
+        now: Instant,
+        horizon: Duration,
+        preempting: bool,
+    ) -> Self {
         let mut gains: BTreeMap<(Duration, usize), Resources> = BTreeMap::new();
         let mut boots = BTreeMap::new();
         for (at, slot, t) in board.ends(now) {
@@ -124,11 +136,25 @@
             gains.insert((c.ready_in, ON_ITS_WAY + i), c.room);
             boots.insert(ON_ITS_WAY + i, c.ready_in);
         }
+        let mut yielded = Vec::new();
+        if preempting && board.has_below(Rank::Normal) {
+            for (slot, h) in board.hosts().filter(|(_, h)| h.usage == Use::Open) {
+                for t in h
+                    .tasks
+                    .iter()
+                    .filter(|t| t.rank == Rank::Low && !t.stopping)
+                {
+                    gains.insert((YIELDS_AFTER, YIELDED + yielded.len()), t.needs);
+                    yielded.push(slot);
+                }
+            }
+        }
         let last_boot = boots.values().copied().max().unwrap_or_default();
         Forecast {
             last_boot,
             board,
             coming,
+            yielded,
             gains,
             rest: BTreeMap::new(),
             boots,
@@ -136,7 +162,9 @@
     }
 
     fn offer(&self, unit: usize) -> &Offer {
-        if unit >= ON_ITS_WAY {
+        if unit >= YIELDED {
+            &self.board.class_of(self.yielded[unit - YIELDED]).offer
+        } else if unit >= ON_ITS_WAY {
             &self.coming[unit - ON_ITS_WAY].offer
         } else {
             &self.board.class_of(unit).offer
@@ -158,12 +186,13 @@
             }
             // A machine that boots counts however late it comes, or it is rented again.
             let in_time = at <= u.patience || self.boots.get(&unit) == Some(&at);
-            if !in_time || !u.takes(self.offer(unit)) {
+            let yields = unit < YIELDED || u.spec.rank < Rank::Low;
+            if !in_time || !yields || !u.takes(self.offer(unit)) {
                 continue;
             }
             self.gains.remove(&(at, unit));
             let idle = || {
-                if self.boots.contains_key(&unit) {
+                if unit >= YIELDED || self.boots.contains_key(&unit) {
                     Resources::default()
                 } else {
                     self.board.host(unit).free
@@ -201,7 +230,8 @@
     let Some(horizon) = unmet.iter().map(|u| u.patience).max() else {
         return Vec::new();
     };
-    let mut forecast = Forecast::new(board, coming, now, horizon);
+    let preempting = unmet.iter().any(|u| u.spec.rank < Rank::Low);
+    let mut forecast = Forecast::new(board, coming, now, horizon, preempting);
     let mut out: BTreeMap<Offer, u32> = BTreeMap::new();
     for u in unmet {
         let left = forecast.serve(u);
