--- a/src/core/jobs.rs
+++ b/src/core/jobs.rs
@@ -473,6 +473,14 @@
     }
 
     pub(super) fn reread(&mut self, id: String, purpose: ReadPurpose) {
+        // Without a leader every question takes a read. Queued for the state service's limit they
+        // kept it busy for many seconds after their askers had gone, and submissions waited
+        // behind them.
+        if let ReadPurpose::Show(ticket) = purpose
+            && !self.read_budget.try_take(self.now.mono)
+        {
+            return self.answer(ticket, Answer::busy("too many questions now", 1));
+        }
         let key = job_key(&id);
         self.ask_state(Pending::Read { id, purpose }, StateRequest::Get(key));
     }
--- a/src/core/machines.rs
+++ b/src/core/machines.rs
@@ -1122,7 +1122,9 @@
             if m.deleting.is_none() && quiet > run_out && expected {
                 silent.push((m.id.clone(), "its lease ran out"));
             }
-            if !expected && m.deleting.is_none() {
+            // A new leader first hears from those that came up before it led.
+            let heard_out = now > lead.since + report * 2;
+            if !expected && m.deleting.is_none() && heard_out {
                 let boot = self
                     .types
                     .iter()
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -39,6 +39,10 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime};
 
+/// The part of this node's share of the state service's requests that reads for users' questions
+/// may take: a third of what it uses in all, as submissions and ends of jobs matter more.
+const QUESTIONS_SHARE: f64 = 0.2;
+
 /// Names the asker of a request until it is answered.
 pub type Ticket = u64;
 /// Names a call to another service until its outcome is known.
@@ -189,6 +193,8 @@
     scratch: crate::plan::Scratch,
     /// What the cloud's limit allows the leader now.
     cloud_budget: Budget,
+    /// Reads for users who ask about jobs that the state service's limit allows.
+    read_budget: Budget,
     /// Changes that the state service's limit allows the leader now.
     write_budget: Budget,
     pub stats: Stats,
@@ -229,8 +235,11 @@
         let cloud_budget = Budget::new(settings.cloud_rps * 0.85, now.mono);
         let writes = settings.state_write_rps * leadership::WRITE_SHARE;
         let write_budget = Budget::new(writes, now.mono);
+        let share = settings.state_rps / (settings.peers.len() as f64 + 1.0);
+        let read_budget = Budget::new(share * QUESTIONS_SHARE, now.mono);
         Core {
             write_budget,
+            read_budget,
             cloud_budget,
             settings,
             policy,
@@ -263,11 +272,12 @@
     pub fn step(&mut self, now: Now, commands: Vec<Command>) -> Vec<Effect> {
         let late = now.mono.saturating_duration_since(self.now.mono);
         self.now = now;
-        if late > Duration::from_millis(1500)
-            && let Some(lead) = &mut self.lead
-        {
-            // This process itself stood still: the machines' silence proves nothing.
-            lead.deaf_until = now.mono + self.settings.report * 2;
+        if late > Duration::from_millis(1500) {
+            log::warn!("this process stood still for {} ms", late.as_millis());
+            if let Some(lead) = &mut self.lead {
+                // The machines' silence proves nothing.
+                lead.deaf_until = now.mono + self.settings.report * 2;
+            }
         }
         let mut reports = Vec::new();
         for command in commands {
--- a/src/core/stories.rs
+++ b/src/core/stories.rs
@@ -385,6 +385,45 @@
     assert_eq!(w.workers.len(), 1000);
 }
 
+/// One machine that had died with the old leader held up all old tasks that nobody had shown, for
+/// more than its report interval.
+#[test]
+fn a_machine_that_died_with_the_old_leader_holds_nobody_up() {
+    let (mut w, leader) = begin(27);
+    w.capacity.clear();
+    w.submit(leader, &job("wk-1", 8, 2.0, 60));
+    w.submit(leader, &job("wk-2", 4, 1.0, 60));
+    w.run(2.0);
+    let id = w.places("wk-1")[0].0.clone();
+    let mut others: Vec<_> = w.workers.keys().cloned().collect();
+    others.retain(|other| *other != id);
+    w.workers.get_mut(&id).unwrap().hung = true;
+    w.kill(leader, Duration::from_secs(60));
+    w.until(8.0, "a new leader", |w| w.leader().is_some());
+    w.until(4.0, "the dead machine's deletion", |w| {
+        !w.workers.contains_key(&id)
+    });
+    // The others, which answered, are all there.
+    assert!(others.iter().all(|id| w.workers.contains_key(id)));
+}
+
+/// Questions that take a read each, while nobody leads, are answered or refused at once, and
+/// leave the state service to submissions.
+#[test]
+fn a_storm_of_questions_without_a_leader_leaves_room_for_submissions() {
+    let (mut w, leader) = begin(28);
+    w.submit(leader, &job("wk-1", 2, 2.0, 30));
+    w.run(1.0);
+    w.kill(leader, Duration::from_secs(60));
+    let other = follower(leader);
+    let asked = w.ask_at_once(other, "wk-1", 200);
+    let read = asked.iter().filter(|s| **s == 200).count();
+    let refused = asked.iter().filter(|s| **s == 503).count();
+    assert!((1..20).contains(&read), "{read} reads");
+    assert_eq!(read + refused, 200);
+    assert_eq!(w.submit(other, &job("wk-2", 1, 2.0, 3)), 201);
+}
+
 /// Found by the mixture below: all machines were gone, and each leader in turn resigned before
 /// it could find that out.
 #[test]
--- a/src/core/world.rs
+++ b/src/core/world.rs
@@ -411,6 +411,15 @@
         answer.map_or(0, |a| a.status)
     }
 
+    /// So many questions in one step; the answers' statuses.
+    pub fn ask_at_once(&mut self, node: usize, id: &str, n: u32) -> Vec<u16> {
+        let ask = |_| self.ask(node, Ask::Show(id.into()));
+        let tickets: Vec<Ticket> = (0..n).map(ask).collect();
+        self.run(2.0);
+        let answers = tickets.iter().filter_map(|t| self.answers.remove(t));
+        answers.map(|a| a.status).collect()
+    }
+
     pub fn show(&mut self, node: usize, id: &str) -> (u16, Option<JobState>) {
         let answer = self.request(node, Ask::Show(id.into()));
         let state = self.heard(id, answer.as_ref());
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -107,15 +107,19 @@
         horizon: Duration,
         preempting: bool,
     ) -> Self {
-        let mut gains: BTreeMap<(Duration, usize), Resources> = BTreeMap::new();
+        let mut gains: Vec<((Duration, usize), Resources)> = Vec::new();
         let mut boots = BTreeMap::new();
         for (at, slot, t) in board.ends(now) {
             let after = at.saturating_duration_since(now);
             if after > horizon {
                 break;
             }
-            if board.host(slot).usage != Use::Closed {
-                gains.entry((after, slot)).or_default().add(&t.needs);
+            if board.host(slot).usage == Use::Closed {
+                continue;
+            }
+            match gains.last_mut() {
+                Some((key, room)) if *key == (after, slot) => room.add(&t.needs),
+                _ => gains.push(((after, slot), t.needs)),
             }
         }
         for slot in board.booting() {
@@ -124,7 +128,7 @@
                 // Later than expected: at any moment, as far as one knows.
                 let after = at.saturating_duration_since(now);
                 let after = after.max(Duration::from_secs(1));
-                gains.insert((after, slot), h.free);
+                gains.push(((after, slot), h.free));
                 boots.insert(slot, after);
             }
         }
@@ -133,7 +137,7 @@
             .flat_map(|c| (0..c.count).map(move |_| c))
             .collect();
         for (i, c) in coming.iter().enumerate() {
-            gains.insert((c.ready_in, ON_ITS_WAY + i), c.room);
+            gains.push(((c.ready_in, ON_ITS_WAY + i), c.room));
             boots.insert(ON_ITS_WAY + i, c.ready_in);
         }
         let mut yielded = Vec::new();
@@ -144,7 +148,7 @@
                     .iter()
                     .filter(|t| t.rank == Rank::Low && !t.stopping)
                 {
-                    gains.insert((YIELDS_AFTER, YIELDED + yielded.len()), t.needs);
+                    gains.push(((YIELDS_AFTER, YIELDED + yielded.len()), t.needs));
                     yielded.push(slot);
                 }
             }
@@ -155,41 +159,52 @@
             board,
             coming,
             yielded,
-            gains,
+            // Nearly in order already, and built at once.
+            gains: gains.into_iter().collect(),
             rest: BTreeMap::new(),
             boots,
         }
     }
 
-    fn offer(&self, unit: usize) -> &Offer {
+    /// Where machines of this unit's class stand in what `allowed` gives.
+    fn class(&self, unit: usize) -> usize {
         if unit >= YIELDED {
-            &self.board.class_of(self.yielded[unit - YIELDED]).offer
+            self.board.host(self.yielded[unit - YIELDED]).class
         } else if unit >= ON_ITS_WAY {
-            &self.coming[unit - ON_ITS_WAY].offer
+            self.board.classes.len() + unit - ON_ITS_WAY
         } else {
-            &self.board.class_of(unit).offer
+            self.board.host(unit).class
         }
     }
 
+    /// Which classes a job takes: asked once a job, as there may be thousands of ends to look at.
+    fn allowed(&self, u: &Unmet) -> Vec<bool> {
+        let there = self.board.classes.iter().map(|c| &c.offer);
+        let coming = self.coming.iter().map(|c| &c.offer);
+        there.chain(coming).map(|offer| u.takes(offer)).collect()
+    }
+
     /// Gives what it can of the coming room to a job's tasks, in time or where a machine is
     /// booting anyway, and says how many are left. Each task gives its room back after its run.
     fn serve(&mut self, u: &Unmet) -> u32 {
         let mut left = u.tasks;
         let needs = u.spec.needs;
+        let allowed = self.allowed(u);
+        let last = (u.patience.max(self.last_boot), usize::MAX);
         let mut from = (Duration::ZERO, 0);
-        while left > 0
-            && let Some((&(at, unit), &gain)) = self.gains.range(from..).next()
-        {
-            from = (at, unit + 1);
-            if at > u.patience.max(self.last_boot) {
-                break;
-            }
+        let usable = |f: &Self, at: Duration, unit: usize| {
             // A machine that boots counts however late it comes, or it is rented again.
-            let in_time = at <= u.patience || self.boots.get(&unit) == Some(&at);
+            let in_time = at <= u.patience || f.boots.get(&unit) == Some(&at);
             let yields = unit < YIELDED || u.spec.rank < Rank::Low;
-            if !in_time || !yields || !u.takes(self.offer(unit)) {
-                continue;
-            }
+            in_time && yields && allowed[f.class(unit)]
+        };
+        while left > 0 && from <= last {
+            let mut coming = self.gains.range(from..=last);
+            let next = coming.find(|((at, unit), _)| usable(self, *at, *unit));
+            let Some((&(at, unit), &gain)) = next else {
+                break;
+            };
+            from = (at, unit + 1);
             self.gains.remove(&(at, unit));
             let idle = || {
                 if unit >= YIELDED || self.boots.contains_key(&unit) {
--- a/src/service.rs
+++ b/src/service.rs
@@ -14,19 +14,16 @@
 use crate::state::{Budget, StateClient, StateOutcome, StateRequest};
 use crate::wire::{self, JobAnswer, PATH_CANCEL, PATH_JOBS, PATH_READY, PATH_REPORT, PATH_STATUS};
 use crate::worker::{self, DirectOutcome, DirectRequest};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::io;
 use std::net::{SocketAddr, SocketAddrV4, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
-use std::sync::mpsc::{
-    Receiver, RecvTimeoutError, Sender, SyncSender, TrySendError, channel, sync_channel,
-};
-use std::sync::{Arc, Mutex};
+use std::sync::mpsc::{Sender, SyncSender, channel, sync_channel};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant, SystemTime};
 
 /// Commands that may wait for the owner; beyond that users and workers are told to come back.
-const QUEUE: usize = 2048;
-const BATCH: usize = 256;
+const QUEUE: usize = 1024;
 const STATE_THREADS: usize = 4;
 const CLOUD_THREADS: usize = 4;
 pub const DIRECT_THREADS: usize = 24;
@@ -52,38 +49,207 @@
     reply: Option<(Ticket, SyncSender<Answer>)>,
 }
 
+/// The owner's queue, in lanes: what decides whether users and the state service are answered in
+/// time comes first, and the many reports of workers, which may wait for seconds, come last. In
+/// one queue, a takeover of a thousand machines or an array of ten thousand tasks kept
+/// submissions waiting for a minute.
+#[derive(Default)]
+struct Lanes {
+    queues: [VecDeque<Envelope>; 3],
+    /// The owner sleeps: only then need it be woken, which costs a system call.
+    idle: bool,
+}
+
+/// Of each lane, this many commands at most go into one step. Whatever the others hold, a step
+/// stays short, and every lane moves on.
+const SHARES: [usize; 3] = [256, 64, 160];
+
+impl Lanes {
+    fn of(command: &Command) -> usize {
+        match command {
+            Command::Report { .. } | Command::Direct { .. } => 2,
+            Command::Status(_) => 1,
+            Command::User(r) if matches!(r.what, Ask::Show(_)) => 1,
+            _ => 0,
+        }
+    }
+
+    /// Says whether the owner is to be woken.
+    fn put(&mut self, e: Envelope) -> bool {
+        self.queues[Lanes::of(&e.command)].push_back(e);
+        std::mem::take(&mut self.idle)
+    }
+
+    fn is_empty(&self) -> bool {
+        self.queues.iter().all(VecDeque::is_empty)
+    }
+
+    fn take(&mut self) -> Vec<Envelope> {
+        let mut out = Vec::new();
+        for (queue, share) in self.queues.iter_mut().zip(SHARES) {
+            out.extend(queue.drain(..share.min(queue.len())));
+        }
+        out
+    }
+}
+
+/// Lets the renewal of the lease go first. When a thousand workers come to a new leader at once,
+/// as many threads want the processor, and the one that renews the lease had its turn only after
+/// the lease had ended: the next leader fared no better. So when a renewal is late, the others
+/// wait for it, though not for long: it may be the state service that does not answer.
+struct Precedence {
+    start: Instant,
+    /// When the renewal is due, in milliseconds from the start.
+    due_ms: AtomicU64,
+}
+
+/// A renewal on time is through by then, but for the state service's slowest answers.
+const RENEWAL_LATE: Duration = Duration::from_millis(120);
+const LONGEST_YIELD: Duration = Duration::from_millis(400);
+const YIELD_STEP: Duration = Duration::from_millis(25);
+
+impl Precedence {
+    fn new() -> Precedence {
+        Precedence {
+            start: Instant::now(),
+            due_ms: AtomicU64::new(u64::MAX),
+        }
+    }
+
+    fn due(&self, at: Instant) {
+        let ms = at.saturating_duration_since(self.start).as_millis();
+        self.due_ms
+            .store(u64::try_from(ms).unwrap_or(u64::MAX), Ordering::Relaxed);
+    }
+
+    /// Called by a thread that has work which can wait.
+    fn yield_to_renewal(&self) {
+        let due = self.due_ms.load(Ordering::Relaxed);
+        let late = |now: Instant| {
+            let since = Duration::from_millis(due);
+            now.saturating_duration_since(self.start)
+                .checked_sub(since)
+                .is_some_and(|late| late > RENEWAL_LATE && late < RENEWAL_LATE + LONGEST_YIELD)
+        };
+        while late(Instant::now()) && self.due_ms.load(Ordering::Relaxed) == due {
+            std::thread::sleep(YIELD_STEP);
+        }
+    }
+}
+
+/// Reports that are worked on at a time; the others wait as they came, unread by anybody. Workers
+/// report whenever something changes, so a thousand of them that run short tasks send more than
+/// can be worked through: then each has its next report answered a little later and with more in
+/// it, and threads that matter more do not stand behind a thousand of these.
+struct Gate {
+    free: Mutex<usize>,
+    freed: Condvar,
+}
+
+/// A little more than one step of the owner takes.
+const REPORTS_AT_A_TIME: usize = SHARES[2] * 2;
+
+impl Gate {
+    fn new(places: usize) -> Gate {
+        Gate {
+            free: Mutex::new(places),
+            freed: Condvar::new(),
+        }
+    }
+
+    /// Works when there is a place; `None` if there was none until it would be too late.
+    fn pass<T>(&self, work: impl FnOnce() -> T) -> Option<T> {
+        let mut free = lock(&self.free);
+        if *free == 0 {
+            let none = |free: &mut usize| *free == 0;
+            let waited = self.freed.wait_timeout_while(free, ANSWER_TIMEOUT, none);
+            free = waited.unwrap_or_else(PoisonError::into_inner).0;
+            if *free == 0 {
+                return None;
+            }
+        }
+        *free -= 1;
+        drop(free);
+        let done = work();
+        *lock(&self.free) += 1;
+        self.freed.notify_one();
+        Some(done)
+    }
+}
+
 /// The way into the owner's queue.
 #[derive(Clone)]
 struct Inbox {
-    queue: SyncSender<Envelope>,
+    lanes: Arc<(Mutex<Lanes>, Condvar)>,
     tickets: Arc<AtomicU64>,
+    renewal: Arc<Precedence>,
+    reports: Arc<Gate>,
 }
 
 impl Inbox {
-    /// For outcomes of our own calls, which must not be lost.
+    fn new() -> Inbox {
+        Inbox {
+            lanes: Arc::default(),
+            tickets: Arc::new(AtomicU64::new(1)),
+            renewal: Arc::new(Precedence::new()),
+            reports: Arc::new(Gate::new(REPORTS_AT_A_TIME)),
+        }
+    }
+
+    /// For outcomes of our own calls, which must not be lost; there are never more than calls.
     fn put(&self, command: Command) {
-        let _ = self.queue.send(Envelope {
+        let (lanes, filled) = &*self.lanes;
+        let wake = lock(lanes).put(Envelope {
             command,
             reply: None,
         });
+        if wake {
+            filled.notify_one();
+        }
     }
 
     /// Asks the owner and waits for its answer.
     fn ask(&self, make: impl FnOnce(Ticket) -> Command) -> Answer {
         let ticket = self.tickets.fetch_add(1, Ordering::Relaxed);
         let (tx, rx) = sync_channel(1);
-        let envelope = Envelope {
-            command: make(ticket),
-            reply: Some((ticket, tx)),
+        let command = make(ticket);
+        let (lanes, filled) = &*self.lanes;
+        let wake = {
+            let mut lanes = lock(lanes);
+            if lanes.queues[Lanes::of(&command)].len() >= QUEUE {
+                return Answer::busy("overloaded", 2);
+            }
+            lanes.put(Envelope {
+                command,
+                reply: Some((ticket, tx)),
+            })
         };
-        match self.queue.try_send(envelope) {
-            Ok(()) => {}
-            Err(TrySendError::Full(_)) => return Answer::busy("overloaded", 2),
-            Err(TrySendError::Disconnected(_)) => return Answer::busy("stopping", 2),
+        if wake {
+            filled.notify_one();
         }
         rx.recv_timeout(ANSWER_TIMEOUT)
             .unwrap_or_else(|_| Answer::busy("no answer in time", 1))
     }
+
+    /// What the owner works through next; empty when nothing came for so long.
+    fn next(&self, wait: Duration) -> Vec<Envelope> {
+        let (lanes, filled) = &*self.lanes;
+        let mut waiting = lock(lanes);
+        if waiting.is_empty() {
+            waiting.idle = true;
+            waiting = match filled.wait_timeout(waiting, wait) {
+                Ok((guard, _)) => guard,
+                Err(poisoned) => poisoned.into_inner().0,
+            };
+            waiting.idle = false;
+        }
+        waiting.take()
+    }
+}
+
+/// Queues are whole at any moment, so a thread that died holding one leaves nothing half done.
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
 fn spawn(name: &str, f: impl FnOnce() + Send + 'static) -> io::Result<()> {
@@ -156,11 +322,7 @@
     let settings = Arc::new(settings);
     let public = TcpListener::bind(settings.listen)?;
     let back = TcpListener::bind(settings.peer_listen)?;
-    let (queue, inbox) = sync_channel(QUEUE);
-    let inbox_side = Inbox {
-        queue,
-        tickets: Arc::new(AtomicU64::new(1)),
-    };
+    let inbox_side = Inbox::new();
     let ready = Arc::new(AtomicBool::new(false));
     let give_up_lease = Arc::new(AtomicBool::new(false));
     let share = settings.state_rps / (settings.peers.len() as f64 + 1.0);
@@ -191,8 +353,7 @@
         settings.peer_listen
     );
     let core = Core::new(settings, Arc::new(policy), rand::random(), now());
-    own(core, inbox, outbox);
-    Ok(())
+    own(core, &inbox_side, outbox)
 }
 
 /// Connections to serve at a time: every worker keeps one open to the leader, so as many as the
@@ -208,28 +369,16 @@
 }
 
 /// The owner's loop.
-fn own(mut core: Core, inbox: Receiver<Envelope>, outbox: Outbox) {
+fn own(mut core: Core, inbox: &Inbox, outbox: Outbox) -> ! {
     let mut waiting: BTreeMap<Ticket, SyncSender<Answer>> = BTreeMap::new();
     let mut told = Instant::now();
     loop {
         let mut commands = Vec::new();
-        let mut take = |e: Envelope, commands: &mut Vec<Command>| {
+        for e in inbox.next(core.idle_for()) {
             if let Some((ticket, tx)) = e.reply {
                 waiting.insert(ticket, tx);
             }
             commands.push(e.command);
-        };
-        match inbox.recv_timeout(core.idle_for()) {
-            Ok(e) => {
-                take(e, &mut commands);
-                while commands.len() < BATCH
-                    && let Ok(e) = inbox.try_recv()
-                {
-                    take(e, &mut commands);
-                }
-            }
-            Err(RecvTimeoutError::Timeout) => {}
-            Err(RecvTimeoutError::Disconnected) => return,
         }
         let begun = Instant::now();
         for effect in core.step(now(), commands) {
@@ -334,6 +483,7 @@
     pool("direct", DIRECT_THREADS, || {
         let inbox = inbox.clone();
         Box::new(move |(call, addr, request, not_after): DirectCall| {
+            inbox.renewal.yield_to_renewal();
             let outcome = if Instant::now() >= not_after {
                 DirectOutcome::NotSent("the leader's time was over".into())
             } else {
@@ -410,8 +560,14 @@
         let mut client = StateClient::new(addr);
         let ttl = crate::core::LEASE_TTL;
         let mut lease: Option<u64> = None;
+        let mut due = Instant::now();
         loop {
             let sent = Instant::now();
+            // The process stood still or had no processor; the log shows it beside what it led to.
+            let late = sent.saturating_duration_since(due);
+            if late > ttl / 4 {
+                log::warn!("the lease's renewal comes {} ms late", late.as_millis());
+            }
             if give_up.swap(false, Ordering::Relaxed)
                 && let Some(id) = lease.take()
             {
@@ -444,6 +600,12 @@
             }
             // In small pieces, so that giving up takes effect soon.
             let until = Instant::now() + pause;
+            inbox.renewal.due(until);
+            due = until;
+            let took = sent.elapsed().saturating_sub(pause);
+            if took > ttl / 4 {
+                log::warn!("the lease's renewal took {} ms", took.as_millis());
+            }
             while Instant::now() < until && !give_up.load(Ordering::Relaxed) {
                 let left = until.saturating_duration_since(Instant::now());
                 std::thread::sleep(left.min(Duration::from_millis(200)));
@@ -580,6 +742,9 @@
         })
     };
     let path = r.path.split('?').next().unwrap_or_default();
+    if path != PATH_READY {
+        inbox.renewal.yield_to_renewal();
+    }
     let answer = match (r.method.as_str(), path) {
         ("GET", PATH_READY) => {
             if ready.load(Ordering::Relaxed) {
@@ -588,10 +753,14 @@
                 Answer::busy("not ready", 1)
             }
         }
-        ("POST", PATH_REPORT) => match serde_json::from_slice(&r.body) {
-            Ok(report) => inbox.ask(|ticket| Command::Report { ticket, report }),
-            Err(e) => Answer::error(400, &e.to_string()),
-        },
+        ("POST", PATH_REPORT) => {
+            let work = || match serde_json::from_slice(&r.body) {
+                Ok(report) => inbox.ask(|ticket| Command::Report { ticket, report }),
+                Err(e) => Answer::error(400, &e.to_string()),
+            };
+            let late = || Answer::busy("overloaded", 1);
+            inbox.reports.pass(work).unwrap_or_else(late)
+        }
         ("POST", PATH_JOBS) => match wire::parse_submission(&r.body) {
             Ok(spec) => user(Ask::Submit(Box::new(spec))),
             Err(e) => {
@@ -640,3 +809,76 @@
         libc::mallopt(libc::M_TRIM_THRESHOLD, 1 << 20);
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn user(ticket: Ticket, what: Ask) -> Envelope {
+        let request = UserRequest {
+            ticket,
+            what,
+            forwarded: false,
+            tried: Vec::new(),
+            received: Instant::now(),
+        };
+        Envelope {
+            command: Command::User(request),
+            reply: None,
+        }
+    }
+
+    fn report() -> Envelope {
+        let text = r#"{"drone":"i-1","endpoint":"127.0.0.1:1","breed":"b","parcel":"a",
+            "tenure":1,"tally":1}"#;
+        Envelope {
+            command: Command::Report {
+                ticket: 0,
+                report: serde_json::from_str(text).unwrap(),
+            },
+            reply: None,
+        }
+    }
+
+    /// Reports by the thousand kept submissions, and the lease's renewals, waiting for a minute.
+    #[test]
+    fn neither_reports_nor_questions_keep_what_is_urgent_waiting() {
+        let mut lanes = Lanes::default();
+        for _ in 0..1000 {
+            lanes.put(report());
+            lanes.put(user(1, Ask::Show("wk-1".into())));
+        }
+        lanes.put(user(2, Ask::Cancel("wk-1".into())));
+        let step = lanes.take();
+        assert!(step.len() <= 1 + SHARES[1] + SHARES[2]);
+        let urgent = matches!(&step[0].command, Command::User(r) if r.ticket == 2);
+        assert!(urgent);
+        // Nothing is lost, and every lane moves on.
+        let mut rest = 0;
+        while !lanes.is_empty() {
+            rest += lanes.take().len();
+        }
+        assert_eq!(step.len() + rest, 2001);
+    }
+
+    #[test]
+    fn a_gate_lets_in_as_many_as_it_has_places() {
+        let gate = Arc::new(Gate::new(2));
+        let (inside, most) = (Arc::new(AtomicUsize::new(0)), Arc::new(AtomicUsize::new(0)));
+        let threads: Vec<_> = (0..8)
+            .map(|_| {
+                let (gate, inside, most) = (gate.clone(), inside.clone(), most.clone());
+                std::thread::spawn(move || {
+                    gate.pass(|| {
+                        let n = inside.fetch_add(1, Ordering::SeqCst) + 1;
+                        most.fetch_max(n, Ordering::SeqCst);
+                        std::thread::sleep(Duration::from_millis(5));
+                        inside.fetch_sub(1, Ordering::SeqCst);
+                    })
+                })
+            })
+            .collect();
+        assert!(threads.into_iter().all(|t| t.join().unwrap().is_some()));
+        assert!(most.load(Ordering::SeqCst) <= 2);
+    }
+}
