--- a/src/service.rs
+++ b/src/service.rs
@@ -146,7 +146,7 @@
     freed: Condvar,
 }
 
-/// A little more than one step of the owner takes.
+/// What two steps of the owner take, so that the next one finds work.
 const REPORTS_AT_A_TIME: usize = SHARES[2] * 2;
 
 impl Gate {
