--- /dev/null
+++ b/src/core/barrier.rs
@@ -0,0 +1,84 @@
+//! Questions that one key cannot answer. How a job stands that awaits others depends on how those
+//! have ended, and whether a job that a submission names was ever accepted, on all keys there are.
+//!
+//! A read begun after the question came tells the state service's revision; once this node's copy
+//! has come as far, nothing can have been told to anybody before the question that the copy does
+//! not hold. Questions of one step share the read.
+
+use super::{Core, Pending, Ticket};
+use crate::http::Answer;
+use crate::job::JobSpec;
+use crate::state::{StateOutcome, StateRequest};
+use std::time::{Duration, Instant};
+
+/// A key that nobody writes: its absence comes with the revision.
+const NOTHING: &str = "nothing";
+/// The watch brings changes within some ten milliseconds; a user waits 2 s for a poll.
+const PATIENCE: Duration = Duration::from_millis(1500);
+
+#[derive(Debug)]
+pub enum Question {
+    Show(Ticket, String),
+    Submit(Ticket, Box<JobSpec>, Instant),
+}
+
+#[derive(Default)]
+pub struct Barriers {
+    /// Asked in this step.
+    new: Vec<Question>,
+    /// The revision that each group waits for, and until when.
+    waiting: Vec<(u64, Instant, Vec<Question>)>,
+}
+
+impl Core {
+    pub(super) fn ask_all(&mut self, question: Question) {
+        self.barriers.new.push(question);
+    }
+
+    /// Called at the end of a step.
+    pub(super) fn send_barrier(&mut self) {
+        let new = std::mem::take(&mut self.barriers.new);
+        if !new.is_empty() {
+            let key = super::mirror::key(NOTHING);
+            self.ask_state(Pending::Barrier(new), StateRequest::Get(key));
+        }
+    }
+
+    pub(super) fn barrier_read(&mut self, questions: Vec<Question>, outcome: StateOutcome) {
+        let StateOutcome::Missing { revision } = outcome else {
+            log::debug!("no revision: {outcome:?}");
+            return self.put_off(questions);
+        };
+        let until = self.now.mono + PATIENCE;
+        self.barriers.waiting.push((revision, until, questions));
+        self.tend_barriers();
+    }
+
+    fn put_off(&mut self, questions: Vec<Question>) {
+        for q in questions {
+            let (Question::Show(ticket, _) | Question::Submit(ticket, ..)) = q;
+            self.answer(ticket, Answer::busy("the state cannot be read now", 1));
+        }
+    }
+
+    /// Answers what the copy is new enough for; what has waited for too long is put off.
+    pub(super) fn tend_barriers(&mut self) {
+        let (now, revision) = (self.now.mono, self.mirror.revision);
+        for (needed, until, questions) in std::mem::take(&mut self.barriers.waiting) {
+            if self.mirror.loaded && revision >= needed {
+                for q in questions {
+                    match q {
+                        Question::Show(ticket, id) => self.show_fresh(ticket, &id),
+                        Question::Submit(ticket, spec, received) => {
+                            self.accept(ticket, spec, received, true);
+                        }
+                    }
+                }
+            } else if now >= until {
+                self.put_off(questions);
+            } else {
+                self.barriers.waiting.push((needed, until, questions));
+            }
+        }
+    }
+}
--- a/src/core/jobs.rs
+++ b/src/core/jobs.rs
@@ -1,9 +1,10 @@
 //! What users ask for, and how jobs progress and end.
 
+use super::barrier::Question;
 use super::leadership::creation;
 use super::machines::{Machines, StopReason};
 use super::mirror::{JobValue, job_key};
-use super::{Core, Effect, Pending, ReadPurpose, Ticket, note};
+use super::{Core, Effect, Now, Pending, ReadPurpose, Ticket, note};
 use crate::http::Answer;
 use crate::job::{Final, JobId, JobSpec, Kind, MachineId, TaskKey};
 use crate::peer::{PeerAnswer, PeerRequest};
@@ -60,6 +61,8 @@
     pub probe_at: Option<Instant>,
     pub probes: u32,
     pub started: Option<Instant>,
+    /// Since when, as this leader knows, all is done that the job awaits.
+    pub ready: Option<Now>,
     /// Sum of the logarithms of its tasks' run times, and their number.
     pub log_times: (f64, u32),
 }
@@ -133,21 +136,22 @@
 
 impl Core {
     fn final_answer(&self, id: &str) -> Option<Answer> {
-        let end = self.mirror.finished.get(id)?;
-        let body = state_body(id, final_state(*end), None, None);
+        let end = self.mirror.end_of(id)?;
+        let body = state_body(id, final_state(end), None, None);
         Some(Answer::new(200, body))
     }
 
     /// The state of a live job, which only an acting leader may tell from memory, and only while
-    /// no end of it is being written: that write may be committed already, and another node may
-    /// have told the user.
+    /// no end of it, or cancellation of one that it needs, is being written: that write may be
+    /// committed already, and another node may have told the user.
     fn live_answer(&self, id: &str) -> Option<Answer> {
         if !self.acting() {
             return None;
         }
         let job = self.mirror.jobs.get(id)?;
-        let run = self.lead.as_ref()?.runs.get(id)?;
-        if run.ending.is_some() {
+        let lead = self.lead.as_ref()?;
+        let run = lead.runs.get(id)?;
+        if run.ending.is_some() || lead.in_doubt.contains(id) {
             return None;
         }
         let running = self.running_of(id, run);
@@ -278,7 +282,7 @@
             }
             Ask::Submit(spec) => match self.live_answer(id) {
                 Some(answer) => self.answer(ticket, answer),
-                None => self.accept(ticket, spec, request.received),
+                None => self.accept(ticket, spec, request.received, false),
             },
             Ask::Malformed(id, answer) => match self.live_answer(&id) {
                 Some(known) => self.answer(ticket, known),
@@ -303,7 +307,7 @@
     fn user_without_leader(&mut self, request: UserRequest) {
         let ticket = request.ticket;
         match request.what {
-            Ask::Submit(spec) => self.accept(ticket, spec, request.received),
+            Ask::Submit(spec) => self.accept(ticket, spec, request.received, false),
             Ask::Show(id) => self.read_for_question(id, ticket),
             Ask::Malformed(id, answer) => self.reread(id, ReadPurpose::Reject(ticket, answer)),
             Ask::Cancel(_) => self.answer(ticket, Answer::busy("no leader", 1)),
@@ -324,9 +328,11 @@
                     Ask::Submit(spec) => spec.id.to_string(),
                     Ask::Show(id) | Ask::Cancel(id) | Ask::Malformed(id, _) => id.clone(),
                 };
-                let body = match a.state {
-                    Some(state) => state_body(&id, state, a.done, a.running),
-                    None => crate::wire::error_body("see the status"),
+                let body = match (a.state, &request.what) {
+                    (Some(state), _) => state_body(&id, state, a.done, a.running),
+                    // The leader's reason does not come along; this node mostly knows it too.
+                    (None, Ask::Submit(spec)) if a.status == 422 => self.refusal_of(spec).body,
+                    (None, _) => crate::wire::error_body("see the status"),
                 };
                 let mut answer = Answer::new(a.status, body);
                 answer.retry_after = a.retry_after;
@@ -372,14 +378,70 @@
         Ok(())
     }
 
-    fn accept(&mut self, ticket: Ticket, mut spec: Box<JobSpec>, received: Instant) {
-        if let Err(answer) = self.judge(&spec) {
+    /// 422 for what it awaits wrongly.
+    fn judge_awaits(&self, spec: &JobSpec) -> Result<(), Answer> {
+        let service = |a: &JobId| {
+            let job = self.mirror.jobs.get(a);
+            job.is_some_and(|j| j.spec.kind == Kind::Service)
+        };
+        let never = |text: String| Err(Answer::error(422, &text));
+        if spec.awaits.contains(&spec.id) {
+            return never("it awaits itself".into());
+        }
+        if let Some(a) = spec.awaits.iter().find(|a| service(a)) {
+            return never(format!("it awaits {a}, a service, which is never done"));
+        }
+        Ok(())
+    }
+
+    /// A job that is awaited and, as far as this node knows, was never accepted.
+    fn unknown_awaited<'a>(&self, spec: &'a JobSpec) -> Option<&'a JobId> {
+        spec.awaits.iter().find(|a| !self.mirror.knows(a))
+    }
+
+    /// Why a submission was refused for good.
+    fn refusal_of(&self, spec: &JobSpec) -> Answer {
+        let judged = self.judge(spec).and_then(|()| self.judge_awaits(spec));
+        judged.err().unwrap_or_else(|| {
+            let text = match self.unknown_awaited(spec) {
+                Some(a) => format!("it awaits {a}, which was never accepted"),
+                None => "it can never run, the leader's log says why".into(),
+            };
+            Answer::error(422, &text)
+        })
+    }
+
+    /// Accepts a submission; `informed` if this node's copy holds all that was accepted before it
+    /// came.
+    pub(super) fn accept(
+        &mut self,
+        ticket: Ticket,
+        mut spec: Box<JobSpec>,
+        received: Instant,
+        informed: bool,
+    ) {
+        let judged = self.judge(&spec).and_then(|()| self.judge_awaits(&spec));
+        if let Err(answer) = judged {
             if answer.status == 503 {
                 return self.answer(ticket, answer);
             }
             let id = spec.id.to_string();
             return self.reread(id, ReadPurpose::Reject(ticket, answer));
         }
+        if self.unknown_awaited(&spec).is_some() {
+            // This node's copy lags a little behind what other nodes accept, and users submit a
+            // job as soon as those that it needs are accepted.
+            if !informed {
+                return self.ask_all(Question::Submit(ticket, spec, received));
+            }
+            let answer = self.refusal_of(&spec);
+            log::info!(
+                "job {} refused: {}",
+                spec.id,
+                String::from_utf8_lossy(&answer.body)
+            );
+            return self.reread(spec.id.to_string(), ReadPurpose::Reject(ticket, answer));
+        }
         // A job more than the memory is for would end the process, and every other job with it.
         let live: u64 = self
             .mirror
@@ -444,14 +506,15 @@
                 note(&mut self.stats.accept, waited.as_millis());
                 // A full read under way may be older than this job and drop it from the copy for
                 // a moment; that costs time, as unknown jobs are read afresh.
-                let value = JobValue::Live {
-                    spec,
-                    submitted_ms: ms,
-                };
+                let value = JobValue::live(spec, ms);
                 self.mirror.put_job(&id, value, revision);
                 self.take_in_jobs();
-                let body = state_body(&id, JobState::Queued, None, None);
-                self.answer(ticket, Answer::new(201, body));
+                // What names a cancelled job is accepted all the same.
+                let state = self
+                    .mirror
+                    .end_of(&id)
+                    .map_or(JobState::Queued, final_state);
+                self.answer(ticket, Answer::new(201, state_body(&id, state, None, None)));
             }
             StateOutcome::Conflict { .. } => {
                 self.reread(spec.id.to_string(), ReadPurpose::Show(ticket));
@@ -493,7 +556,7 @@
             ReadPurpose::Show(t) | ReadPurpose::Cancel(t) | ReadPurpose::Reject(t, _) => *t,
         };
         match outcome {
-            StateOutcome::Missing => match purpose {
+            StateOutcome::Missing { .. } => match purpose {
                 ReadPurpose::Reject(_, answer) => self.answer(ticket, answer),
                 _ => self.answer(ticket, Answer::error(404, "no such job")),
             },
@@ -513,19 +576,11 @@
                     self.cancel(ticket, &id);
                 } else if let ReadPurpose::Cancel(_) = purpose {
                     self.answer(ticket, Answer::busy("the leader changed", 1));
+                } else if self.awaits_others(&id) {
+                    // Its own key does not tell how those that it needs have ended.
+                    self.ask_all(Question::Show(ticket, id));
                 } else {
-                    // Fresh from the service: nobody can have been told anything newer before.
-                    let answer = self.live_answer(&id).unwrap_or_else(|| {
-                        let done = self.mirror.jobs.get(id.as_str()).map(|j| j.done.len());
-                        let running = done.is_some_and(|d| d > 0);
-                        let state = if running {
-                            JobState::Running
-                        } else {
-                            JobState::Queued
-                        };
-                        Answer::new(200, state_body(&id, state, done, None))
-                    });
-                    self.answer(ticket, answer);
+                    self.show_fresh(ticket, &id);
                 }
             }
             other => {
@@ -535,6 +590,30 @@
         }
     }
 
+    fn awaits_others(&self, id: &str) -> bool {
+        let job = self.mirror.jobs.get(id);
+        job.is_some_and(|j| !j.spec.awaits.is_empty())
+    }
+
+    /// Answers with what was read after the question came: nobody can have been told anything
+    /// newer before.
+    pub(super) fn show_fresh(&mut self, ticket: Ticket, id: &str) {
+        let known = self.final_answer(id).or_else(|| self.live_answer(id));
+        let answer = known.unwrap_or_else(|| match self.mirror.jobs.get(id) {
+            None => Answer::busy("the state cannot be read now", 1),
+            Some(job) => {
+                let done = job.done.len();
+                let state = if done > 0 {
+                    JobState::Running
+                } else {
+                    JobState::Queued
+                };
+                Answer::new(200, state_body(id, state, Some(done), None))
+            }
+        });
+        self.answer(ticket, answer);
+    }
+
     /// Cancels a live job. Its end is durable before anybody is told.
     fn cancel(&mut self, ticket: Ticket, id: &str) {
         let Some(lead) = &mut self.lead else { return };
@@ -546,6 +625,8 @@
             log::info!("job {id}: cancelled by its user");
             run.ending = Some(Final::Cancelled);
             lead.writes.ends.insert(id.into(), Final::Cancelled);
+            let with_it = self.mirror.pipelines.downstream(&Self::job_id(id));
+            lead.in_doubt.extend(with_it);
         }
     }
 
@@ -562,6 +643,12 @@
         let Some(job) = self.mirror.jobs.get(id) else {
             return self.wind_up(id);
         };
+        if let Some(root) = self.mirror.pipelines.doomed(id) {
+            // Nothing of it can have started, as not all that it needs is done.
+            if lead.writes.followers.insert(id.clone()) {
+                log::info!("job {id}: cancelled with {root}, which it needs");
+            }
+        }
         if !lead.runs.contains_key(id) {
             let queued = (0..job.spec.tasks).filter(|r| !job.done.contains(*r));
             let run = Run {
@@ -573,8 +660,32 @@
             if job.version > lead.key_version {
                 lead.arrivals.note(self.now.mono, 1);
             }
+            // Accepted while a cancellation of what it needs is being written.
+            let doubtful = |a: &JobId| {
+                let ending = lead.runs.get(a).and_then(|r| r.ending);
+                lead.in_doubt.contains(a) || ending == Some(Final::Cancelled)
+            };
+            if job.spec.awaits.iter().any(doubtful) {
+                lead.in_doubt.insert(id.clone());
+                let with_it = self.mirror.pipelines.downstream(id);
+                lead.in_doubt.extend(with_it);
+            }
             lead.plan_again = true;
         }
+        if !job.spec.awaits.is_empty() && self.mirror.ready(id) {
+            let Some(run) = lead.runs.get_mut(id) else {
+                return;
+            };
+            if run.ready.is_none() {
+                run.ready = Some(self.now);
+                lead.plan_again = true;
+                log::info!("job {id}: all that it awaits is done");
+            }
+        }
+        let before = job.spec.awaits.clone();
+        for a in before.iter().chain([id]) {
+            self.flow_back(a);
+        }
         self.end_if_done(id);
     }
 
@@ -586,7 +697,10 @@
             return;
         };
         lead.writes.ends.remove(id);
+        lead.writes.followers.remove(id);
         lead.writes.progress.remove(id);
+        lead.in_doubt.remove(id);
+        lead.urgency.remove(id);
         lead.plan_again = true;
         if let Some(end) = self.mirror.finished.get(id) {
             log::info!("job {id} is over: {end:?}");
--- a/src/core/leadership.rs
+++ b/src/core/leadership.rs
@@ -62,6 +62,11 @@
     /// Direct calls on their way.
     pub calls_out: usize,
     pub runs: BTreeMap<JobId, super::jobs::Run>,
+    /// Live jobs that need one whose cancellation is being written: that may be durable already,
+    /// and another node may have told their users that they are cancelled.
+    pub in_doubt: BTreeSet<JobId>,
+    /// How urgent jobs are that are needed by more urgent ones.
+    pub urgency: BTreeMap<JobId, super::urgency::Urgency>,
     pub writes: Writes,
     pub market: super::machines::Market,
     pub attempts: u64,
@@ -97,8 +102,8 @@
 pub enum WriteOp {
     End(JobId, Final),
     Progress(JobId, Vec<u32>),
-    /// A page of machines, and who is on it.
-    Page(usize, Vec<MachineId>),
+    /// Pages of machines, and who is on them.
+    Pages(Vec<usize>, Vec<MachineId>),
     Types,
 }
 
@@ -106,13 +111,22 @@
 #[derive(Default)]
 pub struct Writes {
     pub ends: BTreeMap<JobId, Final>,
+    /// Jobs cancelled with one that they need: that is durable already, and these follow.
+    pub followers: BTreeSet<JobId>,
     /// Jobs with done tasks that are not written yet, and since when.
     pub progress: BTreeMap<JobId, Instant>,
     pub records: Records,
     pub types: bool,
     pub sent: Option<Sent>,
+    /// Changes that a transaction may have, if the service refused one of those allowed.
+    pub most: Option<usize>,
+    /// Keys that the service refuses to have put, and until when that is not tried again.
+    pub aside: BTreeMap<String, Instant>,
 }
 
+/// What the service refuses by itself is tried again after this long.
+const ASIDE: Duration = Duration::from_secs(30);
+
 pub struct Sent {
     pub txn: Txn,
     pub ops: Vec<WriteOp>,
@@ -125,6 +139,8 @@
 struct Batch {
     /// Changes that it may have.
     most: usize,
+    /// Bytes that a value may have.
+    value_bytes: usize,
     bytes: usize,
     changes: Vec<Change>,
     ops: Vec<WriteOp>,
@@ -145,12 +161,12 @@
     /// Adds pages of machines: those with new ones, or also those that are merely out of date.
     fn pages(&mut self, records: &mut Records, now: Instant, only_new: bool) {
         while self.changes.len() < self.most
-            && let Some((n, change, ids)) = records.next(now, only_new)
+            && let Some(write) = records.next(now, only_new, self.most - self.changes.len())
         {
-            if !self.add(vec![change]) {
-                return records.again(n);
+            if !self.add(write.changes) {
+                return records.again(write.pages);
             }
-            self.ops.push(WriteOp::Page(n, ids));
+            self.ops.push(WriteOp::Pages(write.pages, write.machines));
         }
         while !only_new
             && self.changes.len() < self.most
@@ -316,7 +332,7 @@
                 Duration::from_millis(500)
             }
             StateOutcome::Refused(_) | StateOutcome::Unknown(_) => Duration::from_millis(400),
-            StateOutcome::Found(_) | StateOutcome::Missing => Duration::ZERO,
+            StateOutcome::Found(_) | StateOutcome::Missing { .. } => Duration::ZERO,
         };
         self.candidate_after = self.candidate_after.max(self.now.mono + pause);
     }
@@ -337,6 +353,8 @@
             ask_again: VecDeque::new(),
             calls_out: 0,
             runs: BTreeMap::new(),
+            in_doubt: BTreeSet::new(),
+            urgency: BTreeMap::new(),
             writes: Writes::default(),
             market: Default::default(),
             attempts: 0,
@@ -376,7 +394,11 @@
         self.pending.retain(|_, p| {
             matches!(
                 p,
-                Pending::Create { .. } | Pending::Read { .. } | Pending::TakeOver | Pending::Types
+                Pending::Create { .. }
+                    | Pending::Read { .. }
+                    | Pending::Barrier(_)
+                    | Pending::TakeOver
+                    | Pending::Types
             )
         });
     }
@@ -430,8 +452,10 @@
         let most = most.min(self.write_budget.left(now) as usize);
         let lead = self.lead.as_mut()?;
         let w = &mut lead.writes;
+        w.aside.retain(|_, until| now < *until);
         let mut batch = Batch {
-            most,
+            most: most.min(w.most.unwrap_or(most)),
+            value_bytes: self.settings.value_bytes,
             ..Batch::default()
         };
         let put = |key, value| Change::Put {
@@ -440,14 +464,11 @@
             lease: None,
         };
         for (id, end) in &w.ends {
-            // Only the end is written here; what is left of its ranges goes when there is room.
-            let mut new = vec![put(job_key(id), json(&JobValue::Over { end: *end }))];
-            if let Some(job) = self.mirror.jobs.get(id) {
-                new.extend(job.pieces.iter().take(most / 2).map(|base| Change::Delete {
-                    key: done_key(id, *base),
-                }));
+            let key = job_key(id);
+            if w.aside.contains_key(&key) {
+                continue;
             }
-            if !batch.add(new) {
+            if !batch.add(vec![put(key, json(&JobValue::Over { end: *end }))]) {
                 break;
             }
             batch.ops.push(WriteOp::End(id.clone(), *end));
@@ -460,22 +481,49 @@
             let (Some(run), Some(job)) = (lead.runs.get(id), self.mirror.jobs.get(id)) else {
                 continue;
             };
-            let bases: BTreeSet<u32> = run.unwritten.iter().map(|r| r / piece * piece).collect();
-            for base in bases {
+            // From the last row down: a piece of an earlier version may reach further than ours
+            // under the same key, and what it tells beyond is to be on record elsewhere first.
+            for base in job.pieces_to_write(&run.unwritten, piece).into_iter().rev() {
+                let key = done_key(id, base);
+                if w.aside.contains_key(&key) {
+                    continue 'jobs;
+                }
                 let value = DoneValue {
                     rows: job.done.ranges(base, piece),
                 };
-                if !batch.add(vec![put(done_key(id, base), json(&value))]) {
+                if !batch.add(vec![put(key, json(&value))]) {
                     break 'jobs;
                 }
-                let rows = run.unwritten.range(base..base + piece).copied().collect();
+                let end = base.saturating_add(piece);
+                let rows = run.unwritten.range(base..end).copied().collect();
                 batch.ops.push(WriteOp::Progress(id.clone(), rows));
             }
         }
+        for id in &w.followers {
+            let end = Final::Cancelled;
+            let key = job_key(id);
+            if w.aside.contains_key(&key) || w.ends.contains_key(id) {
+                continue;
+            }
+            if !batch.add(vec![put(key, json(&JobValue::Over { end }))]) {
+                break;
+            }
+            batch.ops.push(WriteOp::End(id.clone(), end));
+        }
         batch.pages(&mut w.records, now, false);
-        if w.types && batch.add(vec![put(key(TYPES), json(&self.types))]) {
+        // Every controller learns the types from the cloud as well; a list too long for a value
+        // is not kept here.
+        let types = put(key(TYPES), json(&self.types));
+        let small = to_json(&self.types).len() <= batch.value_bytes;
+        if w.types && small && !w.aside.contains_key(&key(TYPES)) && batch.add(vec![types]) {
             batch.ops.push(WriteOp::Types);
         }
+        while batch.changes.len() < batch.most
+            && let Some((id, base)) = self.mirror.litter.pop_first()
+        {
+            let key = done_key(&id, base);
+            batch.add(vec![Change::Delete { key }]);
+        }
         let Batch { changes, ops, .. } = batch;
         if changes.is_empty() {
             w.types = false;
@@ -530,13 +578,29 @@
                 ));
             }
             StateOutcome::Invalid(e) => {
-                // Not expected of what `gather` makes; the other changes must not wait for it.
-                log::error!("state service refuses a write for good: {e}");
-                lead.writes.types = false;
-                let ops = lead.writes.sent.take().map(|s| s.ops);
-                for op in ops.unwrap_or_default() {
-                    if let WriteOp::Page(n, _) = op {
-                        lead.writes.records.again(n);
+                // It was not executed, and would be refused for ever: its limits are lower than
+                // the settings say. Fewer changes go together, down to one; a change that is
+                // refused by itself is set aside, as the others must not wait for it.
+                let w = &mut lead.writes;
+                let Some(Sent { txn, ops, .. }) = w.sent.take() else {
+                    return;
+                };
+                let keys: Vec<&str> = txn.changes.iter().map(Change::key).collect();
+                if w.most.is_none() {
+                    log::error!("state service refuses {} changes: {e}", keys.len());
+                }
+                let alone = ops.len() == 1;
+                w.most = Some((keys.len() / 2).max(1));
+                if let [key] = keys[..] {
+                    log::error!("state service refuses {key}, set aside: {e}");
+                    w.aside.insert(key.to_string(), now + ASIDE);
+                }
+                for op in ops {
+                    if let WriteOp::Pages(pages, _) = op {
+                        match pages[..] {
+                            [n] if alone => w.records.put_off(n, now + ASIDE),
+                            _ => w.records.again(pages),
+                        }
                     }
                 }
             }
@@ -548,7 +612,7 @@
                 log::info!("write without an answer: {e}");
                 retry(lead, Duration::from_millis(50));
             }
-            StateOutcome::Found(_) | StateOutcome::Missing => {
+            StateOutcome::Found(_) | StateOutcome::Missing { .. } => {
                 retry(lead, Duration::from_millis(250));
             }
         }
@@ -559,6 +623,7 @@
         match op {
             WriteOp::End(id, end) => {
                 lead.writes.ends.remove(&id);
+                lead.writes.followers.remove(&id);
                 self.mirror.put_job(&id, JobValue::Over { end }, revision);
                 self.take_in_jobs();
             }
@@ -576,7 +641,7 @@
                     lead.writes.progress.remove(&id);
                 }
             }
-            WriteOp::Page(_, ids) => {
+            WriteOp::Pages(_, ids) => {
                 for id in ids {
                     if lead.machines.get(&id).is_some_and(|m| !m.recorded)
                         && let Some(m) = lead.machines.get_mut(&id)
@@ -601,10 +666,7 @@
 
 /// The stored form of a newly accepted job.
 pub(super) fn creation(spec: &crate::job::JobSpec, submitted_ms: u64) -> Txn {
-    let value = JobValue::Live {
-        spec: Box::new(spec.clone()),
-        submitted_ms,
-    };
+    let value = JobValue::live(Box::new(spec.clone()), submitted_ms);
     let key = mirror::job_key(&spec.id);
     Txn {
         // Create-only, and on no other condition: an acceptance that is applied late, or twice,
--- a/src/core/mirror.rs
+++ b/src/core/mirror.rs
@@ -4,6 +4,7 @@
 //! done tasks, counted from that row), `p/<n>` (pages of machines that may hold a task), and
 //! `m/<machine>` (such machines one by one, from earlier versions).
 
+use super::pipelines::Pipelines;
 use crate::job::{Final, JobId, JobSpec, MachineId};
 use crate::state::PREFIX;
 use crate::wire::{Event, Item, MachineType};
@@ -59,11 +60,30 @@
         spec: Box<JobSpec>,
         submitted_ms: u64,
     },
+    /// A live job that awaits others. Versions that do not know of this must not start it, and
+    /// cannot: they read no job from it, and answer questions about it with 503, not with 404.
+    Awaiting {
+        dependent: Box<JobSpec>,
+        submitted_ms: u64,
+    },
     Over {
         end: Final,
     },
 }
 
+impl JobValue {
+    pub fn live(spec: Box<JobSpec>, submitted_ms: u64) -> JobValue {
+        if spec.awaits.is_empty() {
+            JobValue::Live { spec, submitted_ms }
+        } else {
+            JobValue::Awaiting {
+                dependent: spec,
+                submitted_ms,
+            }
+        }
+    }
+}
+
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct MachineValue {
     pub addr: String,
@@ -88,8 +108,29 @@
     pub submitted: SystemTime,
     pub version: u64,
     pub done: RowSet,
-    /// First rows of the pieces in which `done` is stored.
-    pub pieces: BTreeSet<u32>,
+    /// The pieces in which `done` is stored: their first rows, and the row after the last one
+    /// that each of them tells. An earlier version's pieces may reach further than ours.
+    pub pieces: BTreeMap<u32, u32>,
+}
+
+impl Job {
+    /// First rows of the pieces of this size that are to be written for these rows to be on
+    /// record: theirs, and all that a stored piece under one of these keys reaches over.
+    pub fn pieces_to_write(&self, rows: &BTreeSet<u32>, piece: u32) -> BTreeSet<u32> {
+        let mut bases: BTreeSet<u32> = rows.iter().map(|r| r / piece * piece).collect();
+        let mut look: Vec<u32> = bases.iter().copied().collect();
+        while let Some(base) = look.pop() {
+            let end = self.pieces.get(&base).copied().unwrap_or(0);
+            let mut next = base.saturating_add(piece);
+            while next < end {
+                if bases.insert(next) {
+                    look.push(next);
+                }
+                next = next.saturating_add(piece);
+            }
+        }
+        bases
+    }
 }
 
 /// A set of a job's rows.
@@ -147,18 +188,22 @@
         out
     }
 
-    /// Adds what `ranges` wrote; rows from `limit` on and unreadable parts are passed over.
-    pub fn add_ranges(&mut self, base: u32, text: &str, limit: u32) {
+    /// Adds what `ranges` wrote, and says where it ends; rows from `limit` on and unreadable parts
+    /// are passed over.
+    pub fn add_ranges(&mut self, base: u32, text: &str, limit: u32) -> u32 {
+        let mut end = base;
         for part in text.split(',') {
             let (first, last) = part.split_once('-').unwrap_or((part, part));
             if let (Ok(a), Ok(b)) = (first.parse::<u32>(), last.parse::<u32>()) {
                 for row in a..=b.min(limit) {
                     if let Some(row) = base.checked_add(row).filter(|r| *r < limit) {
                         self.insert(row);
+                        end = end.max(row + 1);
                     }
                 }
             }
         }
+        end
     }
 }
 
@@ -175,6 +220,8 @@
     /// Finished jobs stay for ever, as little more than their ids.
     pub finished: BTreeMap<JobId, Final>,
     pub machines: BTreeMap<MachineId, MachineValue>,
+    /// Who awaits whom among the live jobs.
+    pub pipelines: Pipelines,
     /// Which of them are on which page.
     pub pages: BTreeMap<usize, BTreeSet<MachineId>>,
     /// Those under keys of their own.
@@ -183,6 +230,8 @@
     pub changed: BTreeSet<JobId>,
     /// Ranges that were read before their job.
     orphans: BTreeMap<(JobId, u32), String>,
+    /// Stored pieces of jobs that are over: the leader clears them when there is room.
+    pub litter: BTreeSet<(JobId, u32)>,
 }
 
 impl Mirror {
@@ -271,26 +320,33 @@
         self.changed.insert(id.clone());
         match value {
             JobValue::Over { end } => {
-                self.jobs.remove(&id);
+                let job = self.jobs.remove(&id);
+                let awaits = job.as_ref().map_or(&[][..], |j| &j.spec.awaits);
+                // What it needs owes it nothing any more.
+                self.changed.extend(awaits.iter().cloned());
+                self.changed.extend(self.pipelines.end(&id, awaits, end));
+                let pieces = job.map(|j| j.pieces).unwrap_or_default();
+                let early = self.take_orphans(&id).into_iter().map(|(base, _)| base);
+                let bases = pieces.into_keys().chain(early);
+                self.litter.extend(bases.map(|base| (id.clone(), base)));
                 self.finished.insert(id, end);
             }
-            JobValue::Live { spec, submitted_ms } => {
+            JobValue::Live { spec, submitted_ms }
+            | JobValue::Awaiting {
+                dependent: spec,
+                submitted_ms,
+            } => {
                 // An event may repeat what a newer list has told already.
                 if self.finished.contains_key(&id) || self.jobs.contains_key(&id) {
                     return;
                 }
                 let mut done = RowSet::default();
-                let mut pieces = BTreeSet::new();
-                let theirs: Vec<_> = self
-                    .orphans
-                    .range((id.clone(), 0)..=(id.clone(), u32::MAX))
-                    .map(|((_, base), rows)| (*base, rows.clone()))
-                    .collect();
-                for (base, rows) in theirs {
-                    done.add_ranges(base, &rows, spec.tasks);
-                    self.orphans.remove(&(id.clone(), base));
-                    pieces.insert(base);
+                let mut pieces = BTreeMap::new();
+                for (base, rows) in self.take_orphans(&id) {
+                    pieces.insert(base, done.add_ranges(base, &rows, spec.tasks));
                 }
+                let doomed = self.pipelines.begin(&id, &spec.awaits, &self.finished);
+                self.changed.extend(doomed);
                 self.jobs.insert(
                     id,
                     Job {
@@ -305,27 +361,58 @@
         }
     }
 
+    /// How a job has ended, as far as that is durable: by its own end, or by that of a job that
+    /// it needs.
+    pub fn end_of(&self, id: &str) -> Option<Final> {
+        let own = self.finished.get(id).copied();
+        own.or_else(|| self.pipelines.doomed(id).map(|_| Final::Cancelled))
+    }
+
+    /// Whether a job with this id was ever accepted, as far as is known here.
+    pub fn knows(&self, id: &str) -> bool {
+        self.jobs.contains_key(id) || self.finished.contains_key(id)
+    }
+
+    /// Whether nothing that a live job awaits keeps it from starting.
+    pub fn ready(&self, id: &JobId) -> bool {
+        self.pipelines.missing(id) == 0 && self.pipelines.doomed(id).is_none()
+    }
+
+    fn take_orphans(&mut self, id: &JobId) -> Vec<(u32, String)> {
+        let all = (id.clone(), 0)..=(id.clone(), u32::MAX);
+        let bases: Vec<u32> = self
+            .orphans
+            .range(all)
+            .map(|((_, base), _)| *base)
+            .collect();
+        let take = |base| Some((base, self.orphans.remove(&(id.clone(), base))?));
+        bases.into_iter().filter_map(take).collect()
+    }
+
     fn put_page(&mut self, n: usize, machines: BTreeMap<MachineId, MachineValue>) {
         let now: BTreeSet<MachineId> = machines.keys().cloned().collect();
         let before = if now.is_empty() {
             self.pages.remove(&n)
         } else {
-            self.pages.insert(n, now.clone())
+            self.pages.insert(n, now)
         };
+        self.machines.extend(machines);
         for id in before.unwrap_or_default() {
-            if !now.contains(&id) && !self.alone.contains(&id) {
+            // It may have moved to another page, whichever of the two was told first.
+            if !self.alone.contains(&id) && !self.pages.values().any(|p| p.contains(&id)) {
                 self.machines.remove(&id);
             }
         }
-        self.machines.extend(machines);
     }
 
     fn put_done(&mut self, id: JobId, base: u32, rows: String) {
         if let Some(job) = self.jobs.get_mut(&id) {
-            job.done.add_ranges(base, &rows, job.spec.tasks);
-            job.pieces.insert(base);
+            let end = job.done.add_ranges(base, &rows, job.spec.tasks);
+            job.pieces.insert(base, end);
             self.changed.insert(id);
-        } else if !self.finished.contains_key(&id) {
+        } else if self.finished.contains_key(&id) {
+            self.litter.insert((id, base));
+        } else {
             self.orphans.insert((id, base), rows);
         }
     }
@@ -343,6 +430,13 @@
             }
         } else if let Some(Ok(n)) = name.strip_prefix("p/").map(str::parse) {
             self.put_page(n, BTreeMap::new());
+        } else if let Some((id, Ok(base))) = name
+            .strip_prefix("d/")
+            .and_then(|rest| rest.split_once('/'))
+            .map(|(id, base)| (id, base.parse()))
+        {
+            self.litter.remove(&(JobId::from(id), base));
+            self.orphans.remove(&(JobId::from(id), base));
         }
     }
 }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -3,21 +3,27 @@
 //!
 //! - `leadership`: the lease, taking over, resigning, and the leader's durable writes.
 //! - `jobs`: what users ask for, and how jobs progress and end.
+//! - `barrier`: questions that take knowing all that was written before they came.
 //! - `machines`: reports, commands, losses; renting and returning through the cloud.
+//! - `pipelines`: who awaits whom, and what follows from the end of a job for those that need it.
 //! - `records`: the machines that a later leader has to know of.
 //! - `recovery`: what a new leader does not know yet, and when it knows it.
+//! - `urgency`: what a job owes to those that need it.
 //! - `scheduling`: snapshots for `plan` and `fleet`, and their decisions carried out.
 
+mod barrier;
 mod jobs;
 mod leadership;
 mod machines;
 mod mirror;
+mod pipelines;
 mod records;
 mod recovery;
 mod scheduling;
 mod status;
 #[cfg(test)]
 mod stories;
+mod urgency;
 #[cfg(test)]
 mod world;
 
@@ -143,6 +149,7 @@
         id: String,
         purpose: ReadPurpose,
     },
+    Barrier(Vec<barrier::Question>),
     TakeOver,
     Write,
     Direct(MachineId),
@@ -181,6 +188,7 @@
     /// When this process last gave leadership up.
     resigned: Option<Instant>,
     forwards: BTreeMap<Ticket, UserRequest>,
+    barriers: barrier::Barriers,
     /// Peers that gave no answer lately, and until when they are not asked.
     peers_down: BTreeMap<String, Instant>,
     types: Vec<MachineType>,
@@ -255,6 +263,7 @@
             candidate_after: now.mono,
             resigned: None,
             forwards: BTreeMap::new(),
+            barriers: Default::default(),
             peers_down: BTreeMap::new(),
             types: Vec::new(),
             types_asked: None,
@@ -300,6 +309,7 @@
             }
         }
         self.tend_leadership();
+        self.tend_barriers();
         if self.acting() {
             self.tend_machines();
             self.schedule();
@@ -313,6 +323,7 @@
                 self.redirect(ticket);
             }
         }
+        self.send_barrier();
         self.tend_types();
         self.probe_peers();
         self.tend_readiness();
@@ -361,6 +372,7 @@
                 tries,
             }) => self.created(ticket, spec, since, tries, outcome),
             Some(Pending::Read { id, purpose }) => self.read(id, purpose, outcome),
+            Some(Pending::Barrier(questions)) => self.barrier_read(questions, outcome),
             Some(Pending::TakeOver) => self.took_over(outcome),
             Some(Pending::Write) => self.written(call, outcome),
             _ => {}
--- /dev/null
+++ b/src/core/pipelines.rs
@@ -0,0 +1,189 @@
+//! Who awaits whom. A job that names others starts nothing before all of them are done, and is
+//! cancelled with any of them.
+//!
+//! All of it follows from two durable facts: what a job was submitted with, and how the jobs that
+//! it names have ended. So every node knows it, after any takeover and for what is submitted
+//! later, without anything more being written. A change costs what is downstream of it: a reverse
+//! index leads there, and each job has a count of what it still waits for.
+
+use crate::job::{Final, JobId};
+use std::collections::{BTreeMap, BTreeSet};
+
+#[derive(Default)]
+pub struct Pipelines {
+    /// Live jobs, by each job that they await and that is not over.
+    needed_by: BTreeMap<JobId, BTreeSet<JobId>>,
+    /// How many of the jobs that a live job awaits are not done. Not listed: none.
+    missing: BTreeMap<JobId, usize>,
+    /// Live jobs that need a cancelled one, directly or through others, and which.
+    doomed: BTreeMap<JobId, JobId>,
+}
+
+impl Pipelines {
+    /// A job is live; returns the jobs that need it and are cancelled with it, itself included.
+    pub fn begin(
+        &mut self,
+        id: &JobId,
+        awaits: &[JobId],
+        finished: &BTreeMap<JobId, Final>,
+    ) -> Vec<JobId> {
+        let mut root = None;
+        for a in awaits {
+            match finished.get(a) {
+                Some(Final::Done) => {}
+                Some(Final::Cancelled) => root = Some(a.clone()),
+                None => {
+                    if let Some(r) = self.doomed.get(a) {
+                        root = Some(r.clone());
+                    }
+                    if self
+                        .needed_by
+                        .entry(a.clone())
+                        .or_default()
+                        .insert(id.clone())
+                    {
+                        *self.missing.entry(id.clone()).or_default() += 1;
+                    }
+                }
+            }
+        }
+        match root {
+            Some(root) => self.doom(id, &root),
+            None => Vec::new(),
+        }
+    }
+
+    /// A job is over; returns the jobs that may start now, or are cancelled with it.
+    pub fn end(&mut self, id: &JobId, awaits: &[JobId], end: Final) -> Vec<JobId> {
+        self.missing.remove(id);
+        self.doomed.remove(id);
+        for a in awaits {
+            if let Some(jobs) = self.needed_by.get_mut(a) {
+                jobs.remove(id);
+                if jobs.is_empty() {
+                    self.needed_by.remove(a);
+                }
+            }
+        }
+        // Taken out: being told of the end once more counts nothing twice.
+        let jobs = self.needed_by.remove(id).unwrap_or_default();
+        let mut changed = Vec::new();
+        for job in jobs {
+            match end {
+                Final::Cancelled => changed.extend(self.doom(&job, id)),
+                Final::Done => {
+                    if let Some(n) = self.missing.get_mut(&job) {
+                        *n -= 1;
+                        if *n == 0 {
+                            self.missing.remove(&job);
+                            changed.push(job);
+                        }
+                    }
+                }
+            }
+        }
+        changed
+    }
+
+    /// A job and all that needs it are cancelled with `root`. Chains may be long: no recursion.
+    fn doom(&mut self, id: &JobId, root: &JobId) -> Vec<JobId> {
+        let mut changed = Vec::new();
+        let mut next = vec![id.clone()];
+        while let Some(job) = next.pop() {
+            if self.doomed.contains_key(&job) {
+                continue;
+            }
+            self.doomed.insert(job.clone(), root.clone());
+            next.extend(self.needed_by(&job).cloned());
+            changed.push(job);
+        }
+        changed
+    }
+
+    /// All that needs a job, directly or through others.
+    pub fn downstream(&self, id: &JobId) -> BTreeSet<JobId> {
+        let mut found = BTreeSet::new();
+        let mut next: Vec<&JobId> = self.needed_by(id).collect();
+        while let Some(job) = next.pop() {
+            if found.insert(job.clone()) {
+                next.extend(self.needed_by(job));
+            }
+        }
+        found
+    }
+
+    /// Live jobs that name this one.
+    pub fn needed_by(&self, id: &JobId) -> impl Iterator<Item = &JobId> {
+        self.needed_by.get(id).into_iter().flatten()
+    }
+
+    /// How many of the jobs that a live job awaits are not done.
+    pub fn missing(&self, id: &JobId) -> usize {
+        self.missing.get(id).copied().unwrap_or(0)
+    }
+
+    /// The cancelled job with which a live one is cancelled.
+    pub fn doomed(&self, id: &str) -> Option<&JobId> {
+        self.doomed.get(id)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn id(n: u32) -> JobId {
+        format!("wk-{n}").into()
+    }
+
+    /// A diamond, told in any order: what is ready and what is withdrawn follows from the ends.
+    #[test]
+    fn a_diamond_is_ready_once_and_withdrawn_whole_in_whatever_order_it_is_told() {
+        let edges: [(u32, &[u32]); 4] = [(1, &[]), (2, &[1]), (3, &[1]), (4, &[2, 3])];
+        for turn in 0..4 {
+            let mut p = Pipelines::default();
+            let mut finished = BTreeMap::new();
+            let awaits = |n: u32| -> Vec<JobId> {
+                let found = edges.iter().find(|e| e.0 == n).unwrap();
+                found.1.iter().map(|a| id(*a)).collect()
+            };
+            for i in 0..4 {
+                let n = edges[(i + turn) % 4].0;
+                assert!(p.begin(&id(n), &awaits(n), &finished).is_empty());
+            }
+            assert_eq!(p.downstream(&id(1)).len(), 3);
+            let over = |p: &mut Pipelines, finished: &mut BTreeMap<_, _>, n: u32, end| {
+                finished.insert(id(n), end);
+                let mut changed = p.end(&id(n), &awaits(n), end);
+                // Told once more, as events are, it changes nothing.
+                assert!(p.end(&id(n), &awaits(n), end).is_empty());
+                changed.sort();
+                changed
+            };
+            assert_eq!(over(&mut p, &mut finished, 1, Final::Done), [id(2), id(3)]);
+            assert!(over(&mut p, &mut finished, 2, Final::Done).is_empty());
+            assert_eq!((p.missing(&id(4)), p.missing(&id(3))), (1, 0));
+            if turn % 2 == 0 {
+                assert_eq!(over(&mut p, &mut finished, 3, Final::Done), [id(4)]);
+            } else {
+                assert_eq!(over(&mut p, &mut finished, 3, Final::Cancelled), [id(4)]);
+                assert_eq!(p.doomed("wk-4"), Some(&id(3)));
+                // What is submitted later is withdrawn as well, directly and through others.
+                assert_eq!(p.begin(&id(5), &[id(4)], &finished), [id(5)]);
+                assert_eq!(p.begin(&id(6), &[id(3)], &finished), [id(6)]);
+                assert!(over(&mut p, &mut finished, 4, Final::Cancelled).is_empty());
+            }
+        }
+    }
+
+    #[test]
+    fn a_chain_of_ten_thousand_is_withdrawn_without_recursion() {
+        let mut p = Pipelines::default();
+        let finished = BTreeMap::new();
+        for n in 1..10_000 {
+            p.begin(&id(n), &[id(n - 1)], &finished);
+        }
+        assert_eq!(p.downstream(&id(0)).len(), 9_999);
+        assert_eq!(p.end(&id(0), &[], Final::Cancelled).len(), 9_999);
+    }
+}
--- a/src/core/records.rs
+++ b/src/core/records.rs
@@ -1,6 +1,13 @@
 //! The record of every machine that may hold a task, for leaders to come. Machines share pages of
 //! the state service, as many as fit into one value: a change is counted by key, and hundreds of
 //! machines come up together.
+//!
+//! Earlier versions wrote pages up to a larger limit. Such a page stays as it is until it has to be
+//! written; then what is too much for it moves to other pages in one transaction. Earlier versions
+//! forget a machine when one page ceases to list it, even where another one lists it already, and
+//! a task on a machine that the next leader does not know of would be started twice. The service
+//! tells the changes of a transaction in their order, so the page that gives machines up goes
+//! first, and those that take them on follow.
 
 use super::mirror::{MachineValue, Mirror, PageValue, machine_key, page_key};
 use crate::job::MachineId;
@@ -28,12 +35,21 @@
     due: BTreeSet<usize>,
     /// Pages that list machines which are gone, and since when.
     stale: BTreeMap<usize, Instant>,
+    /// Pages between which machines move: written together, in this order, or not at all.
+    bound: Vec<Vec<usize>>,
     /// Machines recorded under keys of their own, as earlier versions did.
     alone: BTreeSet<MachineId>,
     /// Those of them that are gone.
     to_drop: BTreeSet<MachineId>,
 }
 
+/// Pages to write in one transaction, in this order, and the machines that are then on record.
+pub struct PageWrite {
+    pub pages: Vec<usize>,
+    pub changes: Vec<Change>,
+    pub machines: Vec<MachineId>,
+}
+
 fn size(id: &MachineId, value: &MachineValue) -> usize {
     id.len() + to_json(value).len() + 4
 }
@@ -102,41 +118,102 @@
         self.stale.entry(n).or_insert(now);
     }
 
-    /// The next page to write, those with new machines first, and the machines that will then
-    /// be on record.
-    pub fn next(
-        &mut self,
-        now: Instant,
-        only_new: bool,
-    ) -> Option<(usize, Change, Vec<MachineId>)> {
-        let late = |(_, since): &(&usize, &Instant)| !only_new && now >= **since + FORGET_DELAY;
-        let n = match self.due.first() {
-            Some(n) => *n,
-            None => *self.stale.iter().find(late)?.0,
-        };
-        self.due.remove(&n);
-        self.stale.remove(&n);
-        let page = &self.pages[n];
-        let ids = page.machines.keys().cloned().collect();
-        let key = page_key(n);
-        let change = if page.machines.is_empty() {
-            Change::Delete { key }
+    /// The next pages to write, those with new machines first; no more than `most` changes.
+    pub fn next(&mut self, now: Instant, only_new: bool, most: usize) -> Option<PageWrite> {
+        if let Some(i) = self.bound.iter().position(|pages| pages.len() <= most) {
+            let pages = self.bound.swap_remove(i);
+            return Some(self.write(pages));
+        }
+        let fits = |n: usize| self.pieces(n) <= most;
+        let late = |since: Instant| !only_new && now >= since + FORGET_DELAY;
+        let due = self.due.iter().copied().find(|n| fits(*n));
+        let n = due.or_else(|| {
+            let mut stale = self.stale.iter();
+            stale.find_map(|(n, since)| (late(*since) && fits(*n)).then_some(*n))
+        })?;
+        let pages = if self.pieces(n) > 1 {
+            self.split(n)
         } else {
-            let value = PageValue {
-                machines: page.machines.clone(),
+            vec![n]
+        };
+        Some(self.write(pages))
+    }
+
+    /// How many pages the machines of this one take; a page that others move to as well.
+    fn pieces(&self, n: usize) -> usize {
+        match self.pages[n].bytes {
+            bytes if bytes <= self.limit => 1,
+            bytes => bytes.div_ceil(self.limit / 4 * 3) + 1,
+        }
+    }
+
+    /// Moves what is too much for a page to others, and names all pages that this concerns.
+    fn split(&mut self, n: usize) -> Vec<usize> {
+        let mut pages = vec![n];
+        let all = std::mem::take(&mut self.pages[n]);
+        for (id, value) in all.machines {
+            let more = size(&id, &value);
+            let room = |p: &Page| p.machines.is_empty() || p.bytes + more <= self.limit;
+            let last = *pages.last().unwrap_or(&n);
+            let to = if room(&self.pages[last]) {
+                last
+            } else {
+                // Empty ones only: each other page with room would be one more to write.
+                let empty = |p: &Page| p.machines.is_empty();
+                let vacant = self.pages.iter().position(empty).unwrap_or_else(|| {
+                    self.pages.push(Page::default());
+                    self.pages.len() - 1
+                });
+                pages.push(vacant);
+                vacant
             };
-            Change::Put {
-                key,
-                value: serde_json::to_value(value).unwrap_or_default(),
-                lease: None,
+            self.put(to, id, value);
+        }
+        pages
+    }
+
+    fn write(&mut self, pages: Vec<usize>) -> PageWrite {
+        let mut changes = Vec::new();
+        let mut machines = Vec::new();
+        for &n in &pages {
+            self.due.remove(&n);
+            self.stale.remove(&n);
+            let page = &self.pages[n];
+            machines.extend(page.machines.keys().cloned());
+            let key = page_key(n);
+            changes.push(if page.machines.is_empty() {
+                Change::Delete { key }
+            } else {
+                let value = PageValue {
+                    machines: page.machines.clone(),
+                };
+                Change::Put {
+                    key,
+                    value: serde_json::to_value(value).unwrap_or_default(),
+                    lease: None,
+                }
+            });
+        }
+        PageWrite {
+            pages,
+            changes,
+            machines,
+        }
+    }
+
+    /// The pages were not written after all.
+    pub fn again(&mut self, pages: Vec<usize>) {
+        match pages.as_slice() {
+            [n] => {
+                self.due.insert(*n);
             }
-        };
-        Some((n, change, ids))
+            _ => self.bound.push(pages),
+        }
     }
 
-    /// The page was not written after all.
-    pub fn again(&mut self, n: usize) {
-        self.due.insert(n);
+    /// The service refuses this page; it is tried again later.
+    pub fn put_off(&mut self, n: usize, until: Instant) {
+        self.stale.insert(n, until);
     }
 
     /// The next key of a single machine to delete.
@@ -196,11 +273,13 @@
         for (i, id) in ids.iter().enumerate() {
             r.add(id, value(i));
             if i % 100 == 99 {
-                while let Some((_, change, _)) = r.next(now, true) {
-                    assert!(to_json(&change).len() < 8192);
+                while let Some(write) = r.next(now, true, 9) {
                     version += 1;
-                    writes += 1;
-                    told(&mut mirror, change, version);
+                    for change in write.changes {
+                        assert!(to_json(&change).len() < 8192);
+                        writes += 1;
+                        told(&mut mirror, change, version);
+                    }
                 }
             }
         }
@@ -213,10 +292,12 @@
             r.remove(id, now);
         }
         r.remove(&"i-old".into(), now);
-        assert!(r.next(now, false).is_none());
-        while let Some((_, change, _)) = r.next(now + FORGET_DELAY, false) {
+        assert!(r.next(now, false, 9).is_none());
+        while let Some(write) = r.next(now + FORGET_DELAY, false, 9) {
             version += 1;
-            told(&mut mirror, change, version);
+            for change in write.changes {
+                told(&mut mirror, change, version);
+            }
         }
         told(&mut mirror, r.next_alone().unwrap(), version + 1);
         let left: Vec<&MachineId> = mirror.machines.keys().collect();
--- a/src/core/scheduling.rs
+++ b/src/core/scheduling.rs
@@ -4,6 +4,7 @@
 use super::leadership::Lead;
 use super::machines::{Machine, Phase, Placement, StopReason};
 use super::mirror::Job;
+use super::urgency::Urgency;
 use super::{Core, Now};
 use crate::board::{Board, Held, Host, Offer, Use, image_tag};
 use crate::fleet::{self, Coming, Unmet};
@@ -12,7 +13,7 @@
 use crate::policy::{Entry, JobFacts, MachineFacts};
 use crate::settings::Team;
 use std::collections::{BTreeMap, BTreeSet};
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime};
 
 /// Steps are this far apart at least, so that a flood of small changes is planned together.
 const PLAN_PAUSE: Duration = Duration::from_millis(60);
@@ -23,6 +24,9 @@
 /// A policy's `dearest` from here on allows machines of any price.
 const ANY_PRICE: f64 = 100.0;
 
+/// The slack of a job that nobody set a deadline for.
+const NO_DEADLINE_S: f64 = 1e6;
+
 /// How a class's run times compare with its estimates.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Pace {
@@ -32,7 +36,7 @@
 
 impl Pace {
     /// Older experience fades, and little experience counts little.
-    fn factor(&self) -> f64 {
+    pub fn factor(&self) -> f64 {
         const PRIOR_S: f64 = 60.0;
         ((self.actual + PRIOR_S) / (self.estimated + PRIOR_S)).clamp(0.2, 5.0)
     }
@@ -94,6 +98,8 @@
     team: usize,
     estimate: Duration,
     facts: JobFacts,
+    /// Its own, or that of a job that needs it.
+    rank: Rank,
     order: f64,
 }
 
@@ -217,6 +223,7 @@
                 if let Some(job) = self.mirror.jobs.get(id)
                     && job.spec.team == team.name
                     && job.version < lead.key_version
+                    && self.mirror.ready(id)
                 {
                     unseen.add(&job.spec.needs.times(run.queued.len() as f64));
                 }
@@ -255,7 +262,7 @@
             .mirror
             .jobs
             .iter()
-            .filter(|(id, _)| lead.runs.contains_key(*id))
+            .filter(|(id, _)| lead.runs.contains_key(*id) && self.mirror.ready(id))
             .collect();
         jobs.sort_by(|a, b| (a.1.submitted, a.0).cmp(&(b.1.submitted, b.0)));
         let mut out = BTreeSet::new();
@@ -279,14 +286,19 @@
         &self,
         job: &Job,
         run: &Run,
+        urgency: &Urgency,
         estimate: Duration,
         guaranteed: bool,
     ) -> JobFacts {
-        let wait = self
-            .now
-            .wall
-            .duration_since(job.submitted)
-            .unwrap_or_default();
+        // Of a job that awaits others, all times but the deadline count from the moment when it
+        // could start.
+        let since = run.ready.map_or(job.submitted, |r| r.wall);
+        let wait = self.now.wall.duration_since(since).unwrap_or_default();
+        let wall = |t: SystemTime| {
+            let since = t.duration_since(SystemTime::UNIX_EPOCH);
+            since.unwrap_or_default().as_secs_f64()
+        };
+        let deadline_left = urgency.due.map(|d| wall(d) - wall(self.now.wall));
         let goal = |kind: &str| {
             self.settings
                 .objectives
@@ -302,16 +314,12 @@
             estimate: estimate.as_secs_f64(),
             tasks: f64::from(spec.tasks),
             waiting: run.queued.len() as f64,
-            submitted: job
-                .submitted
-                .duration_since(std::time::SystemTime::UNIX_EPOCH)
-                .unwrap_or_default()
-                .as_secs_f64(),
+            submitted: wall(since),
             cpus: spec.needs.cpus,
             gpus: spec.needs.gpus,
             ram: spec.needs.ram,
             image_gb: spec.image_gb,
-            rank: match spec.rank {
+            rank: match urgency.rank {
                 Rank::Production => 0.0,
                 Rank::High => 1.0,
                 Rank::Normal => 2.0,
@@ -320,11 +328,11 @@
             guaranteed,
             start_goal: goal("wait"),
             finish_goal: goal("finished"),
-            has_deadline: spec.deadline.is_some(),
-            deadline_left: spec
-                .deadline
-                .map_or(0.0, |d| d.as_secs_f64() - wait.as_secs_f64()),
+            has_deadline: deadline_left.is_some(),
+            deadline_left: deadline_left.unwrap_or(0.0),
             spot: spec.spot,
+            slack: deadline_left.map_or(NO_DEADLINE_S, |d| d - estimate.as_secs_f64()),
+            pipeline: urgency.needed || !spec.awaits.is_empty(),
         }
     }
 
@@ -344,16 +352,18 @@
                 continue;
             };
             let held = Self::held_by_recovery(lead, job) && !with_held;
-            if run.ending.is_some() || run.queued.is_empty() || held {
+            if run.ending.is_some() || run.queued.is_empty() || held || !self.mirror.ready(id) {
                 continue;
             }
             let Some(team) = self.settings.team_index(&job.spec.team) else {
                 continue;
             };
             let estimate = view.estimate(job);
-            let facts = self.facts(job, run, estimate, guaranteed.contains(id));
+            let urgency = Urgency::of(lead, id, job);
+            let facts = self.facts(job, run, &urgency, estimate, guaranteed.contains(id));
             let order = self.policy.number(Entry::Order, &facts);
             line.push(InLine {
+                rank: urgency.rank,
                 id,
                 job,
                 run,
@@ -365,7 +375,7 @@
         }
         line.sort_by(|a, b| {
             // A suspect job is never the head for which room is kept.
-            let precedence = |x: &InLine| (x.run.suspect(), !x.facts.guaranteed, x.job.spec.rank);
+            let precedence = |x: &InLine| (x.run.suspect(), !x.facts.guaranteed, x.rank);
             precedence(a)
                 .cmp(&precedence(b))
                 .then(a.order.total_cmp(&b.order))
@@ -436,7 +446,7 @@
                 saves_in: job
                     .filter(|j| !j.spec.checkpoint.is_zero())
                     .map(|j| j.spec.save),
-                rank: job.map_or(Rank::Low, |j| j.spec.rank),
+                rank: job.map_or(Rank::Low, |j| Urgency::of(view.lead, &key.job, j).rank),
                 team: task.team,
                 stopping: task.stopping.is_some(),
             }
@@ -489,6 +499,7 @@
                 spec: job.spec.clone(),
                 image: image_tag(&job.spec.image),
                 team: entry.team,
+                rank: entry.rank,
                 queued: &run.queued,
                 held: &run.held,
                 whole,
@@ -786,6 +797,7 @@
             if tasks > 0 {
                 out.push(Unmet {
                     spec: spec.clone(),
+                    rank: entry.rank,
                     tasks,
                     estimate: match spec.kind {
                         // Nothing of these gives its room to another of them.
--- /dev/null
+++ b/src/core/urgency.rs
@@ -0,0 +1,93 @@
+//! What a job owes to those that need it. Users set the priority and the deadline that they care
+//! about on the last job of a pipeline; both flow back from there through all that it needs.
+
+use super::Core;
+use super::leadership::Lead;
+use super::mirror::Job;
+use super::scheduling::Pace;
+use crate::job::{JobId, Rank};
+use std::time::{Duration, SystemTime};
+
+/// What passes between the end of one job and the start of the next beside the image's fetch: the
+/// last report, the commit, a plan, a command.
+const HANDOVER: Duration = Duration::from_millis(1500);
+/// A job takes as long as the slowest of its tasks.
+const SLOWEST: f64 = 1.3;
+
+/// How urgent a job is, in itself or for the sake of those that need it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Urgency {
+    pub rank: Rank,
+    /// When it should be done, so that all after it can be done by their deadlines.
+    pub due: Option<SystemTime>,
+    /// Others need it.
+    pub needed: bool,
+}
+
+impl Urgency {
+    fn own(job: &Job) -> Urgency {
+        Urgency {
+            rank: job.spec.rank,
+            due: job.spec.deadline.map(|d| job.submitted + d),
+            needed: false,
+        }
+    }
+
+    pub fn of(lead: &Lead, id: &JobId, job: &Job) -> Urgency {
+        let flowed = lead.urgency.get(id).copied();
+        flowed.unwrap_or_else(|| Urgency::own(job))
+    }
+}
+
+impl Core {
+    /// How long a job takes from the end of the last one before it, when room is there at once.
+    fn stage(&self, lead: &Lead, job: &Job) -> Duration {
+        let rates = self.types.iter().map(|t| t.fetch_gb_per_s);
+        let slowest = rates.fold(f64::INFINITY, f64::min).max(0.01);
+        let pace = lead.pace.get(&job.spec.class).map_or(1.0, Pace::factor);
+        let fetch = Duration::from_secs_f64((job.spec.image_gb / slowest).min(600.0));
+        job.spec.estimate.mul_f64(pace * SLOWEST) + fetch + HANDOVER
+    }
+
+    /// Works out anew what a job owes to those that need it, and then those before it.
+    pub(super) fn flow_back(&mut self, from: &JobId) {
+        let mut next = vec![from.clone()];
+        while let Some(id) = next.pop() {
+            let (Some(lead), Some(job)) = (&self.lead, self.mirror.jobs.get(&id)) else {
+                continue;
+            };
+            let own = Urgency::own(job);
+            let mut u = own;
+            for after in self.mirror.pipelines.needed_by(&id) {
+                let Some(job) = self.mirror.jobs.get(after) else {
+                    continue;
+                };
+                if self.mirror.pipelines.doomed(after).is_some() {
+                    continue;
+                }
+                let theirs = Urgency::of(lead, after, job);
+                u.needed = true;
+                u.rank = u.rank.min(theirs.rank);
+                let before = theirs
+                    .due
+                    .and_then(|d| d.checked_sub(self.stage(lead, job)));
+                u.due = match (u.due, before) {
+                    (Some(a), Some(b)) => Some(a.min(b)),
+                    (a, b) => a.or(b),
+                };
+            }
+            if u == Urgency::of(lead, &id, job) {
+                continue;
+            }
+            next.extend(job.spec.awaits.iter().cloned());
+            if let Some(lead) = &mut self.lead {
+                if u == own {
+                    lead.urgency.remove(&id);
+                } else {
+                    lead.urgency.insert(id, u);
+                }
+                lead.plan_again = true;
+            }
+        }
+    }
+}
--- a/src/core/world.rs
+++ b/src/core/world.rs
@@ -117,7 +117,9 @@
                     version: e.version,
                     lease: e.lease,
                 }),
-                None => StateOutcome::Missing,
+                None => StateOutcome::Missing {
+                    revision: self.revision,
+                },
             },
             StateRequest::Txn(txn) => self.txn(txn),
         }
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -11,6 +11,8 @@
 #[derive(Clone, Debug)]
 pub struct Unmet {
     pub spec: Arc<JobSpec>,
+    /// What it counts as where work of lower rank yields to it.
+    pub rank: Rank,
     pub tasks: u32,
     /// Expected run time of a task.
     pub estimate: Duration,
@@ -195,7 +197,7 @@
         let usable = |f: &Self, at: Duration, unit: usize| {
             // A machine that boots counts however late it comes, or it is rented again.
             let in_time = at <= u.patience || f.boots.get(&unit) == Some(&at);
-            let yields = unit < YIELDED || u.spec.rank < Rank::Low;
+            let yields = unit < YIELDED || u.rank < Rank::Low;
             in_time && yields && allowed[f.class(unit)]
         };
         while left > 0 && from <= last {
@@ -245,7 +247,7 @@
     let Some(horizon) = unmet.iter().map(|u| u.patience).max() else {
         return Vec::new();
     };
-    let preempting = unmet.iter().any(|u| u.spec.rank < Rank::Low);
+    let preempting = unmet.iter().any(|u| u.rank < Rank::Low);
     let mut forecast = Forecast::new(board, coming, now, horizon, preempting);
     let mut out: BTreeMap<Offer, u32> = BTreeMap::new();
     for u in unmet {
--- a/src/job.rs
+++ b/src/job.rs
@@ -134,6 +134,9 @@
     pub save: Duration,
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub deadline: Option<Duration>,
+    /// Jobs that have to be done before any of its tasks starts; sorted, each once.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub awaits: Vec<JobId>,
 }
 
 impl JobSpec {
@@ -190,5 +193,6 @@
         checkpoint: Duration::ZERO,
         save: Duration::ZERO,
         deadline: None,
+        awaits: Vec::new(),
     }
 }
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -4,7 +4,7 @@
 //! header, then a body of the length and layout that the header's kind implies. Numbers are
 //! little-endian. Text comes last, its parts in the order in which their lengths are listed.
 
-use crate::job::{JobSpec, Kind, Rank, Resources};
+use crate::job::{JobId, JobSpec, Kind, Rank, Resources};
 use crate::wire::JobState;
 use std::io::{self, Read, Write};
 use std::time::Duration;
@@ -20,6 +20,11 @@
 const KIND_SHOW: u8 = 2;
 const KIND_CANCEL: u8 = 3;
 const KIND_ANSWER: u8 = 4;
+/// A job that awaits others: the count and the ids of these, then what `KIND_SUBMIT` has. It has a
+/// kind of its own so that versions that do not know of this drop the connection: the node then
+/// accepts the job itself, and they never take it for one that can start. All else stays byte for
+/// byte what they read.
+const KIND_SUBMIT_AWAITING: u8 = 5;
 
 #[derive(FromBytes, IntoBytes, Immutable, KnownLayout, Unaligned)]
 #[repr(C)]
@@ -236,12 +241,43 @@
             u64::MAX => None,
             n => Some(Duration::from_nanos(n)),
         },
+        awaits: Vec::new(),
     })
 }
 
+fn encode_awaiting(s: &JobSpec) -> Vec<u8> {
+    let len = |n: usize| U32::new(n as u32);
+    let mut out = len(s.awaits.len()).as_bytes().to_vec();
+    for id in &s.awaits {
+        out.extend_from_slice(len(id.len()).as_bytes());
+        out.extend_from_slice(id.as_bytes());
+    }
+    out.extend_from_slice(&encode_spec(s));
+    out
+}
+
+fn decode_awaiting(body: &[u8]) -> Option<JobSpec> {
+    let (count, mut rest) = U32::ref_from_prefix(body).ok()?;
+    let mut awaits: Vec<JobId> = Vec::new();
+    for _ in 0..count.get() {
+        let (len, tail) = U32::ref_from_prefix(rest).ok()?;
+        rest = tail;
+        let id = text(&mut rest, len.get())?;
+        if !crate::wire::is_job_id(&id) || awaits.last().is_some_and(|last| **last >= *id) {
+            return None;
+        }
+        awaits.push(id.into());
+    }
+    let spec = decode_spec(rest)?;
+    Some(JobSpec { awaits, ..spec })
+}
+
 pub fn encode_request(request: &PeerRequest) -> Vec<u8> {
     match request {
-        PeerRequest::Submit(spec) => frame(KIND_SUBMIT, &encode_spec(spec)),
+        PeerRequest::Submit(spec) if spec.awaits.is_empty() => {
+            frame(KIND_SUBMIT, &encode_spec(spec))
+        }
+        PeerRequest::Submit(spec) => frame(KIND_SUBMIT_AWAITING, &encode_awaiting(spec)),
         PeerRequest::Show(id) => frame(KIND_SHOW, id.as_bytes()),
         PeerRequest::Cancel(id) => frame(KIND_CANCEL, id.as_bytes()),
     }
@@ -254,6 +290,7 @@
     };
     match kind {
         KIND_SUBMIT => Some(PeerRequest::Submit(Box::new(decode_spec(body)?))),
+        KIND_SUBMIT_AWAITING => Some(PeerRequest::Submit(Box::new(decode_awaiting(body)?))),
         KIND_SHOW => Some(PeerRequest::Show(id()?)),
         KIND_CANCEL => Some(PeerRequest::Cancel(id()?)),
         _ => None,
@@ -348,11 +385,16 @@
             checkpoint: Duration::ZERO,
             save: Duration::from_secs(2),
             deadline: None,
+            awaits: Vec::new(),
         };
         let mut plain = spec.clone();
         (plain.types, plain.zone) = (None, None);
         plain.deadline = Some(Duration::from_secs(7));
+        let mut awaiting = spec.clone();
+        awaiting.awaits = vec!["wk-1".into(), "wk-000077".into()];
+        awaiting.awaits.sort();
         for request in [
+            PeerRequest::Submit(Box::new(awaiting)),
             PeerRequest::Submit(Box::new(spec)),
             PeerRequest::Submit(Box::new(plain)),
             PeerRequest::Show("wk-1".into()),
@@ -367,7 +409,7 @@
             for cut in 0..body.len().saturating_sub(1) {
                 // Cut bodies are refused or, for an id, are another id; they never panic.
                 let got = decode_request(kind, &body[..cut]);
-                assert!(kind != KIND_SUBMIT || got.is_none());
+                assert!(![KIND_SUBMIT, KIND_SUBMIT_AWAITING].contains(&kind) || got.is_none());
             }
         }
         let answer = PeerAnswer {
--- a/src/plan.rs
+++ b/src/plan.rs
@@ -5,7 +5,7 @@
 //! later entries that fills the free room best without delaying that reservation.
 
 use crate::board::{Board, Class, ImageTag, Offer, Use};
-use crate::job::{JobSpec, Resources, TaskKey};
+use crate::job::{JobSpec, Rank, Resources, TaskKey};
 use std::cmp::Ordering;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 use std::sync::Arc;
@@ -21,6 +21,8 @@
 #[derive(Clone)]
 pub struct Waiting<'a> {
     pub spec: Arc<JobSpec>,
+    /// What it counts as where work of lower rank may be stopped for it.
+    pub rank: Rank,
     pub image: ImageTag,
     pub team: usize,
     /// Rows that wait, and those of them that may not be started before some moment.
@@ -761,7 +763,7 @@
     let borrows = |t: &TeamUse| t.cpus > t.cpus_own + 1e-6 || t.gpus > t.gpus_own + 1e-6;
     let owed = w.guaranteed && teams.iter().any(borrows);
     // Mostly there is nothing that could be stopped, and no machine need be looked at.
-    if !owed && !board.has_below(w.spec.rank) {
+    if !owed && !board.has_below(w.rank) {
         return;
     }
     let borrowed = if owed {
@@ -785,9 +787,7 @@
             if t.stopping {
                 // Room that earlier stops are about to free is spoken for by the head first.
                 v.free.add(&t.needs);
-            } else if t.key.job != w.spec.id
-                && (t.rank > w.spec.rank || borrowed.contains(&(slot, n)))
-            {
+            } else if t.key.job != w.spec.id && (t.rank > w.rank || borrowed.contains(&(slot, n))) {
                 v.tasks.push((t.at_stake(now), n));
             }
         }
@@ -985,6 +985,7 @@
     impl Line {
         fn waiting(&self) -> Waiting<'_> {
             Waiting {
+                rank: self.spec.rank,
                 spec: Arc::new(self.spec.clone()),
                 image: 7,
                 team: 0,
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -50,7 +50,7 @@
     (Entry::IdleKeep, "idle_keep", Type::Number, About::Machine),
 ];
 
-const JOB_NAMES: [(&str, Type); 16] = [
+const JOB_NAMES: [(&str, Type); 18] = [
     ("wait", Type::Number),
     ("estimate", Type::Number),
     ("tasks", Type::Number),
@@ -67,6 +67,8 @@
     ("has_deadline", Type::Truth),
     ("deadline_left", Type::Number),
     ("spot", Type::Truth),
+    ("slack", Type::Number),
+    ("pipeline", Type::Truth),
 ];
 
 const MACHINE_NAMES: [(&str, Type); 7] = [
@@ -103,8 +105,13 @@
     pub start_goal: f64,
     pub finish_goal: f64,
     pub has_deadline: bool,
+    /// Until it should be done, so that all that needs it can be done by its deadline.
     pub deadline_left: f64,
     pub spot: bool,
+    /// What is left of that when it has run; a million without a deadline.
+    pub slack: f64,
+    /// It awaits others, or others await it.
+    pub pipeline: bool,
 }
 
 impl JobFacts {
@@ -127,6 +134,8 @@
             t(self.has_deadline),
             self.deadline_left,
             t(self.spot),
+            self.slack,
+            t(self.pipeline),
         ]
     }
 }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -45,6 +45,8 @@
     pub report: Duration,
     pub lease: Duration,
     pub cancel: Duration,
+    /// The state service's limits: of those in force and those announced the smaller ones, since
+    /// the announced ones come without notice.
     pub state_rps: f64,
     pub state_write_rps: f64,
     pub value_bytes: usize,
@@ -130,6 +132,26 @@
     write_rps: f64,
     value_kb: f64,
     txn_ops: usize,
+    #[serde(default)]
+    next: Option<RawLimits>,
+}
+
+/// Limits that the state service will have one day; those left out stay as they are.
+#[derive(Deserialize, Default)]
+struct RawLimits {
+    rps: Option<f64>,
+    write_rps: Option<f64>,
+    value_kb: Option<f64>,
+    txn_ops: Option<usize>,
+}
+
+/// The smaller one of a limit in force and the one announced, both checked.
+fn lower(field: &str, now: f64, next: Option<f64>) -> Result<f64, String> {
+    let now = positive(&format!("params.state.{field}"), now)?;
+    match next {
+        Some(x) => Ok(now.min(positive(&format!("params.state.next.{field}"), x)?)),
+        None => Ok(now),
+    }
 }
 
 #[derive(Deserialize)]
@@ -221,8 +243,13 @@
             });
         }
         let w = &p.workers;
-        if p.state.txn_ops < 4 {
-            return Err("params.state.txn_ops: at least 4 are needed".into());
+        let next = p.state.next.unwrap_or_default();
+        for (field, ops) in [("", Some(p.state.txn_ops)), ("next.", next.txn_ops)] {
+            if ops.is_some_and(|n| n < 4) {
+                return Err(format!(
+                    "params.state.{field}txn_ops: at least 4 are needed"
+                ));
+            }
         }
         if p.quota.fd_limit < 64 {
             return Err("params.quota.fd_limit: at least 64 are needed".into());
@@ -244,10 +271,10 @@
             report: seconds("params.workers.report_s", w.report_s, 0.05, 3600.0)?,
             lease: seconds("params.workers.lease_s", w.lease_s, 0.5, 86400.0)?,
             cancel: seconds("params.workers.cancel_s", w.cancel_s, 0.5, 86400.0)?,
-            state_rps: positive("params.state.rps", p.state.rps)?,
-            state_write_rps: positive("params.state.write_rps", p.state.write_rps)?,
-            value_bytes: (positive("params.state.value_kb", p.state.value_kb)? * 1024.0) as usize,
-            txn_ops: p.state.txn_ops,
+            state_rps: lower("rps", p.state.rps, next.rps)?,
+            state_write_rps: lower("write_rps", p.state.write_rps, next.write_rps)?,
+            value_bytes: (lower("value_kb", p.state.value_kb, next.value_kb)? * 1024.0) as usize,
+            txn_ops: p.state.txn_ops.min(next.txn_ops.unwrap_or(usize::MAX)),
             cloud_rps: positive("params.cloud.rps", p.cloud.rps)?,
             list_lag: seconds("params.cloud.list_lag_s", p.cloud.list_lag_s, 0.0, 3600.0)?,
             memory_mb: positive("params.quota.mem_mb", p.quota.mem_mb)?,
--- a/src/state.rs
+++ b/src/state.rs
@@ -22,8 +22,10 @@
 #[derive(Clone, Debug)]
 pub enum StateOutcome {
     Found(Item),
-    /// The key does not exist.
-    Missing,
+    /// The key does not exist, as of this revision.
+    Missing {
+        revision: u64,
+    },
     Committed {
         revision: u64,
     },
@@ -81,7 +83,9 @@
                         .map_err(failed)?;
                     match status {
                         200 => Ok(StateOutcome::Found(parse(&body)?)),
-                        404 => Ok(StateOutcome::Missing),
+                        404 => Ok(StateOutcome::Missing {
+                            revision: parse::<TxnAnswer>(&body)?.revision,
+                        }),
                         s => Ok(by_status(s, &body)),
                     }
                 }
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -4,6 +4,7 @@
 use crate::job::{JobId, JobSpec, Kind, MachineId, Rank, Resources, TaskKey};
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 pub const PATH_JOBS: &str = "/api/jobs";
@@ -49,6 +50,8 @@
     bale_s: f64,
     #[serde(default)]
     due_s: Option<f64>,
+    #[serde(default)]
+    awaits: Option<BTreeSet<String>>,
 }
 
 #[derive(Deserialize, Serialize, Clone, Copy)]
@@ -80,6 +83,10 @@
     if !is_job_id(&b.name_id) {
         return Err("name_id: not a job id".into());
     }
+    let awaits = b.awaits.unwrap_or_default();
+    if let Some(a) = awaits.iter().find(|a| !is_job_id(a)) {
+        return Err(format!("awaits: {a:?} is not a job id"));
+    }
     if b.rows == 0 || b.rows > MOST_TASKS {
         return Err(format!("rows: must be 1 to {MOST_TASKS}"));
     }
@@ -136,6 +143,7 @@
         checkpoint: Duration::from_secs_f64(b.harvest_s),
         save: Duration::from_secs_f64(b.bale_s),
         deadline: b.due_s.map(Duration::from_secs_f64),
+        awaits: awaits.into_iter().map(JobId::from).collect(),
     })
 }
 
@@ -463,6 +471,14 @@
     },
 }
 
+impl Change {
+    pub fn key(&self) -> &str {
+        match self {
+            Change::Put { key, .. } | Change::Delete { key } => key,
+        }
+    }
+}
+
 #[derive(Serialize, Deserialize, Clone, Debug, Default, PartialEq)]
 pub struct Txn {
     #[serde(rename = "if")]
@@ -548,6 +564,11 @@
             ("breeds", "g8".into()),
             ("seedstock", "".into()),
             ("due_s", (-4).into()),
+            ("awaits", "wk-1".into()),
+            ("awaits", serde_json::json!({"wk-1": 1})),
+            ("awaits", serde_json::json!([7])),
+            ("awaits", serde_json::json!(["wk-1", "wk-"])),
+            ("awaits", serde_json::json!(["wk-1/0"])),
         ];
         for (field, value) in faults {
             let bad = body(|v| v[field] = value.clone());
@@ -568,5 +589,17 @@
             }
         });
         assert_eq!(parse_submission(&omitted).unwrap().deadline, None);
+        for (given, read) in [
+            (Value::Null, vec![]),
+            (serde_json::json!([]), vec![]),
+            (
+                serde_json::json!(["wk-2", "wk-1", "wk-2"]),
+                vec!["wk-1", "wk-2"],
+            ),
+        ] {
+            let spec = parse_submission(&body(|v| v["awaits"] = given.clone())).unwrap();
+            let named: Vec<&str> = spec.awaits.iter().map(|a| &**a).collect();
+            assert_eq!(named, read);
+        }
     }
 }
