--- a/src/core/world.rs
+++ b/src/core/world.rs
@@ -1,6 +1,6 @@
 //! An in-memory world for the stories: state service, cloud, workers and network, in virtual time.
 //! It watches the rules at every tick: no task on two machines, no team over its limit, nothing
-//! of a cancelled job left, nothing said and then unsaid.
+//! of a cancelled job left, nothing said and then unsaid, no task ahead of a job that it awaits.
 
 use super::{Ask, Command, Core, Effect, LEASE_TTL, Now, Ticket, UserRequest};
 use crate::cloud::{CloudOutcome, CloudRequest};
@@ -38,7 +38,8 @@
             "teams": [{"name": "t", "cpus": 0.0, "cpus_max": 24.0}, {"name": "u", "cpus": 8.0}],
             "objectives": [],
             "workers": {"report_s": 1.0, "lease_s": 10.0, "cancel_s": 20.0},
-            "state": {"rps": 100.0, "write_rps": 50.0, "value_kb": 8.0, "txn_ops": 16},
+            "state": {"rps": 100.0, "write_rps": 50.0, "value_kb": 8.0, "txn_ops": 16,
+                      "next": {"write_rps": 35.0, "value_kb": 2.0, "txn_ops": 10}},
             "cloud": {"rps": 10.0, "list_lag_s": 1.0},
             "quota": {"mem_mb": 100.0, "fd_limit": 1000}
         }
@@ -64,13 +65,21 @@
     lease: Option<u64>,
 }
 
+/// Bytes of a value, and changes of a transaction.
+pub type Limits = (usize, usize);
+pub const LIMITS: Limits = (8192, 16);
+pub const NEXT_LIMITS: Limits = (2048, 10);
+
 #[derive(Default)]
 struct StateService {
+    limits: Limits,
     keys: BTreeMap<String, Entry>,
     revision: u64,
     events: Vec<Event>,
     leases: BTreeMap<u64, Instant>,
     next_lease: u64,
+    /// Transactions over the limits.
+    refused: u32,
 }
 
 impl StateService {
@@ -126,7 +135,18 @@
     }
 
     fn txn(&mut self, txn: &Txn) -> StateOutcome {
-        assert!(txn.changes.len() <= 16 && txn.conditions.len() <= 64);
+        let (bytes, ops) = self.limits;
+        let too_large = |c: &Change| match c {
+            Change::Put { value, .. } => value.to_string().len() > bytes,
+            Change::Delete { .. } => false,
+        };
+        if txn.changes.len() > ops
+            || txn.conditions.len() > 4 * ops
+            || txn.changes.iter().any(too_large)
+        {
+            self.refused += 1;
+            return StateOutcome::Invalid("400 over the limit".into());
+        }
         let failed: Vec<String> = txn
             .conditions
             .iter()
@@ -236,6 +256,9 @@
     pub broken_jobs: BTreeSet<String>,
     specs: BTreeMap<String, JobSpec>,
     told_final: BTreeMap<String, JobState>,
+    /// Jobs whose users asked to cancel them.
+    asked: BTreeSet<String>,
+    /// When users were told so.
     cancelled: BTreeMap<String, Instant>,
     pub completed: BTreeSet<TaskKey>,
     pub starts: u32,
@@ -250,7 +273,10 @@
             now,
             start: now,
             nodes: Vec::new(),
-            state: StateService::default(),
+            state: StateService {
+                limits: LIMITS,
+                ..StateService::default()
+            },
             workers: BTreeMap::new(),
             types: vec![
                 MachineType {
@@ -298,6 +324,7 @@
             broken_jobs: BTreeSet::new(),
             specs: BTreeMap::new(),
             told_final: BTreeMap::new(),
+            asked: BTreeSet::new(),
             cancelled: BTreeMap::new(),
             completed: BTreeSet::new(),
             starts: 0,
@@ -407,10 +434,18 @@
     }
 
     pub fn submit(&mut self, node: usize, spec: &JobSpec) -> u16 {
+        let before = self.specs.get(&*spec.id).cloned();
         self.specs.insert(spec.id.to_string(), spec.clone());
         let answer = self.request(node, Ask::Submit(Box::new(spec.clone())));
+        let status = answer.as_ref().map_or(0, |a| a.status);
+        match before {
+            // A repetition may carry anything; the job is what it was.
+            Some(before) => self.specs.insert(spec.id.to_string(), before),
+            None if status == 422 => self.specs.remove(&*spec.id),
+            None => None,
+        };
         self.heard(&spec.id, answer.as_ref());
-        answer.map_or(0, |a| a.status)
+        status
     }
 
     /// So many questions in one step; the answers' statuses.
@@ -429,6 +464,7 @@
     }
 
     pub fn cancel(&mut self, node: usize, id: &str) -> (u16, Option<JobState>) {
+        self.asked.insert(id.into());
         let answer = self.request(node, Ask::Cancel(id.into()));
         let state = self.heard(id, answer.as_ref());
         if state == Some(JobState::Cancelled) {
@@ -452,6 +488,16 @@
         }
         if matches!(told.state, JobState::Done | JobState::Cancelled) {
             self.told_final.insert(id.into(), told.state);
+        } else if let Some(at) = self.cancelled_before(id) {
+            let late = self.now > at + Duration::from_secs(20);
+            assert!(
+                !late,
+                "{id} is said to live, though a job that it needs is cancelled"
+            );
+        }
+        if told.state == JobState::Cancelled {
+            let asked = self.upstream(id).iter().any(|a| self.asked.contains(a));
+            assert!(asked, "{id} is said to be cancelled, and nobody asked");
         }
         if told.state == JobState::Done {
             let spec = &self.specs[id];
@@ -466,6 +512,65 @@
         Some(told.state)
     }
 
+    /// A job and all that it needs.
+    fn upstream(&self, id: &str) -> BTreeSet<String> {
+        let mut found = BTreeSet::new();
+        let mut next = vec![id.to_string()];
+        while let Some(id) = next.pop() {
+            if let Some(spec) = self.specs.get(&id) {
+                next.extend(spec.awaits.iter().map(|a| a.to_string()));
+            }
+            found.insert(id);
+        }
+        found
+    }
+
+    /// When the user of a job that this one needs, or its own, was first told that it is cancelled.
+    fn cancelled_before(&self, id: &str) -> Option<Instant> {
+        let all = self.upstream(id);
+        all.iter()
+            .filter_map(|a| self.cancelled.get(a))
+            .min()
+            .copied()
+    }
+
+    /// From now on the state service has these limits.
+    pub fn limit(&mut self, limits: Limits) {
+        self.state.limits = limits;
+    }
+
+    /// How many transactions were over the limits.
+    pub fn over_the_limit(&self) -> u32 {
+        self.state.refused
+    }
+
+    /// What another process wrote to the state service.
+    pub fn put(&mut self, key: &str, value: serde_json::Value) {
+        let change = Change::Put {
+            key: key.into(),
+            value,
+            lease: None,
+        };
+        let limits = std::mem::replace(&mut self.state.limits, (usize::MAX, 1));
+        self.state.txn(&Txn {
+            conditions: Vec::new(),
+            changes: vec![change],
+        });
+        self.state.limits = limits;
+    }
+
+    /// What is stored under keys that begin so.
+    pub fn stored(&self, prefix: &str) -> BTreeMap<String, serde_json::Value> {
+        let keys = self.state.keys.iter();
+        let found = keys.filter(|(k, _)| k.starts_with(prefix));
+        found.map(|(k, e)| (k.clone(), e.value.clone())).collect()
+    }
+
+    /// A job that was accepted before this story.
+    pub fn knows(&mut self, spec: &JobSpec) {
+        self.specs.insert(spec.id.to_string(), spec.clone());
+    }
+
     pub fn run(&mut self, seconds: f64) {
         let ticks = (seconds / TICK.as_secs_f64()).round() as u32;
         for _ in 0..ticks {
@@ -642,6 +747,14 @@
                     }
                     self.starts += 1;
                     let spec = &self.specs[&*key.job];
+                    for a in &spec.awaits {
+                        for row in 0..self.specs[&**a].tasks {
+                            let job = a.clone();
+                            let before = TaskKey { job, row };
+                            let done = self.completed.contains(&before);
+                            assert!(done, "{key} starts before {before} is done");
+                        }
+                    }
                     let mut t = WorkerTask {
                         attempt: *attempt,
                         state: RowState::Running,
@@ -990,8 +1103,8 @@
                 assert!(spec.allows_zone(&w.zone), "{key} is in {}", w.zone);
                 *used.entry(&spec.team).or_default() += spec.needs.cpus;
                 room += spec.needs.cpus;
-                if let Some(since) = self.cancelled.get(&*key.job) {
-                    let limit = *since + Duration::from_secs(20);
+                if let Some(since) = self.cancelled_before(&key.job) {
+                    let limit = since + Duration::from_secs(20);
                     assert!(self.now <= limit, "{key} of a cancelled job is on {id}");
                 }
             }
