--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -20,6 +20,8 @@
 mod records;
 mod recovery;
 mod scheduling;
+#[cfg(test)]
+mod side_by_side;
 mod status;
 #[cfg(test)]
 mod stories;
--- a/src/core/records.rs
+++ b/src/core/records.rs
@@ -35,6 +35,8 @@
     due: BTreeSet<usize>,
     /// Pages that list machines which are gone, and since when.
     stale: BTreeMap<usize, Instant>,
+    /// Pages that the service refuses, and until when they are not tried again.
+    refused: BTreeMap<usize, Instant>,
     /// Pages between which machines move: written together, in this order, or not at all.
     bound: Vec<Vec<usize>>,
     /// Machines recorded under keys of their own, as earlier versions did.
@@ -124,7 +126,8 @@
             let pages = self.bound.swap_remove(i);
             return Some(self.write(pages));
         }
-        let fits = |n: usize| self.pieces(n) <= most;
+        self.refused.retain(|_, until| now < *until);
+        let fits = |n: usize| self.pieces(n) <= most && !self.refused.contains_key(&n);
         let late = |since: Instant| !only_new && now >= since + FORGET_DELAY;
         let due = self.due.iter().copied().find(|n| fits(*n));
         let n = due.or_else(|| {
@@ -213,7 +216,8 @@
 
     /// The service refuses this page; it is tried again later.
     pub fn put_off(&mut self, n: usize, until: Instant) {
-        self.stale.insert(n, until);
+        self.refused.insert(n, until);
+        self.due.insert(n);
     }
 
     /// The next key of a single machine to delete.
--- a/src/core/stories.rs
+++ b/src/core/stories.rs
@@ -2,7 +2,7 @@
 //! every tick, so a story mostly says what happens and what must come of it.
 
 use super::Ask;
-use super::world::{Link, World};
+use super::world::{Link, NEXT_LIMITS, World};
 use crate::job::{JobSpec, Kind, Rank, TaskKey, sample as job};
 use crate::wire::JobState;
 use std::time::Duration;
@@ -944,6 +944,9 @@
     let mut ids: Vec<String> = Vec::new();
     let mut cancelled: Vec<String> = Vec::new();
     for round in 0..40 {
+        if round == 20 {
+            w.limit(NEXT_LIMITS);
+        }
         match w.random(14) {
             0 => {
                 let i = w.random(3);
@@ -1048,6 +1051,7 @@
             w.until_done(id, 400.0);
         }
     }
+    assert_eq!(w.over_the_limit(), 0);
     let key = |t: &TaskKey| ids.iter().any(|i| **i == *t.job);
     assert!(w.completed.iter().any(key));
 }
--- a/src/core/world.rs
+++ b/src/core/world.rs
@@ -559,6 +559,11 @@
         self.state.limits = limits;
     }
 
+    /// What the service has told its watchers, from the so-many-th change on.
+    pub fn events(&self, from: usize) -> Vec<Event> {
+        self.state.events[from..].to_vec()
+    }
+
     /// What is stored under keys that begin so.
     pub fn stored(&self, prefix: &str) -> BTreeMap<String, serde_json::Value> {
         let keys = self.state.keys.iter();
