--- a/src/core/leadership.rs
+++ b/src/core/leadership.rs
@@ -28,6 +28,8 @@
 const ABSTAIN: Duration = Duration::from_secs(12);
 /// A controller gives leadership up for deafness at most this often.
 const RESIGN_AGAIN: Duration = Duration::from_secs(90);
+/// A leader that could not act for longer than this begins to listen anew.
+const UNABLE: Duration = Duration::from_millis(1000);
 /// Done ranges may wait this long to be written together; users may be told 3 s late.
 const PROGRESS_DELAY: Duration = Duration::from_millis(2000);
 /// The part of the state service's changes that the leader's own writes may take; the rest is
@@ -72,6 +74,8 @@
     pub attempts: u64,
     /// Silence proves nothing before this moment.
     pub deaf_until: Instant,
+    /// When this leader was last able to act.
+    pub acted: Instant,
     pub last_report: Option<Instant>,
     /// With as many machines as there are, silence for this long means that this node does not
     /// hear them.
@@ -256,6 +260,17 @@
     pub(super) fn tend_leadership(&mut self) {
         let now = self.now.mono;
         if self.acting() {
+            let back_after = self.settings.report;
+            if let Some(lead) = &mut self.lead {
+                if now > lead.acted + UNABLE {
+                    // The state service was away, and reports were answered with 503 meanwhile: the
+                    // workers went from node to node, and their silence proves nothing.
+                    let paused = now.saturating_duration_since(lead.acted);
+                    log::info!("term {}: acts again after {paused:?}", lead.term);
+                    lead.deaf_until = lead.deaf_until.max(now + back_after);
+                }
+                lead.acted = now;
+            }
             // Workers are cut off from this node though the state service is not: another
             // controller may reach them.
             let deaf = self.lead.as_ref().is_some_and(|l| {
@@ -359,6 +374,7 @@
             market: Default::default(),
             attempts: 0,
             deaf_until: now,
+            acted: now,
             last_report: None,
             deaf_after: self.settings.report * 2,
             planned: None,
--- a/src/core/side_by_side.rs
+++ b/src/core/side_by_side.rs
@@ -325,6 +325,17 @@
     for n in 1..9 {
         w.until_done(&format!("wk-{n}"), 30.0);
     }
+    for n in 11..19 {
+        w.submit(leader, &sample(&format!("wk-{n}"), 2, 1.0, 60));
+    }
+    for n in 11..19 {
+        w.start_to_cancel(leader, &format!("wk-{n}"));
+    }
+    w.run(2.0);
+    for n in 11..19 {
+        let state = w.show(leader, &format!("wk-{n}")).1;
+        assert_eq!(state, Some(JobState::Cancelled));
+    }
     assert_eq!(w.leader(), Some(leader));
     assert!(w.over_the_limit() < 10, "{}", w.over_the_limit());
     // Pages of machines do not fit any more; what is known goes on.
--- a/src/core/stories.rs
+++ b/src/core/stories.rs
@@ -386,6 +386,28 @@
     assert_eq!(w.workers.len(), 1000);
 }
 
+/// After an outage of the state service the leader has its lease still; it resigned at once, for it
+/// had heard no worker while it could answer none, and the next one had to ask every machine.
+#[test]
+fn a_leader_leads_on_after_an_outage_of_the_state_service() {
+    let (mut w, leader) = crowd(50, "small");
+    w.run(6.0);
+    w.nodes.iter_mut().for_each(|n| n.state = Link::Refused);
+    w.pause_leases(true);
+    w.run(6.0);
+    assert_eq!(w.leader(), None);
+    w.nodes.iter_mut().for_each(|n| n.state = Link::Good);
+    w.pause_leases(false);
+    w.until(2.0, "the same leader", |w| w.leader() == Some(leader));
+    for _ in 0..100 {
+        w.run(0.1);
+        assert_eq!(w.leader(), Some(leader));
+    }
+    assert_eq!(w.workers.len(), 1000);
+    w.submit(leader, &job("wk-1", 4, 2.0, 3));
+    w.until_done("wk-1", 6.0);
+}
+
 /// One machine that had died with the old leader held up all old tasks that nobody had shown, for
 /// more than its report interval.
 #[test]
--- a/src/core/world.rs
+++ b/src/core/world.rs
@@ -21,6 +21,13 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime};
 
+/// The node that an answer refers a worker to.
+fn named(answer: &Answer) -> Option<usize> {
+    let body: serde_json::Value = serde_json::from_slice(&answer.body).ok()?;
+    let name = body.get("foreman")?.as_str()?;
+    name.strip_prefix('n')?.parse().ok()
+}
+
 pub const TICK: Duration = Duration::from_millis(50);
 
 pub fn settings(name: &str) -> Settings {
@@ -566,6 +573,14 @@
             .copied()
     }
 
+    /// During an outage no lease runs out, and after it each has its full time again.
+    pub fn pause_leases(&mut self, paused: bool) {
+        let far = Duration::from_secs(86_400);
+        for end in self.state.leases.values_mut() {
+            *end = self.now + if paused { far } else { LEASE_TTL };
+        }
+    }
+
     /// From now on the state service has these limits.
     pub fn limit(&mut self, limits: Limits) {
         self.state.limits = limits;
@@ -872,7 +887,13 @@
                             self.execute(&id, &a.orders);
                         }
                         (200, _) => {}
-                        _ => w.node = (w.node + 1) % 3,
+                        _ => match named(&answer) {
+                            Some(other) if other != w.node => {
+                                w.node = other;
+                                w.next_report = now + TICK * 4;
+                            }
+                            _ => w.node = (w.node + 1) % 3,
+                        },
                     }
                 } else if now > sent + Duration::from_secs(4) {
                     w.waiting = None;
