--- a/src/core/machines.rs
+++ b/src/core/machines.rs
@@ -21,9 +21,9 @@
 use std::time::{Duration, Instant};
 
 /// A machine that may hold old tasks is asked this often, so far apart, before it counts as dead:
-/// further than a lost packet takes to be sent again.
+/// one lost packet condemns none, and all old tasks that nobody has shown wait for the dead ones.
 const ASKED_IN_VAIN: u32 = 2;
-const ASK_PAUSE: Duration = Duration::from_millis(1000);
+const ASK_PAUSE: Duration = Duration::from_millis(300);
 /// Added to the time after which a leader that hears nobody resigns: for a takeover costs more
 /// than a moment's silence.
 const DEAF_MARGIN: Duration = Duration::from_millis(1000);
--- a/src/worker.rs
+++ b/src/worker.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
-const CONNECT: Duration = Duration::from_millis(800);
+const CONNECT: Duration = Duration::from_millis(500);
 const TIMEOUT: Duration = Duration::from_millis(1500);
 
 #[derive(Clone, Debug)]
