--- a/src/core/scheduling.rs
+++ b/src/core/scheduling.rs
@@ -792,8 +792,10 @@
                 *spare -= f64::from(tasks) * spec.needs.cpus;
             }
             // A wait much shorter than a boot cannot be helped by renting.
-            let patience = self.policy.number(Entry::Patience, &entry.facts);
-            let patience = patience.max(fastest * 0.6).clamp(0.0, 1e6);
+            let patience = |which| {
+                let s = self.policy.number(which, &entry.facts);
+                Duration::from_secs_f64(s.max(fastest * 0.6).clamp(0.0, 1e6))
+            };
             if tasks > 0 {
                 out.push(Unmet {
                     spec: spec.clone(),
@@ -804,7 +806,8 @@
                         Kind::Service | Kind::Gang => Duration::MAX / 4,
                         Kind::Array => entry.estimate,
                     },
-                    patience: Duration::from_secs_f64(patience),
+                    patience: patience(Entry::Patience),
+                    spot_patience: patience(Entry::SpotPatience),
                     shunned: self.shunned(entry.job, &entry.facts),
                 });
             }
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -18,6 +18,8 @@
     pub estimate: Duration,
     /// Longest time the job's tasks should wait from now on before a machine is worth renting.
     pub patience: Duration,
+    /// The same where a spot machine is to be had.
+    pub spot_patience: Duration,
     /// Offers that cost more than the job is worth.
     pub shunned: Vec<Offer>,
 }
@@ -188,15 +190,15 @@
 
     /// Gives what it can of the coming room to a job's tasks, in time or where a machine is
     /// booting anyway, and says how many are left. Each task gives its room back after its run.
-    fn serve(&mut self, u: &Unmet) -> u32 {
+    fn serve(&mut self, u: &Unmet, patience: Duration) -> u32 {
         let mut left = u.tasks;
         let needs = u.spec.needs;
         let allowed = self.allowed(u);
-        let last = (u.patience.max(self.last_boot), usize::MAX);
+        let last = (patience.max(self.last_boot), usize::MAX);
         let mut from = (Duration::ZERO, 0);
         let usable = |f: &Self, at: Duration, unit: usize| {
             // A machine that boots counts however late it comes, or it is rented again.
-            let in_time = at <= u.patience || f.boots.get(&unit) == Some(&at);
+            let in_time = at <= patience || f.boots.get(&unit) == Some(&at);
             let yields = unit < YIELDED || u.rank < Rank::Low;
             in_time && yields && allowed[f.class(unit)]
         };
@@ -236,7 +238,8 @@
     }
 }
 
-/// Which machines to rent so that no waiting task waits longer than its job's patience.
+/// Which machines to rent so that no waiting task waits longer than its job's patience: spot ones
+/// first, for those that may use them and would wait longer than is worth one of these.
 pub fn rent(
     board: &Board,
     coming: &[Coming],
@@ -244,18 +247,35 @@
     market: &Market,
     now: Instant,
 ) -> Vec<Rent> {
-    let Some(horizon) = unmet.iter().map(|u| u.patience).max() else {
-        return Vec::new();
-    };
-    let preempting = unmet.iter().any(|u| u.rank < Rank::Low);
-    let mut forecast = Forecast::new(board, coming, now, horizon, preempting);
     let mut out: BTreeMap<Offer, u32> = BTreeMap::new();
-    for u in unmet {
-        let left = forecast.serve(u);
-        if left > 0 {
-            shop(u, left, market, &mut out);
+    let sooner = |u: &Unmet| u.spec.spot && u.spot_patience < u.patience;
+    if unmet.iter().any(sooner) {
+        let patience = |u: &Unmet| {
+            if sooner(u) {
+                u.spot_patience
+            } else {
+                u.patience
+            }
+        };
+        let short = lay_out(board, coming, unmet, now, patience);
+        for (u, left) in short.into_iter().filter(|(u, _)| sooner(u)) {
+            shop(u, left, market, true, &mut out);
         }
     }
+    let mut with_those = coming.to_vec();
+    for (offer, count) in &out {
+        if let Some(t) = market.types.iter().find(|t| t.name == offer.0) {
+            with_those.push(Coming {
+                offer: offer.clone(),
+                room: t.room(),
+                count: *count,
+                ready_in: Duration::from_secs_f64(t.boot_s.min(1e6)),
+            });
+        }
+    }
+    for (u, left) in lay_out(board, &with_those, unmet, now, |u| u.patience) {
+        shop(u, left, market, false, &mut out);
+    }
     let mut rents = Vec::new();
     for (offer, mut count) in out {
         while count > 0 {
@@ -268,8 +288,33 @@
     rents
 }
 
+/// Lays the queue out over the room that comes by itself, and tells how many tasks of which jobs
+/// would wait for longer than `patience` allows.
+fn lay_out<'a>(
+    board: &Board,
+    coming: &[Coming],
+    unmet: &'a [Unmet],
+    now: Instant,
+    patience: impl Fn(&Unmet) -> Duration,
+) -> Vec<(&'a Unmet, u32)> {
+    let Some(horizon) = unmet.iter().map(&patience).max() else {
+        return Vec::new();
+    };
+    let preempting = unmet.iter().any(|u| u.rank < Rank::Low);
+    let mut forecast = Forecast::new(board, coming, now, horizon, preempting);
+    let left = |u: &'a Unmet| (u, forecast.serve(u, patience(u)));
+    let short = unmet.iter().map(left);
+    short.filter(|(_, left)| *left > 0).collect()
+}
+
 /// Picks the offers that carry `left` tasks of a job for the least money.
-fn shop(u: &Unmet, mut left: u32, market: &Market, out: &mut BTreeMap<Offer, u32>) {
+fn shop(
+    u: &Unmet,
+    mut left: u32,
+    market: &Market,
+    only_spot: bool,
+    out: &mut BTreeMap<Offer, u32>,
+) {
     // Price of each offer before its size against what is left counts.
     let mut offers: Vec<(f64, u32, Offer)> = Vec::new();
     for t in market.types.iter().filter(|t| u.spec.allows_type(&t.name)) {
@@ -291,6 +336,7 @@
                 let offer = (t.name.clone(), zone.clone(), spot);
                 if let Some(price) = price
                     && (u.spec.spot || !spot)
+                    && (spot || !only_spot)
                     && !market.refused.contains(&offer)
                     && !u.shunned.contains(&offer)
                 {
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -36,15 +36,22 @@
     Merit,
     Order,
     Patience,
+    SpotPatience,
     Dearest,
     Preempt,
     IdleKeep,
 }
 
-const ENTRIES: [(Entry, &str, Type, About); 6] = [
+const ENTRIES: [(Entry, &str, Type, About); 7] = [
     (Entry::Merit, "merit", Type::Number, About::Job),
     (Entry::Order, "order", Type::Number, About::Job),
     (Entry::Patience, "patience", Type::Number, About::Job),
+    (
+        Entry::SpotPatience,
+        "spot_patience",
+        Type::Number,
+        About::Job,
+    ),
     (Entry::Dearest, "dearest", Type::Number, About::Job),
     (Entry::Preempt, "preempt", Type::Truth, About::Job),
     (Entry::IdleKeep, "idle_keep", Type::Number, About::Machine),
