--- a/src/core/jobs.rs
+++ b/src/core/jobs.rs
@@ -1,15 +1,16 @@
 //! What users ask for, and how jobs progress and end.
 
 use super::barrier::Question;
-use super::leadership::creation;
+use super::leadership::{MOST_TXN_BYTES, creation, json};
 use super::machines::{Machines, StopReason};
 use super::mirror::{JobValue, job_key};
+use super::parts::{self, PartValue, Writing, part_key};
 use super::{Core, Effect, Now, Pending, ReadPurpose, Ticket, note};
 use crate::http::Answer;
 use crate::job::{Final, JobId, JobSpec, Kind, MachineId, TaskKey};
 use crate::peer::{PeerAnswer, PeerRequest};
 use crate::state::{StateOutcome, StateRequest};
-use crate::wire::{JobAnswer, JobState, to_json};
+use crate::wire::{Change, JobAnswer, JobState, Txn, to_json};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant, SystemTime};
 
@@ -457,22 +458,112 @@
         if let Some(names) = &mut spec.types {
             names.retain(|n| self.types.iter().any(|t| t.name == *n));
         }
-        self.create(ticket, spec, received, 0);
+        // Somewhat less than a value may have: the service may write numbers at greater length.
+        let most = self.settings.value_bytes / 16 * 15;
+        let whole = JobValue::live(spec.clone(), u64::MAX);
+        if to_json(&whole).len() <= most {
+            return self.create(ticket, spec, received, 0, None);
+        }
+        let id = spec.id.to_string();
+        if self.mirror.knows(&id) {
+            return self.reread(id, ReadPurpose::Show(ticket));
+        }
+        let text = String::from_utf8(to_json(&spec)).unwrap_or_default();
+        let parts = parts::cut(&text, most);
+        // The job's key is written on a condition for each part.
+        if parts.len() > self.settings.txn_ops * 4 - 1 {
+            let answer = Answer::error(422, "too large to be kept");
+            return self.reread(id, ReadPurpose::Reject(ticket, answer));
+        }
+        let parts = Box::new(Writing {
+            // Another process, or this one later, writes under another stem.
+            stem: self.nonce.wrapping_add(self.next_call) >> 1,
+            parts,
+            versions: Vec::new(),
+        });
+        self.write_parts(ticket, spec, received, parts);
     }
 
-    fn create(&mut self, ticket: Ticket, spec: Box<JobSpec>, since: Instant, tries: u32) {
+    /// Writes the next parts of a large job.
+    fn write_parts(
+        &mut self,
+        ticket: Ticket,
+        spec: Box<JobSpec>,
+        since: Instant,
+        parts: Box<Writing>,
+    ) {
+        let from = parts.versions.len();
+        let by_bytes = MOST_TXN_BYTES / self.settings.value_bytes.max(1);
+        let most = self.settings.txn_ops.min(by_bytes).max(1);
+        let next = parts.parts.iter().enumerate().skip(from).take(most);
+        let put = |(n, text): (usize, &String)| Change::Put {
+            key: part_key(&spec.id, parts.stem, n as u32),
+            value: json(&PartValue { text: text.clone() }),
+            lease: None,
+        };
+        let changes: Vec<Change> = next.map(put).collect();
+        let sent = changes.len();
+        let txn = Txn {
+            conditions: Vec::new(),
+            changes,
+        };
+        let pending = Pending::Parts {
+            ticket,
+            spec,
+            since,
+            parts,
+            sent,
+        };
+        self.ask_state(pending, StateRequest::Txn(txn));
+    }
+
+    pub(super) fn parts_written(
+        &mut self,
+        ticket: Ticket,
+        spec: Box<JobSpec>,
+        since: Instant,
+        mut parts: Box<Writing>,
+        sent: usize,
+        outcome: StateOutcome,
+    ) {
+        match outcome {
+            StateOutcome::Committed { revision } => {
+                parts.versions.extend(std::iter::repeat_n(revision, sent));
+                if parts.versions.len() < parts.parts.len() {
+                    self.write_parts(ticket, spec, since, parts);
+                } else {
+                    self.create(ticket, spec, since, 0, Some(parts));
+                }
+            }
+            // What was written is cleared when nobody has referred to it for long.
+            other => {
+                log::info!("job {}: its parts are not kept: {other:?}", spec.id);
+                self.answer(ticket, Answer::busy("the job cannot be kept now", 1));
+            }
+        }
+    }
+
+    fn create(
+        &mut self,
+        ticket: Ticket,
+        spec: Box<JobSpec>,
+        since: Instant,
+        tries: u32,
+        parts: Option<Box<Writing>>,
+    ) {
         let submitted = self.now.wall - self.now.mono.saturating_duration_since(since);
         let ms = submitted
             .duration_since(SystemTime::UNIX_EPOCH)
             .unwrap_or_default()
             .as_millis() as u64;
-        let txn = creation(&spec, ms);
+        let txn = creation(&spec, ms, parts.as_deref());
         self.ask_state(
             Pending::Create {
                 ticket,
                 spec,
                 since,
                 tries,
+                parts,
             },
             StateRequest::Txn(txn),
         );
@@ -484,6 +575,7 @@
         spec: Box<JobSpec>,
         since: Instant,
         tries: u32,
+        parts: Option<Box<Writing>>,
         outcome: StateOutcome,
     ) {
         let waited = self.now.mono.saturating_duration_since(since);
@@ -506,7 +598,15 @@
                 note(&mut self.stats.accept, waited.as_millis());
                 // A full read under way may be older than this job and drop it from the copy for
                 // a moment; that costs time, as unknown jobs are read afresh.
-                let value = JobValue::live(spec, ms);
+                let value = match parts {
+                    None => JobValue::live(spec, ms),
+                    // The copy reads it from its parts, which were written before.
+                    Some(w) => JobValue::Parted {
+                        parts: w.parts.len() as u32,
+                        stem: w.stem,
+                        submitted_ms: ms,
+                    },
+                };
                 self.mirror.put_job(&id, value, revision);
                 self.take_in_jobs();
                 // What names a cancelled job is accepted all the same.
@@ -521,11 +621,11 @@
             }
             StateOutcome::Unknown(e) if tries < 2 && waited < Duration::from_secs(3) => {
                 log::info!("job {}: no answer to its creation: {e}", spec.id);
-                self.create(ticket, spec, since, tries + 1);
+                self.create(ticket, spec, since, tries + 1, parts);
             }
             StateOutcome::Refused(e) if tries < 1 => {
                 log::debug!("job {}: creation refused: {e}", spec.id);
-                self.create(ticket, spec, since, tries + 1);
+                self.create(ticket, spec, since, tries + 1, parts);
             }
             StateOutcome::Invalid(e) => {
                 log::error!("job {}: the state service refuses it: {e}", spec.id);
@@ -576,7 +676,7 @@
                     self.cancel(ticket, &id);
                 } else if let ReadPurpose::Cancel(_) = purpose {
                     self.answer(ticket, Answer::busy("the leader changed", 1));
-                } else if self.awaits_others(&id) {
+                } else if self.awaits_others(&id) || !self.mirror.jobs.contains_key(id.as_str()) {
                     // Its own key does not tell how those that it needs have ended.
                     self.ask_all(Question::Show(ticket, id));
                 } else {
--- a/src/core/leadership.rs
+++ b/src/core/leadership.rs
@@ -7,11 +7,12 @@
 use super::mirror::{
     self, DoneValue, JobValue, LEADER, LeaderValue, TERM, TYPES, TermValue, done_key, job_key, key,
 };
+use super::parts::{Stem, Writing, part_key};
 use super::records::Records;
 use super::{CallId, Core, Effect, Pending, Ticket};
 use crate::board::Board;
 use crate::http::Answer;
-use crate::job::{Final, JobId, MachineId};
+use crate::job::{Final, JobId, JobSpec, MachineId};
 use crate::state::{StateOutcome, StateRequest};
 use crate::wire::{Change, Condition, Event, Item, Txn, to_json};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -28,6 +29,8 @@
 const ABSTAIN: Duration = Duration::from_secs(12);
 /// A controller gives leadership up for deafness at most this often.
 const RESIGN_AGAIN: Duration = Duration::from_secs(90);
+/// A submission takes 5 s at the most; its parts wait this long for their job.
+const UNCLAIMED: Duration = Duration::from_secs(60);
 /// A leader that could not act for longer than this begins to listen anew.
 const UNABLE: Duration = Duration::from_millis(1000);
 /// Done ranges may wait this long to be written together; users may be told 3 s late.
@@ -36,7 +39,7 @@
 /// for accepting jobs, which must not wait behind them.
 pub(super) const WRITE_SHARE: f64 = 0.7;
 /// A transaction may have 64 KiB; this leaves room for its frame.
-const MOST_TXN_BYTES: usize = 56 * 1024;
+pub(super) const MOST_TXN_BYTES: usize = 56 * 1024;
 
 #[derive(Clone, Copy, Debug)]
 pub struct Lease {
@@ -69,6 +72,8 @@
     pub in_doubt: BTreeSet<JobId>,
     /// How urgent jobs are that are needed by more urgent ones.
     pub urgency: BTreeMap<JobId, super::urgency::Urgency>,
+    /// Parts that no job refers to, and since when.
+    pub unclaimed: BTreeMap<(JobId, Stem), Instant>,
     pub writes: Writes,
     pub market: super::machines::Market,
     pub attempts: u64,
@@ -370,6 +375,7 @@
             runs: BTreeMap::new(),
             in_doubt: BTreeSet::new(),
             urgency: BTreeMap::new(),
+            unclaimed: BTreeMap::new(),
             writes: Writes::default(),
             market: Default::default(),
             attempts: 0,
@@ -411,6 +417,7 @@
             matches!(
                 p,
                 Pending::Create { .. }
+                    | Pending::Parts { .. }
                     | Pending::Read { .. }
                     | Pending::Barrier(_)
                     | Pending::TakeOver
@@ -461,7 +468,24 @@
         }
     }
 
+    /// Parts that no job has referred to for long are of a submission that came to nothing.
+    fn find_litter(&mut self) {
+        let now = self.now.mono;
+        let Some(lead) = &mut self.lead else { return };
+        let mut since = std::mem::take(&mut lead.unclaimed);
+        for (id, stem) in self.mirror.parts.unclaimed() {
+            let name = (id.clone(), *stem);
+            let first = since.remove(&name).unwrap_or(now);
+            if now >= first + UNCLAIMED {
+                let keys = self.mirror.parts.keys(id, *stem);
+                self.mirror.litter.extend(keys);
+            }
+            lead.unclaimed.insert(name, first);
+        }
+    }
+
     fn gather(&mut self) -> Option<(Txn, Vec<WriteOp>)> {
+        self.find_litter();
         let now = self.now.mono;
         let piece = self.piece();
         let most = self.settings.txn_ops.saturating_sub(1).max(1);
@@ -535,9 +559,8 @@
             batch.ops.push(WriteOp::Types);
         }
         while batch.changes.len() < batch.most
-            && let Some((id, base)) = self.mirror.litter.pop_first()
+            && let Some(key) = self.mirror.litter.pop_first()
         {
-            let key = done_key(&id, base);
             batch.add(vec![Change::Delete { key }]);
         }
         let Batch { changes, ops, .. } = batch;
@@ -676,21 +699,37 @@
     }
 }
 
-fn json<T: serde::Serialize>(x: &T) -> serde_json::Value {
+pub(super) fn json<T: serde::Serialize>(x: &T) -> serde_json::Value {
     serde_json::to_value(x).unwrap_or(serde_json::Value::Null)
 }
 
-/// The stored form of a newly accepted job.
-pub(super) fn creation(spec: &crate::job::JobSpec, submitted_ms: u64) -> Txn {
-    let value = JobValue::live(Box::new(spec.clone()), submitted_ms);
+/// The stored form of a newly accepted job; of a large one what its key holds, given its parts.
+pub(super) fn creation(spec: &JobSpec, submitted_ms: u64, parts: Option<&Writing>) -> Txn {
+    let value = match parts {
+        None => JobValue::live(Box::new(spec.clone()), submitted_ms),
+        Some(w) => JobValue::Parted {
+            parts: w.parts.len() as u32,
+            stem: w.stem,
+            submitted_ms,
+        },
+    };
     let key = mirror::job_key(&spec.id);
+    // Create-only: an acceptance that is applied late, or twice, or by two nodes, is still the one
+    // job that its user asked for. A large job's parts must be there: a leader clears those that
+    // no job has referred to for long.
+    let mut conditions = vec![Condition {
+        key: key.clone(),
+        version: 0,
+    }];
+    if let Some(w) = parts {
+        let parts = w.versions.iter().enumerate();
+        conditions.extend(parts.map(|(n, version)| Condition {
+            key: part_key(&spec.id, w.stem, n as u32),
+            version: *version,
+        }));
+    }
     Txn {
-        // Create-only, and on no other condition: an acceptance that is applied late, or twice,
-        // or by two nodes, is still the one job that its user asked for.
-        conditions: vec![Condition {
-            key: key.clone(),
-            version: 0,
-        }],
+        conditions,
         changes: vec![Change::Put {
             key,
             value: json(&value),
--- a/src/core/mirror.rs
+++ b/src/core/mirror.rs
@@ -1,9 +1,10 @@
 //! This node's copy of what the state service holds, kept current by the watch.
 //!
 //! Keys: `leader` (on the leader's lease), `term`, `types`, `j/<job>`, `d/<job>/<row>` (ranges of
-//! done tasks, counted from that row), `p/<n>` (pages of machines that may hold a task), and
+//! done tasks, counted from that row), `s/<job>/<stem>/<n>` (parts of large jobs), `p/<n>` (pages of machines that may hold a task), and
 //! `m/<machine>` (such machines one by one, from earlier versions).
 
+use super::parts::{self, Head, PartValue, Parts};
 use super::pipelines::Pipelines;
 use crate::job::{Final, JobId, JobSpec, MachineId};
 use crate::state::PREFIX;
@@ -66,6 +67,12 @@
         dependent: Box<JobSpec>,
         submitted_ms: u64,
     },
+    /// A live job, as long as that many parts under keys of their own.
+    Parted {
+        parts: u32,
+        stem: parts::Stem,
+        submitted_ms: u64,
+    },
     Over {
         end: Final,
     },
@@ -230,8 +237,10 @@
     pub changed: BTreeSet<JobId>,
     /// Ranges that were read before their job.
     orphans: BTreeMap<(JobId, u32), String>,
-    /// Stored pieces of jobs that are over: the leader clears them when there is room.
-    pub litter: BTreeSet<(JobId, u32)>,
+    /// Keys of pieces and parts of jobs that are over: the leader clears them when there is room.
+    pub litter: BTreeSet<String>,
+    /// Jobs too large for one value.
+    pub parts: Parts,
 }
 
 impl Mirror {
@@ -285,6 +294,15 @@
                     self.put_done(JobId::from(id), base, v.rows);
                 }
             }),
+            Some(("s", rest)) => serde_json::from_value(value).map(|v: PartValue| {
+                if let Some((id, stem, n)) = parts::parse(rest) {
+                    self.parts.put(&id, stem, n, v.text);
+                    if self.finished.contains_key(&id) {
+                        self.litter.insert(key.into());
+                    }
+                    self.join_parts(&id);
+                }
+            }),
             Some(_) => Ok(()),
         };
         if let Err(e) = read {
@@ -315,10 +333,34 @@
         Ok(())
     }
 
+    /// Reads a job whose last part has come.
+    fn join_parts(&mut self, id: &JobId) {
+        if let Some((head, spec)) = self.parts.complete(id) {
+            let value = JobValue::live(Box::new(spec), head.submitted_ms);
+            self.put_job(id, value, head.version);
+        }
+    }
+
     pub fn put_job(&mut self, id: &str, value: JobValue, version: u64) {
         let id = JobId::from(id);
         self.changed.insert(id.clone());
         match value {
+            JobValue::Parted {
+                parts: count,
+                stem,
+                submitted_ms,
+            } => {
+                if !self.finished.contains_key(&id) && !self.jobs.contains_key(&id) {
+                    let head = Head {
+                        stem,
+                        count,
+                        submitted_ms,
+                        version,
+                    };
+                    self.parts.expect(&id, head);
+                    self.join_parts(&id);
+                }
+            }
             JobValue::Over { end } => {
                 let job = self.jobs.remove(&id);
                 let awaits = job.as_ref().map_or(&[][..], |j| &j.spec.awaits);
@@ -328,7 +370,8 @@
                 let pieces = job.map(|j| j.pieces).unwrap_or_default();
                 let early = self.take_orphans(&id).into_iter().map(|(base, _)| base);
                 let bases = pieces.into_keys().chain(early);
-                self.litter.extend(bases.map(|base| (id.clone(), base)));
+                self.litter.extend(bases.map(|base| done_key(&id, base)));
+                self.litter.extend(self.parts.end(&id));
                 self.finished.insert(id, end);
             }
             JobValue::Live { spec, submitted_ms }
@@ -370,7 +413,7 @@
 
     /// Whether a job with this id was ever accepted, as far as is known here.
     pub fn knows(&self, id: &str) -> bool {
-        self.jobs.contains_key(id) || self.finished.contains_key(id)
+        self.jobs.contains_key(id) || self.finished.contains_key(id) || self.parts.awaited_parts(id)
     }
 
     /// Whether nothing that a live job awaits keeps it from starting.
@@ -411,7 +454,7 @@
             job.pieces.insert(base, end);
             self.changed.insert(id);
         } else if self.finished.contains_key(&id) {
-            self.litter.insert((id, base));
+            self.litter.insert(done_key(&id, base));
         } else {
             self.orphans.insert((id, base), rows);
         }
@@ -421,6 +464,10 @@
         let Some(name) = key.strip_prefix(PREFIX) else {
             return;
         };
+        if let Some((id, stem, n)) = name.strip_prefix("s/").and_then(parts::parse) {
+            self.litter.remove(key);
+            self.parts.delete(&id, stem, n);
+        }
         if name == LEADER && self.leader.as_ref().is_some_and(|(_, v)| *v < version) {
             self.leader = None;
         } else if let Some(id) = name.strip_prefix("m/") {
@@ -435,7 +482,7 @@
             .and_then(|rest| rest.split_once('/'))
             .map(|(id, base)| (id, base.parse()))
         {
-            self.litter.remove(&(JobId::from(id), base));
+            self.litter.remove(key);
             self.orphans.remove(&(JobId::from(id), base));
         }
     }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -5,6 +5,7 @@
 //! - `jobs`: what users ask for, and how jobs progress and end.
 //! - `barrier`: questions that take knowing all that was written before they came.
 //! - `machines`: reports, commands, losses; renting and returning through the cloud.
+//! - `parts`: jobs that do not fit into one value.
 //! - `pipelines`: who awaits whom, and what follows from the end of a job for those that need it.
 //! - `records`: the machines that a later leader has to know of.
 //! - `recovery`: what a new leader does not know yet, and when it knows it.
@@ -16,6 +17,7 @@
 mod leadership;
 mod machines;
 mod mirror;
+mod parts;
 mod pipelines;
 mod records;
 mod recovery;
@@ -146,6 +148,17 @@
         spec: Box<JobSpec>,
         since: Instant,
         tries: u32,
+        /// Where it does not fit into one value.
+        parts: Option<Box<parts::Writing>>,
+    },
+    /// The parts of a job that is to be accepted.
+    Parts {
+        ticket: Ticket,
+        spec: Box<JobSpec>,
+        since: Instant,
+        parts: Box<parts::Writing>,
+        /// How many of them are in this transaction.
+        sent: usize,
     },
     Read {
         id: String,
@@ -372,7 +385,15 @@
                 spec,
                 since,
                 tries,
-            }) => self.created(ticket, spec, since, tries, outcome),
+                parts,
+            }) => self.created(ticket, spec, since, tries, parts, outcome),
+            Some(Pending::Parts {
+                ticket,
+                spec,
+                since,
+                parts,
+                sent,
+            }) => self.parts_written(ticket, spec, since, parts, sent, outcome),
             Some(Pending::Read { id, purpose }) => self.read(id, purpose, outcome),
             Some(Pending::Barrier(questions)) => self.barrier_read(questions, outcome),
             Some(Pending::TakeOver) => self.took_over(outcome),
--- /dev/null
+++ b/src/core/parts.rs
@@ -0,0 +1,159 @@
+//! Jobs that do not fit into one value of the state service, such as those that await hundreds of
+//! others: their text is kept in parts under keys of their own. The job's key, which alone means
+//! that it is accepted, is written last, on the condition that every part is still as it was
+//! written. So parts that no job refers to may be cleared at any time.
+
+use super::mirror::key;
+use crate::job::{JobId, JobSpec};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+
+/// Names one writing of a job's parts; a repeated submission writes its own.
+pub type Stem = u64;
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct PartValue {
+    pub text: String,
+}
+
+pub fn part_key(id: &str, stem: Stem, n: u32) -> String {
+    key(&format!("s/{id}/{stem}/{n}"))
+}
+
+/// The parts of a key's name after `s/`.
+pub fn parse(rest: &str) -> Option<(JobId, Stem, u32)> {
+    let (id, rest) = rest.split_once('/')?;
+    let (stem, n) = rest.split_once('/')?;
+    Some((JobId::from(id), stem.parse().ok()?, n.parse().ok()?))
+}
+
+/// Cuts a text so that each part fits into a value of so many bytes, whatever has to be escaped.
+pub fn cut(text: &str, value_bytes: usize) -> Vec<String> {
+    let most = value_bytes.saturating_sub(32).max(16) / 2;
+    let mut parts = Vec::new();
+    let mut rest = text;
+    while !rest.is_empty() {
+        let mut end = most.min(rest.len());
+        while !rest.is_char_boundary(end) {
+            end -= 1;
+        }
+        let (part, more) = rest.split_at(end);
+        parts.push(part.to_string());
+        rest = more;
+    }
+    parts
+}
+
+/// Parts on their way, and which of them are stored at which version.
+#[derive(Clone, Debug)]
+pub struct Writing {
+    pub stem: Stem,
+    pub parts: Vec<String>,
+    pub versions: Vec<u64>,
+}
+
+/// An accepted job, some parts of which have not been read yet.
+#[derive(Clone, Copy, Debug)]
+pub struct Head {
+    pub stem: Stem,
+    pub count: u32,
+    pub submitted_ms: u64,
+    pub version: u64,
+}
+
+#[derive(Default)]
+pub struct Parts {
+    /// What is stored, by job and writing. Texts are dropped once their job has been read.
+    texts: BTreeMap<(JobId, Stem), BTreeMap<u32, String>>,
+    heads: BTreeMap<JobId, Head>,
+    /// Which writing a live job was read from.
+    used: BTreeMap<JobId, Stem>,
+}
+
+impl Parts {
+    pub fn put(&mut self, id: &JobId, stem: Stem, n: u32, text: String) {
+        let read = self.used.get(id) == Some(&stem);
+        let text = if read { String::new() } else { text };
+        let parts = self.texts.entry((id.clone(), stem)).or_default();
+        parts.insert(n, text);
+    }
+
+    pub fn delete(&mut self, id: &JobId, stem: Stem, n: u32) {
+        let key = (id.clone(), stem);
+        if let Some(parts) = self.texts.get_mut(&key) {
+            parts.remove(&n);
+            if parts.is_empty() {
+                self.texts.remove(&key);
+            }
+        }
+    }
+
+    pub fn expect(&mut self, id: &JobId, head: Head) {
+        if !self.used.contains_key(id) {
+            self.heads.insert(id.clone(), head);
+        }
+    }
+
+    /// The job, if it is accepted and all its parts are there.
+    pub fn complete(&mut self, id: &JobId) -> Option<(Head, JobSpec)> {
+        let head = *self.heads.get(id)?;
+        let parts = self.texts.get_mut(&(id.clone(), head.stem))?;
+        let all = (0..head.count).map(|n| parts.get(&n).map(String::as_str));
+        let text: String = all.collect::<Option<Vec<_>>>()?.concat();
+        parts.values_mut().for_each(|t| *t = String::new());
+        self.heads.remove(id);
+        self.used.insert(id.clone(), head.stem);
+        match serde_json::from_str(&text) {
+            Ok(spec) => Some((head, spec)),
+            Err(e) => {
+                log::error!("job {id}: its parts are unreadable: {e}");
+                None
+            }
+        }
+    }
+
+    /// A job is over; the keys that are of no use any more.
+    pub fn end(&mut self, id: &JobId) -> Vec<String> {
+        self.heads.remove(id);
+        self.used.remove(id);
+        let all = (id.clone(), 0)..=(id.clone(), Stem::MAX);
+        let stored = self.texts.range(all).map(|((_, stem), _)| *stem);
+        let stems: Vec<Stem> = stored.collect();
+        stems.iter().flat_map(|s| self.keys(id, *s)).collect()
+    }
+
+    /// Writings that no accepted job refers to.
+    pub fn unclaimed(&self) -> impl Iterator<Item = &(JobId, Stem)> {
+        self.texts.keys().filter(|(id, stem)| {
+            self.used.get(id) != Some(stem) && self.heads.get(id).map(|h| h.stem) != Some(*stem)
+        })
+    }
+
+    pub fn keys(&self, id: &JobId, stem: Stem) -> Vec<String> {
+        let parts = self.texts.get(&(id.clone(), stem));
+        let numbers = parts.into_iter().flat_map(|p| p.keys());
+        numbers.map(|n| part_key(id, stem, *n)).collect()
+    }
+
+    pub fn awaited_parts(&self, id: &str) -> bool {
+        self.heads.contains_key(id)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn every_part_fits_into_a_value_whatever_it_holds() {
+        let text = "\"\\é\n".repeat(700);
+        for bytes in [100, 1024, 2048] {
+            let parts = cut(&text, bytes);
+            assert_eq!(parts.concat(), text);
+            for text in parts {
+                let value = serde_json::to_string(&PartValue { text }).unwrap();
+                assert!(value.len() <= bytes, "{} of {bytes}", value.len());
+            }
+        }
+    }
+}
--- a/src/core/side_by_side.rs
+++ b/src/core/side_by_side.rs
@@ -148,6 +148,8 @@
     mirror.put_job("wk-000412", serde_json::from_value(stored).unwrap(), 3);
     assert_eq!(*mirror.jobs["wk-000412"].spec, spec);
     assert!(!mirror.ready(&"wk-000412".into()));
+    let parted = json!({"parts": 3, "stem": 7, "submitted_ms": 7});
+    assert!(serde_json::from_value::<TheirJob>(parted).is_err());
     // Passed on to it, the job is in a frame that it drops the connection for.
     let frame = peer::encode_request(&PeerRequest::Submit(Box::new(spec)));
     assert!(!(1..=4).contains(&frame[5]));
@@ -308,6 +310,57 @@
     }
 }
 
+/// A job that awaits hundreds of others fits into no value: it is accepted with its last write and
+/// not before, whoever dies meanwhile, and nothing is left of it in the end.
+#[test]
+fn a_job_larger_than_a_value_is_kept_whole_or_not_at_all() {
+    let mut w = taken_over(64, 4, None);
+    w.limit(NEXT_LIMITS);
+    w.run(4.0);
+    let leader = w.leader().unwrap();
+    assert_eq!(w.submit(leader, &sample("wk-1", 1, 1.0, 20)), 201);
+    let mut large = sample("wk-2", 2, 1.0, 3);
+    large.awaits = vec!["wk-1".into()];
+    for n in 0..900 {
+        let id = format!("wk-{}", 1000 + n);
+        let done = sample(&id, 1, 1.0, 1);
+        w.knows(&done);
+        let row = 0;
+        let job = done.id.clone();
+        w.completed.insert(crate::job::TaskKey { job, row });
+        w.put(&format!("burlusher/j/{id}"), json!({"end": "Done"}));
+        large.awaits.push(id.into());
+    }
+    large.awaits.sort();
+    w.run(1.0);
+    // A node dies between the parts and the job's key: nothing was accepted.
+    let other = (leader + 1) % 3;
+    w.nodes.iter_mut().for_each(|n| n.peers = false);
+    w.knows(&large);
+    w.ask(other, super::Ask::Submit(Box::new(large.clone())));
+    w.tick();
+    w.tick();
+    assert!(!w.stored("burlusher/s/wk-2/").is_empty());
+    assert!(w.stored("burlusher/j/wk-2").is_empty());
+    w.kill(other, Duration::from_secs(2));
+    assert_eq!(w.show(leader, "wk-2").0, 404);
+    // Without the leader and through it, the first time and repeated.
+    let third = (leader + 2) % 3;
+    assert_eq!(w.submit(third, &large), 201);
+    w.nodes.iter_mut().for_each(|n| n.peers = true);
+    assert_eq!(w.submit(leader, &large), 200);
+    assert_eq!(w.show(third, "wk-2"), (200, Some(JobState::Queued)));
+    w.kill(leader, Duration::from_secs(2));
+    w.until_done("wk-2", 60.0);
+    w.run(70.0);
+    assert!(w.stored("burlusher/s/").is_empty(), "parts are cleared");
+    assert_eq!(w.over_the_limit(), 0);
+    // More than can be written on a condition for each part is refused, and says so.
+    let mut huge = sample("wk-3", 1, 1.0, 1);
+    huge.image = "x".repeat(60_000);
+    assert_eq!(w.submit(third, &huge), 422);
+}
+
 /// A service with still lower limits than announced refuses some of what is written: nothing is
 /// repeated for ever as it was, and neither leadership nor other work is lost for it.
 #[test]
--- a/src/core/status.rs
+++ b/src/core/status.rs
@@ -1,10 +1,12 @@
 //! A readable view of what runs where and why a job waits, for operators.
 
 use super::machines::{Machine, Phase};
+use super::urgency::Urgency;
 use super::{Core, Ticket};
 use crate::http::Answer;
-use crate::job::JobId;
+use crate::job::{Final, JobId, JobSpec};
 use serde_json::{Value, json};
+use std::time::SystemTime;
 
 /// Jobs shown in one view; the rest is counted.
 const MOST_JOBS: usize = 200;
@@ -119,7 +121,15 @@
             return json!({});
         };
         let running = self.running_of(id, run) as usize;
+        let due = Urgency::of(lead, id, job).due;
+        let left = |d: SystemTime| match d.duration_since(self.now.wall) {
+            Ok(left) => left.as_secs_f64(),
+            Err(over) => -over.duration().as_secs_f64(),
+        };
+        // What is left until its pipeline's deadline when it has run.
+        let slack = due.map(|d| (left(d) - job.spec.estimate.as_secs_f64()).round() as i64);
         json!({
+            "awaits": self.awaited(&job.spec), "slack_s": slack,
             "job": id, "class": job.spec.class, "team": job.spec.team,
             "tasks": job.spec.tasks, "done": job.done.len(), "running": running,
             "starting": run.placed.len() - running, "waiting": run.queued.len(),
@@ -127,6 +137,12 @@
         })
     }
 
+    /// The jobs that one awaits and that are not done.
+    fn awaited<'a>(&self, spec: &'a JobSpec) -> Vec<&'a JobId> {
+        let done = |a: &&JobId| self.mirror.finished.get(*a) != Some(&Final::Done);
+        spec.awaits.iter().filter(done).collect()
+    }
+
     /// One sentence on why a job's waiting tasks wait.
     fn why_waiting(&self, id: &JobId) -> String {
         let (Some(lead), Some(job)) = (&self.lead, self.mirror.jobs.get(id)) else {
@@ -138,6 +154,15 @@
         if run.ending.is_some() {
             return "its end is being written".into();
         }
+        if let Some(root) = self.mirror.pipelines.doomed(id) {
+            return format!("it is cancelled with {root}, which it needs");
+        }
+        if let Some((first, others)) = self.awaited(&job.spec).split_first() {
+            return match others.len() {
+                0 => format!("it awaits {first}"),
+                n => format!("it awaits {first} and {n} more"),
+            };
+        }
         if run.queued.is_empty() {
             return "nothing waits".into();
         }
--- a/src/view.rs
+++ b/src/view.rs
@@ -60,7 +60,7 @@
         ));
         for j in list(view, "jobs") {
             line(format!(
-                "{:<14} {:<16} {:<12} {}/{} done, {} running, {} starting, {} waiting: {}",
+                "{:<14} {:<16} {:<12} {}/{} done, {} running, {} starting, {} waiting{}: {}",
                 text(&j["job"]),
                 text(&j["class"]),
                 text(&j["team"]),
@@ -69,6 +69,10 @@
                 text(&j["running"]),
                 text(&j["starting"]),
                 text(&j["waiting"]),
+                match j["slack_s"].as_i64() {
+                    Some(s) => format!(", slack {s} s"),
+                    None => String::new(),
+                },
                 text(&j["why"])
             ));
         }
