--- a/src/core/stories.rs
+++ b/src/core/stories.rs
@@ -523,6 +523,25 @@
     w.until_done("wk-2", 150.0);
 }
 
+/// Spot machines stood unrented beside a thousand waiting tasks, as the queue would be through
+/// within the time after which ordinary ones are worth their price.
+#[test]
+fn a_wait_that_is_not_worth_an_ordinary_machine_may_be_worth_a_spot_one() {
+    for (spot, rented) in [(true, (1, 0)), (false, (0, 0))] {
+        let (mut w, leader) = begin(51);
+        w.submit(leader, &job("wk-1", 16, 1.0, 30));
+        w.run(1.5);
+        // Room comes in 28 s; it may wait for 37 s, and 25 s where a spot machine is to be had.
+        let mut next = job("wk-2", 4, 1.0, 10);
+        next.deadline = Some(Duration::from_secs(60));
+        next.spot = spot;
+        w.submit(leader, &next);
+        w.run(4.0);
+        assert_eq!(w.rented, rented);
+        w.until_done("wk-2", 60.0);
+    }
+}
+
 #[test]
 fn a_service_keeps_its_replicas_until_it_is_cancelled() {
     let (mut w, leader) = begin(20);
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -249,7 +249,14 @@
 ) -> Vec<Rent> {
     let mut out: BTreeMap<Offer, u32> = BTreeMap::new();
     let sooner = |u: &Unmet| u.spec.spot && u.spot_patience < u.patience;
-    if unmet.iter().any(sooner) {
+    // Laying out a long queue is the larger part of the work: not where no spot machine is to be
+    // had in any case.
+    let mut spot = market.types.iter().filter(|t| t.spot_price.is_some());
+    let offered = spot.any(|t| {
+        let open = |z: &String| !market.refused.contains(&(t.name.clone(), z.clone(), true));
+        t.zones.iter().any(open)
+    });
+    if offered && unmet.iter().any(sooner) {
         let patience = |u: &Unmet| {
             if sooner(u) {
                 u.spot_patience
