--- a/src/core/side_by_side.rs
+++ b/src/core/side_by_side.rs
@@ -390,7 +390,8 @@
         assert_eq!(state, Some(JobState::Cancelled));
     }
     assert_eq!(w.leader(), Some(leader));
-    assert!(w.over_the_limit() < 10, "{}", w.over_the_limit());
+    // Eight ends at once, then half as many, then two: not the same again and again.
+    assert!(w.over_the_limit() <= 4, "{}", w.over_the_limit());
     // Pages of machines do not fit any more; what is known goes on.
     w.limit((150, 2));
     for _ in 0..3 {
