--- /dev/null
+++ b/crates/market/src/belief.rs
@@ -0,0 +1,279 @@
+//! What is believed of each market, learned from answers.
+//!
+//! Nothing here is a fact: a refusal says that there was nothing at that moment, a wave of lost
+//! machines that more may follow. Beliefs fade with time, so that a market once refused or
+//! struck is tried again. A new leader begins without any and learns within a few answers; what
+//! it may rent is limited by the cloud alone, so a wrong belief costs money or time, never a rule.
+
+use crate::Offer;
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+/// A refused market is left alone this long at first, and at most that long.
+const FIRST_PAUSE: Duration = Duration::from_secs(4);
+const LONGEST_PAUSE: Duration = Duration::from_secs(12);
+/// Refused again within this time after the pause, it is left alone twice as long.
+const REMEMBERED: Duration = Duration::from_secs(30);
+/// After a refusal a market is asked for no more than what it last gave and a few: it mostly has
+/// as many as were given back. The allowance doubles with every answer in full.
+const PROBE: u32 = 8;
+/// Losses count half after this time.
+const HAZARD_FADES: Duration = Duration::from_secs(60);
+/// Before anything is seen: one machine in two hours.
+const PRIOR_LOSSES: f64 = 0.05;
+const PRIOR_SECONDS: f64 = 360.0;
+
+#[derive(Clone, Debug, Default)]
+struct Belief {
+    refusal: Option<Refusal>,
+    /// How many may be asked for, after a refusal.
+    allowance: Option<u32>,
+    hazard: Hazard,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Refusal {
+    until: Instant,
+    pause: Duration,
+}
+
+/// Machines lost against the time that machines were there; both fade.
+#[derive(Clone, Copy, Debug, Default)]
+struct Hazard {
+    lost: f64,
+    seconds: f64,
+    at: Option<Instant>,
+}
+
+impl Hazard {
+    fn fade(&mut self, now: Instant) {
+        if let Some(at) = self.at {
+            let passed = now.saturating_duration_since(at).as_secs_f64();
+            let kept = 0.5f64.powf(passed / HAZARD_FADES.as_secs_f64());
+            self.lost *= kept;
+            self.seconds *= kept;
+        }
+        self.at = Some(now);
+    }
+
+    fn rate(&self) -> f64 {
+        (self.lost + PRIOR_LOSSES) / (self.seconds + PRIOR_SECONDS)
+    }
+}
+
+/// How long machines of a type take to come up, against what the cloud announces.
+#[derive(Clone, Copy, Debug)]
+struct Boots {
+    ratio: f64,
+    weight: f64,
+}
+
+impl Default for Boots {
+    fn default() -> Self {
+        // Announced times count as so many machines seen.
+        Boots {
+            ratio: 1.0,
+            weight: 4.0,
+        }
+    }
+}
+
+/// What is believed of a market now.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Outlook {
+    /// Machines that it is likely to give; 0 while it is left alone.
+    pub likely: u32,
+    /// Chance of losing a machine, for each second.
+    pub hazard: f64,
+    /// Why nothing is asked of it, for those who look.
+    pub shut: Option<&'static str>,
+}
+
+/// Beliefs about all markets.
+#[derive(Clone, Debug, Default)]
+pub struct Beliefs {
+    offers: BTreeMap<Offer, Belief>,
+    kinds: BTreeMap<String, Boots>,
+    /// Zones whose machines are not heard, or that are being emptied.
+    shut_zones: BTreeMap<String, &'static str>,
+}
+
+impl Beliefs {
+    fn offer(&mut self, offer: &Offer) -> &mut Belief {
+        if !self.offers.contains_key(offer) {
+            self.offers.insert(offer.clone(), Belief::default());
+        }
+        self.offers.get_mut(offer).expect("just put there")
+    }
+
+    /// A request for `asked` machines was answered with `got` of them.
+    pub fn answered(&mut self, offer: &Offer, asked: u32, got: u32, now: Instant) {
+        let b = self.offer(offer);
+        if got >= asked {
+            // What it gives in full it mostly has more of.
+            b.allowance = b.allowance.map(|a| a.saturating_mul(2).max(PROBE));
+            if b.refusal.is_some_and(|r| now > r.until + REMEMBERED) {
+                b.refusal = None;
+                b.allowance = None;
+            }
+            return;
+        }
+        let again = b.refusal.filter(|r| now < r.until + REMEMBERED);
+        let pause = again.map_or(FIRST_PAUSE, |r| (r.pause * 2).min(LONGEST_PAUSE));
+        b.refusal = Some(Refusal {
+            until: now + pause,
+            pause,
+        });
+        b.allowance = Some(got.saturating_add(PROBE));
+    }
+
+    /// The cloud calls this request malformed: the market is not there at all.
+    pub fn unknown(&mut self, offer: &Offer, now: Instant) {
+        self.answered(offer, 1, 0, now);
+    }
+
+    /// A machine came up after `took` where `announced` was expected.
+    pub fn came_up(&mut self, kind: &str, announced: Duration, took: Duration) {
+        const FADE: f64 = 0.95;
+        let announced = announced.as_secs_f64();
+        if announced <= 0.0 {
+            return;
+        }
+        // Some take several times as long: they say little of the next one.
+        let ratio = (took.as_secs_f64() / announced).clamp(0.05, 3.0);
+        let b = self.kinds.entry(kind.to_string()).or_default();
+        let weight = b.weight * FADE + 1.0;
+        b.ratio += (ratio - b.ratio) / weight;
+        b.weight = weight;
+    }
+
+    /// When a machine rented now can be expected to take work.
+    pub fn boot(&self, kind: &str, announced: Duration) -> Duration {
+        let ratio = self.kinds.get(kind).map_or(1.0, |b| b.ratio);
+        announced.mul_f64(ratio)
+    }
+
+    /// Machines of this market were there for `span`, each.
+    pub fn exposed(&mut self, offer: &Offer, machines: u32, span: Duration, now: Instant) {
+        let h = &mut self.offer(offer).hazard;
+        h.fade(now);
+        h.seconds += f64::from(machines) * span.as_secs_f64();
+    }
+
+    /// Machines of this market were taken, or were lost otherwise: the chance rises at once.
+    pub fn lost(&mut self, offer: &Offer, machines: u32, now: Instant) {
+        let h = &mut self.offer(offer).hazard;
+        h.fade(now);
+        h.lost += f64::from(machines);
+    }
+
+    /// Nothing is rented in this zone, until it is opened again.
+    pub fn shut_zone(&mut self, zone: &str, why: Option<&'static str>) {
+        match why {
+            Some(why) => {
+                self.shut_zones.insert(zone.to_string(), why);
+            }
+            None => {
+                self.shut_zones.remove(zone);
+            }
+        }
+    }
+
+    /// What is believed of a market now.
+    pub fn outlook(&self, offer: &Offer, now: Instant) -> Outlook {
+        let b = self.offers.get(offer);
+        let hazard = b.map_or(Hazard::default().rate(), |b| b.hazard.rate());
+        let refused = b.and_then(|b| b.refusal).filter(|r| now < r.until);
+        let shut = self
+            .shut_zones
+            .get(&offer.1)
+            .copied()
+            .or(refused.map(|_| "refused a short while ago"));
+        let allowance = b.and_then(|b| {
+            let fresh = b.refusal.is_some_and(|r| now < r.until + REMEMBERED);
+            b.allowance.filter(|_| fresh)
+        });
+        Outlook {
+            likely: match shut {
+                Some(_) => 0,
+                None => allowance.unwrap_or(u32::MAX),
+            },
+            hazard,
+            shut,
+        }
+    }
+
+    /// Markets that are left alone now, since they refused.
+    pub fn refused(&self, now: Instant) -> impl Iterator<Item = &Offer> {
+        let refused = move |b: &Belief| b.refusal.is_some_and(|r| now < r.until);
+        let offers = self.offers.iter();
+        offers.filter(move |(_, b)| refused(b)).map(|(o, _)| o)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn offer(zone: &str) -> Offer {
+        ("k".into(), zone.into(), true)
+    }
+
+    #[test]
+    fn a_market_that_refuses_is_left_alone_probed_and_trusted_again() {
+        let t0 = Instant::now();
+        let at = |s: u64| t0 + Duration::from_secs(s);
+        let mut b = Beliefs::default();
+        assert_eq!(b.outlook(&offer("a"), t0).likely, u32::MAX);
+        b.answered(&offer("a"), 50, 3, t0);
+        assert_eq!(b.outlook(&offer("a"), at(1)).likely, 0);
+        assert_eq!(b.refused(at(1)).count(), 1);
+        // Probed for about what it gave; refusing again, it is left alone for longer.
+        assert_eq!(b.outlook(&offer("a"), at(5)).likely, 3 + PROBE);
+        b.answered(&offer("a"), 11, 0, at(5));
+        assert_eq!(b.outlook(&offer("a"), at(12)).likely, 0);
+        assert_eq!(b.outlook(&offer("a"), at(14)).likely, PROBE);
+        // Filled in full, more is asked for; a while later it counts as any other.
+        b.answered(&offer("a"), 8, 8, at(14));
+        assert_eq!(b.outlook(&offer("a"), at(14)).likely, 2 * PROBE);
+        assert_eq!(b.outlook(&offer("a"), at(120)).likely, u32::MAX);
+        assert_eq!(b.outlook(&offer("b"), at(5)).likely, u32::MAX);
+    }
+
+    #[test]
+    fn a_wave_raises_the_hazard_at_once_and_it_fades() {
+        let t0 = Instant::now();
+        let at = |s: u64| t0 + Duration::from_secs(s);
+        let mut b = Beliefs::default();
+        for i in 0..60 {
+            b.exposed(&offer("a"), 100, Duration::from_secs(1), at(i));
+        }
+        let calm = b.outlook(&offer("a"), at(60)).hazard;
+        b.lost(&offer("a"), 60, at(60));
+        let struck = b.outlook(&offer("a"), at(60)).hazard;
+        assert!(struck > calm * 100.0, "{calm} {struck}");
+        for i in 61..600 {
+            b.exposed(&offer("a"), 100, Duration::from_secs(1), at(i));
+        }
+        assert!(b.outlook(&offer("a"), at(600)).hazard < calm * 2.0);
+    }
+
+    #[test]
+    fn boots_are_learned_and_a_shut_zone_gives_nothing() {
+        let mut b = Beliefs::default();
+        let announced = Duration::from_secs(20);
+        assert_eq!(b.boot("k", announced), announced);
+        for _ in 0..50 {
+            b.came_up("k", announced, Duration::from_secs(30));
+        }
+        let learned = b.boot("k", announced).as_secs_f64();
+        assert!((28.0..30.5).contains(&learned), "{learned}");
+        b.came_up("k", Duration::ZERO, Duration::from_secs(30));
+        let now = Instant::now();
+        b.shut_zone("a", Some("its machines are not heard"));
+        assert_eq!(b.outlook(&offer("a"), now).likely, 0);
+        assert_eq!(b.outlook(&offer("b"), now).likely, u32::MAX);
+        b.shut_zone("a", None);
+        assert_eq!(b.outlook(&offer("a"), now).likely, u32::MAX);
+    }
+}
--- /dev/null
+++ b/crates/market/src/clear.rs
@@ -0,0 +1,514 @@
+//! Clearing: which machines to rent, so that what waiting work saves outweighs what they cost.
+//!
+//! A machine that is rented serves bids over a *stay*: from when it is up for some time. Each
+//! stay of each market is a column of a linear program; bids share its room in two halves, the
+//! first of which starts work sooner. The program weighs all bids against all markets at once;
+//! its answer is rounded down to whole machines, and what is left over is cleared greedily, one
+//! best machine after the other. Where there is more than the program may take in, the greedy
+//! way clears all of it: its answer is as sound, and a little dearer.
+
+use crate::spread::Spread;
+use crate::worth::Worth;
+use crate::{Offer, worth};
+use microlp::{ComparisonOp, OptimizationDirection, Problem, SolveOptions, Variable};
+use siphasher::sip::SipHasher13;
+use std::collections::BTreeMap;
+use std::hash::Hasher;
+use std::time::Duration;
+
+/// How a lot's machines would carry a bid's tasks.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Carry {
+    /// Tasks at a time on one machine; at least 1.
+    pub slots: u32,
+    /// Time until the image is there, on a machine that has none.
+    pub fetch: Duration,
+}
+
+/// Like tasks that wait, or are expected, and what they pay to start sooner.
+#[derive(Clone, Debug)]
+pub struct Bid {
+    pub tasks: f64,
+    pub run: Duration,
+    /// When they come, from now on; zero for those that wait.
+    pub arrives: Duration,
+    /// When they would start without another machine, from now on.
+    pub after: Duration,
+    /// What a start costs that much after they came.
+    pub worth: Worth,
+    /// What a task costs where it is cheapest.
+    pub nominal: f64,
+    /// For each lot: how it carries these; `None` where they may or can not go.
+    pub carries: Vec<Option<Carry>>,
+}
+
+/// A market as it is offered now.
+#[derive(Clone, Debug)]
+pub struct Lot {
+    pub offer: Offer,
+    /// Per hour.
+    pub price: f64,
+    /// Its machines are held already: an award says how many of them to keep.
+    pub held: bool,
+    /// When a machine rented now, or held, takes work, from now on.
+    pub ready: Duration,
+    /// A machine is paid for at least this long.
+    pub least_paid: Duration,
+    /// How many it is likely to give.
+    pub likely: u32,
+    /// Chance of losing a machine, for each second.
+    pub hazard: f64,
+    /// What one of its machines adds to its zone, in the measure of the spread.
+    pub size: f64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Method {
+    /// Nothing was worth its money.
+    Nothing,
+    Program,
+    /// More than the program may take in, or it found no answer.
+    Greedy,
+}
+
+/// Machines worth renting.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Award {
+    pub lot: usize,
+    pub count: u32,
+}
+
+#[derive(Clone, Debug)]
+pub struct Cleared {
+    /// In the order of the lots.
+    pub awards: Vec<Award>,
+    pub method: Method,
+    /// What the awards save and cost by the model, in money.
+    pub saved: f64,
+    pub cost: f64,
+    /// Tasks for which no market was worth its money.
+    pub unserved: f64,
+    /// Columns that the program had; for judging what it costs.
+    pub columns: usize,
+}
+
+/// Bids beyond this are joined with their likes.
+const MOST_BIDS: usize = 24;
+/// The program takes in this many variables at most; beyond that the greedy way clears.
+const MOST_VARIABLES: usize = 2_000;
+/// A rented machine stays at least this long after it is up, whatever it is paid for.
+const SHORTEST_STAY: f64 = 20.0;
+/// Stays: the paid minute, and this much longer.
+const LONGER_STAYS: [f64; 3] = [0.0, 60.0, 180.0];
+/// Halves of a stay.
+const PARTS: usize = 2;
+/// Work that is served on a new machine need not be paid for elsewhere: this part of its
+/// cheapest cost is set against the machine's.
+const CREDIT: f64 = 0.5;
+/// No fewer gains than this are worth a variable.
+const CRUMB: f64 = 1e-9;
+
+/// One stay of one lot.
+struct Column {
+    lot: usize,
+    stay: f64,
+    cost: f64,
+}
+
+/// What one task of a bid saves in each half of a column, and how much of a slot's time it takes.
+#[derive(Clone, Copy)]
+struct Cell {
+    value: [f64; PARTS],
+    /// Seconds of a whole machine.
+    takes: f64,
+    /// The same, as far as it falls into the first half.
+    first: f64,
+}
+
+/// A place between 0 and 1 that is the same in every process: what settles exact ties, so that
+/// a new leader clears as the old one would have.
+pub fn lot_of(text: &str) -> f64 {
+    let mut h = SipHasher13::new_with_keys(0x6275_726c, 0x7573_6865);
+    h.write(text.as_bytes());
+    (h.finish() >> 11) as f64 / (1u64 << 53) as f64
+}
+
+fn effective_price(lot: &Lot, spread: &Spread) -> f64 {
+    let name = format!("{}/{}/{}", lot.offer.0, lot.offer.1, lot.offer.2);
+    // A millionth: enough to make each answer the only best one.
+    lot.price * spread.factor(&lot.offer.1) * (1.0 + 1e-6 * lot_of(&name))
+}
+
+fn columns(lots: &[Lot], spread: &Spread) -> Vec<Column> {
+    let mut out = Vec::new();
+    for (i, lot) in lots.iter().enumerate() {
+        if lot.likely == 0 || lot.price < 0.0 || !lot.price.is_finite() {
+            continue;
+        }
+        let price = effective_price(lot, spread);
+        let ready = lot.ready.as_secs_f64();
+        let paid = lot.least_paid.as_secs_f64();
+        for more in LONGER_STAYS {
+            let stay = (paid - ready).max(SHORTEST_STAY) + more;
+            out.push(Column {
+                lot: i,
+                stay,
+                // What is held works on until it is free: that is paid for in any case.
+                cost: match lot.held {
+                    true => price * stay,
+                    false => price * (ready + stay).max(paid),
+                },
+            });
+        }
+    }
+    out
+}
+
+fn cell(bid: &Bid, lot: &Lot, column: &Column) -> Option<Cell> {
+    let carry = bid.carries.get(column.lot).copied().flatten()?;
+    let (run, fetch) = (bid.run.as_secs_f64(), carry.fetch.as_secs_f64());
+    // The first tasks of a machine fetch, those that follow mostly need not.
+    let time = (run + fetch * 0.5).max(0.1);
+    let half = column.stay / 2.0;
+    let slots = f64::from(carry.slots.max(1));
+    let ready = lot.ready.as_secs_f64();
+    let arrives = bid.arrives.as_secs_f64();
+    let later = bid.after.saturating_sub(bid.arrives);
+    let survives = (1.0 - lot.hazard * time).max(0.0);
+    let mut value = [0.0; PARTS];
+    for (part, value) in value.iter_mut().enumerate() {
+        // What is longer than the stay keeps its machine for longer: that is paid for below.
+        if part > 0 && time > half {
+            continue;
+        }
+        let within = (half - time).max(0.0) / 2.0;
+        let begins = (ready + half * part as f64 + within).max(arrives);
+        let sooner = begins + fetch - arrives;
+        if sooner >= later.as_secs_f64() || begins - ready + time > column.stay.max(time) + 1.0 {
+            continue;
+        }
+        let gain = bid.worth.gain(later, Duration::from_secs_f64(sooner));
+        // Work done twice is not saved: what a lost machine had begun is repeated. What runs
+        // longer than the stay keeps its place, and pays for that.
+        let longer = (time - column.stay).max(0.0) / slots * lot.price;
+        let credit = if gain > 0.0 {
+            CREDIT * bid.nominal
+        } else {
+            0.0
+        };
+        *value = (gain * survives + credit - longer).max(0.0);
+    }
+    value.iter().any(|v| *v > CRUMB).then_some(Cell {
+        value,
+        takes: time.min(column.stay) / slots,
+        first: time.min(half) / slots,
+    })
+}
+
+/// Bids that are alike, joined, so that a queue of thousands clears as fast as one of dozens.
+fn join(bids: &[Bid]) -> Vec<Bid> {
+    let bucket = |x: f64, per: f64| ((x + 1.0).ln() * per).round() as i64;
+    let mut joined: BTreeMap<(Vec<u32>, [i64; 4]), (Bid, f64)> = BTreeMap::new();
+    for bid in bids.iter().filter(|b| b.tasks > 0.0) {
+        let slots = bid.carries.iter().map(|c| c.map_or(0, |c| c.slots));
+        let waits = bid.after.saturating_sub(bid.arrives);
+        let ratio = bid.worth.loss(waits) / bid.nominal.max(CRUMB);
+        let key = (
+            slots.collect(),
+            [
+                bucket(bid.run.as_secs_f64(), 2.0),
+                bucket(waits.as_secs_f64(), 2.0),
+                bucket(bid.arrives.as_secs_f64(), 1.0),
+                bucket(ratio, 1.0),
+            ],
+        );
+        match joined.get_mut(&key) {
+            Some((kept, largest)) => {
+                // The largest of them stands for all.
+                let tasks = kept.tasks + bid.tasks;
+                if bid.tasks > *largest {
+                    (*kept, *largest) = (bid.clone(), bid.tasks);
+                }
+                kept.tasks = tasks;
+            }
+            None => {
+                joined.insert(key, (bid.clone(), bid.tasks));
+            }
+        }
+    }
+    joined.into_values().map(|(bid, _)| bid).collect()
+}
+
+/// Clears all bids against all lots. `spread` tells what each zone holds already.
+pub fn clear(bids: &[Bid], lots: &[Lot], spread: &Spread) -> Cleared {
+    clear_by(bids, lots, spread, true)
+}
+
+/// The same without the linear program, for comparison.
+pub fn clear_greedily(bids: &[Bid], lots: &[Lot], spread: &Spread) -> Cleared {
+    clear_by(bids, lots, spread, false)
+}
+
+fn clear_by(bids: &[Bid], lots: &[Lot], spread: &Spread, program: bool) -> Cleared {
+    let joined;
+    let bids = if bids.len() > MOST_BIDS {
+        joined = join(bids);
+        &joined[..]
+    } else {
+        bids
+    };
+    let columns = columns(lots, spread);
+    let cells: Vec<Vec<Option<Cell>>> = columns
+        .iter()
+        .map(|c| bids.iter().map(|b| cell(b, &lots[c.lot], c)).collect())
+        .collect();
+    let mut market = Clearing {
+        left: bids.iter().map(|b| b.tasks.max(0.0)).collect(),
+        likely: lots.iter().map(|l| l.likely).collect(),
+        counts: vec![0; lots.len()],
+        saved: 0.0,
+        cost: 0.0,
+        columns: &columns,
+        cells: &cells,
+    };
+    let mut method = Method::Greedy;
+    let variables: usize = cells.iter().flatten().flatten().count() * PARTS + columns.len();
+    if program && variables <= MOST_VARIABLES && market.solve() {
+        method = Method::Program;
+    }
+    market.greedy();
+    if market.counts.iter().all(|n| *n == 0) {
+        method = Method::Nothing;
+    }
+    even(&mut market.counts, lots, spread);
+    let awards = market.counts.iter().enumerate();
+    Cleared {
+        awards: awards
+            .filter(|(_, n)| **n > 0)
+            .map(|(lot, n)| Award { lot, count: *n })
+            .collect(),
+        method,
+        saved: market.saved,
+        cost: market.cost,
+        unserved: market.left.iter().sum(),
+        columns: columns.len(),
+    }
+}
+
+struct Clearing<'a> {
+    /// Tasks of each bid that are not served yet.
+    left: Vec<f64>,
+    /// Machines that each lot may still give.
+    likely: Vec<u32>,
+    counts: Vec<u32>,
+    saved: f64,
+    cost: f64,
+    columns: &'a [Column],
+    cells: &'a [Vec<Option<Cell>>],
+}
+
+impl Clearing<'_> {
+    /// The linear program, its answer rounded down to whole machines; false if there is none.
+    fn solve(&mut self) -> bool {
+        let mut p = Problem::new(OptimizationDirection::Maximize);
+        let mut per_bid: Vec<Vec<(Variable, f64)>> = vec![Vec::new(); self.left.len()];
+        let mut per_lot: BTreeMap<usize, Vec<(Variable, f64)>> = BTreeMap::new();
+        // (column, its machines, what each bid gets there)
+        let mut asked: Vec<(usize, Variable, Vec<(usize, f64, Variable)>)> = Vec::new();
+        for (c, column) in self.columns.iter().enumerate() {
+            if self.cells[c].iter().all(Option::is_none) {
+                continue;
+            }
+            let most = f64::from(self.likely[column.lot].min(1_000_000));
+            let machines = p.add_var(-column.cost, (0.0, most));
+            let (mut whole, mut first) = (Vec::new(), Vec::new());
+            let mut served = Vec::new();
+            for (b, cell) in self.cells[c].iter().enumerate() {
+                let Some(cell) = cell else { continue };
+                for (part, value) in cell.value.iter().enumerate() {
+                    if *value <= CRUMB {
+                        continue;
+                    }
+                    let x = p.add_var(*value, (0.0, self.left[b]));
+                    per_bid[b].push((x, 1.0));
+                    whole.push((x, cell.takes));
+                    if part == 0 {
+                        first.push((x, cell.first));
+                    }
+                    served.push((b, *value, x));
+                }
+            }
+            // Room in seconds of a machine: over the stay, and in its first half.
+            whole.push((machines, -column.stay));
+            p.add_constraint(&whole, ComparisonOp::Le, 0.0);
+            first.push((machines, -column.stay / 2.0));
+            p.add_constraint(&first, ComparisonOp::Le, 0.0);
+            per_lot.entry(column.lot).or_default().push((machines, 1.0));
+            asked.push((c, machines, served));
+        }
+        for (b, row) in per_bid.iter().enumerate().filter(|(_, r)| !r.is_empty()) {
+            p.add_constraint(row, ComparisonOp::Le, self.left[b]);
+        }
+        for (lot, row) in &per_lot {
+            let most = f64::from(self.likely[*lot].min(1_000_000));
+            p.add_constraint(row, ComparisonOp::Le, most);
+        }
+        if asked.is_empty() {
+            return true;
+        }
+        let Ok(outcome) = p.solve_with(SolveOptions::default()) else {
+            return false;
+        };
+        let Ok(solution) = outcome.into_solution() else {
+            return false;
+        };
+        for (c, machines, served) in asked {
+            let wanted = solution.var_value(machines);
+            // What is a rounding error below a whole machine is a whole one.
+            let whole = (wanted + 1e-6).floor();
+            if whole < 1.0 {
+                continue;
+            }
+            let kept = (whole / wanted).min(1.0);
+            let lot = self.columns[c].lot;
+            let count = (whole as u32).min(self.likely[lot]);
+            self.likely[lot] -= count;
+            self.counts[lot] += count;
+            self.cost += self.columns[c].cost * f64::from(count);
+            for (b, value, x) in served {
+                let tasks = (solution.var_value(x) * kept).clamp(0.0, self.left[b]);
+                self.left[b] -= tasks;
+                self.saved += value * tasks;
+            }
+        }
+        true
+    }
+
+    /// What one machine of a column would serve at best, and what that saves.
+    fn fill(&self, c: usize) -> (f64, Vec<(usize, f64)>) {
+        let column = &self.columns[c];
+        let cells = &self.cells[c];
+        let mut order: Vec<(f64, usize, usize)> = Vec::new();
+        for (b, cell) in cells.iter().enumerate() {
+            let Some(cell) = cell.filter(|_| self.left[b] > CRUMB) else {
+                continue;
+            };
+            for (part, value) in cell.value.iter().enumerate() {
+                if *value > CRUMB {
+                    order.push((value / cell.takes, b, part));
+                }
+            }
+        }
+        order.sort_by(|a, b| b.0.total_cmp(&a.0).then((a.1, a.2).cmp(&(b.1, b.2))));
+        let (mut room, mut first) = (column.stay, column.stay / 2.0);
+        let mut saved = 0.0;
+        let mut served: BTreeMap<usize, f64> = BTreeMap::new();
+        for (_, b, part) in order {
+            let Some(cell) = cells[b] else { continue };
+            let had = served.get(&b).copied().unwrap_or(0.0);
+            let mut n = (self.left[b] - had).min(room / cell.takes);
+            if part == 0 {
+                n = n.min(first / cell.first);
+            }
+            if n <= CRUMB {
+                continue;
+            }
+            room -= n * cell.takes;
+            if part == 0 {
+                first -= n * cell.first;
+            }
+            saved += n * cell.value[part];
+            *served.entry(b).or_default() += n;
+        }
+        (saved, served.into_iter().collect())
+    }
+
+    /// Rents the machine that saves most beyond its cost for each unit of its cost, as many of it
+    /// as find the same to do, until none is worth its money.
+    fn greedy(&mut self) {
+        loop {
+            let mut best: Option<(f64, usize, f64, Vec<(usize, f64)>)> = None;
+            for (c, column) in self.columns.iter().enumerate() {
+                if self.likely[column.lot] == 0 {
+                    continue;
+                }
+                let (saved, served) = self.fill(c);
+                let rate = saved / column.cost.max(CRUMB);
+                if saved > column.cost && best.as_ref().is_none_or(|b| rate > b.0) {
+                    best = Some((rate, c, saved, served));
+                }
+            }
+            let Some((_, c, saved, served)) = best else {
+                return;
+            };
+            let lot = self.columns[c].lot;
+            let alike = served.iter().map(|(b, n)| (self.left[*b] / n).floor());
+            let alike = alike.fold(f64::INFINITY, f64::min).clamp(1.0, 1e6);
+            let count = (alike as u32).min(self.likely[lot]);
+            self.likely[lot] -= count;
+            self.counts[lot] += count;
+            self.cost += self.columns[c].cost * f64::from(count);
+            self.saved += saved * f64::from(count);
+            for (b, n) in served {
+                self.left[b] = (self.left[b] - n * f64::from(count)).max(0.0);
+            }
+        }
+    }
+}
+
+/// Machines of one kind at the same price are the same to the bids: they go where the zone holds
+/// least, one by one, as far as each market is likely to give them.
+fn even(counts: &mut [u32], lots: &[Lot], spread: &Spread) {
+    const SAME: f64 = 0.01;
+    let mut done = vec![false; lots.len()];
+    let mut spread = spread.clone();
+    for i in 0..lots.len() {
+        if done[i] {
+            continue;
+        }
+        let alike: Vec<usize> = (i..lots.len())
+            .filter(|&j| {
+                let (a, b) = (&lots[i], &lots[j]);
+                a.offer.0 == b.offer.0
+                    && a.held == b.held
+                    && a.offer.2 == b.offer.2
+                    && b.likely > 0
+                    && (a.price - b.price).abs() <= SAME * a.price.max(b.price)
+            })
+            .collect();
+        let mut all: u32 = alike.iter().map(|&j| counts[j]).sum();
+        alike.iter().for_each(|&j| done[j] = true);
+        if alike.len() < 2 || all == 0 {
+            for &j in &alike {
+                spread.add(&lots[j].offer.1, lots[j].size * f64::from(counts[j]));
+            }
+            continue;
+        }
+        alike.iter().for_each(|&j| counts[j] = 0);
+        while all > 0 {
+            let open = alike.iter().filter(|&&j| counts[j] < lots[j].likely);
+            let next = open.min_by(|&&a, &&b| {
+                let part = |j: usize| spread.part(&lots[j].offer.1);
+                let (x, y) = (part(a), part(b));
+                x.total_cmp(&y).then(a.cmp(&b))
+            });
+            let Some(&j) = next else { break };
+            // A few at a time, as there may be hundreds.
+            let some = (all / 16).clamp(1, lots[j].likely - counts[j]);
+            counts[j] += some;
+            all -= some;
+            spread.add(&lots[j].offer.1, lots[j].size.max(CRUMB) * f64::from(some));
+        }
+    }
+}
+
+/// What missing an aim of this share costs a task, of which each costs `nominal` at least, where
+/// an aim's weight counts `times`.
+pub fn stake(nominal: f64, share: f64, times: f64) -> f64 {
+    let times = if times.is_finite() {
+        times.max(0.0)
+    } else {
+        0.0
+    };
+    nominal * worth::weight(share) * times
+}
--- /dev/null
+++ b/crates/market/src/spread.rs
@@ -0,0 +1,81 @@
+//! Spreading: no zone should hold more than its share of the capacity, within a tolerance.
+//!
+//! A zone's share is an equal part of all zones that are open. Rented beyond it and the
+//! tolerance, a machine counts as dearer, the more so the further beyond: spreading costs money,
+//! and where a zone has no other market, it gives way.
+
+use std::collections::BTreeMap;
+
+/// How capacity is spread over zones, in any measure that adds up (CPUs, say).
+#[derive(Clone, Debug, Default)]
+pub struct Spread {
+    held: BTreeMap<String, f64>,
+    /// How far beyond an equal share a zone may go, as a part of all: 1 and more is no bound.
+    tolerance: f64,
+}
+
+/// A machine in a zone that holds all there is counts this many times as dear.
+const STEEPEST: f64 = 3.0;
+
+impl Spread {
+    pub fn new<'a>(zones: impl IntoIterator<Item = &'a str>, tolerance: f64) -> Spread {
+        let held = zones.into_iter().map(|z| (z.to_string(), 0.0)).collect();
+        Spread { held, tolerance }
+    }
+
+    pub fn add(&mut self, zone: &str, amount: f64) {
+        if let Some(held) = self.held.get_mut(zone) {
+            *held += amount;
+        }
+    }
+
+    /// The part of all that a zone holds; an equal one while nothing is held.
+    pub fn part(&self, zone: &str) -> f64 {
+        let all: f64 = self.held.values().sum();
+        let equal = 1.0 / self.held.len().max(1) as f64;
+        match self.held.get(zone) {
+            Some(held) if all > 0.0 => held / all,
+            _ => equal,
+        }
+    }
+
+    /// By how much the zone that is furthest beyond its share is beyond it.
+    pub fn beyond(&self) -> f64 {
+        let equal = 1.0 / self.held.len().max(1) as f64;
+        let parts = self.held.keys().map(|z| self.part(z) - equal);
+        parts.fold(0.0, f64::max)
+    }
+
+    /// How many times its price a machine in this zone counts for.
+    pub fn factor(&self, zone: &str) -> f64 {
+        let equal = 1.0 / self.held.len().max(1) as f64;
+        let room = 1.0 - equal - self.tolerance;
+        if room <= 0.0 {
+            return 1.0;
+        }
+        let over = (self.part(zone) - equal - self.tolerance).max(0.0);
+        1.0 + (STEEPEST - 1.0) * (over / room).min(1.0)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_zone_beyond_its_share_and_the_tolerance_counts_as_dearer() {
+        let mut s = Spread::new(["a", "b", "c"], 0.1);
+        assert_eq!(s.factor("a"), 1.0);
+        s.add("a", 60.0);
+        s.add("b", 20.0);
+        s.add("c", 20.0);
+        s.add("elsewhere", 1000.0);
+        assert!((s.beyond() - (0.6 - 1.0 / 3.0)).abs() < 1e-9);
+        assert!(s.factor("a") > 1.5 && s.factor("a") < STEEPEST);
+        assert_eq!(s.factor("b"), 1.0);
+        let mut loose = Spread::new(["a", "b"], 1.0);
+        loose.add("a", 5.0);
+        assert_eq!(loose.factor("a"), 1.0);
+        assert_eq!(Spread::new([], 0.0).factor("a"), 1.0);
+    }
+}
--- /dev/null
+++ b/crates/market/src/worth.rs
@@ -0,0 +1,115 @@
+//! What a later start costs: the users' aims as a curve of money over time.
+
+use std::time::Duration;
+
+/// An aim that can still be met: the task has to start by then, or the loss is there.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Aim {
+    pub by: Duration,
+    /// Units of money for each task that misses it.
+    pub loss: f64,
+}
+
+/// What starting one task after some delay costs its owner.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Worth {
+    aims: Vec<Aim>,
+    /// Units of money for each second, whatever the aims.
+    haste: f64,
+}
+
+/// A forecast of a start is off by this part of it, and by this much in any case: so an aim is
+/// missed more and more likely from a little before its time to a little after it.
+const BLUR: f64 = 0.25;
+const LEAST_BLUR_S: f64 = 2.0;
+
+impl Worth {
+    /// Aims that cannot be met any more should be left out: nothing is to be had for them, and
+    /// `haste` alone speaks for work that is late already.
+    pub fn new(mut aims: Vec<Aim>, haste: f64) -> Worth {
+        aims.retain(|a| a.loss > 0.0);
+        aims.sort_by(|a, b| a.by.cmp(&b.by).then(a.loss.total_cmp(&b.loss)));
+        let haste = if haste.is_finite() {
+            haste.max(0.0)
+        } else {
+            0.0
+        };
+        Worth { aims, haste }
+    }
+
+    /// Nothing is lost by any delay.
+    pub fn is_nil(&self) -> bool {
+        self.aims.is_empty() && self.haste == 0.0
+    }
+
+    /// The expected loss of a start after `delay`. It never falls as the delay grows.
+    pub fn loss(&self, delay: Duration) -> f64 {
+        let delay = delay.as_secs_f64();
+        let missed = |a: &Aim| {
+            let by = a.by.as_secs_f64();
+            let blur = (by * BLUR).max(LEAST_BLUR_S);
+            let late = ((delay - (by - blur)) / (2.0 * blur)).clamp(0.0, 1.0);
+            a.loss * late
+        };
+        self.aims.iter().map(missed).sum::<f64>() + self.haste * delay
+    }
+
+    /// What starting after `sooner` instead of `later` saves.
+    pub fn gain(&self, later: Duration, sooner: Duration) -> f64 {
+        (self.loss(later) - self.loss(sooner)).max(0.0)
+    }
+}
+
+/// What one missed task of an aim weighs: a share of 0.975 allows one miss in forty, so each is
+/// worth forty tasks; a share of all, or of none, is no rate of exchange.
+pub fn weight(share: f64) -> f64 {
+    const MOST: f64 = 200.0;
+    if !(0.0..=1.0).contains(&share) || share == 0.0 {
+        return 1.0;
+    }
+    (1.0 / (1.0 - share).max(1.0 / MOST)).max(1.0)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn s(seconds: f64) -> Duration {
+        Duration::from_secs_f64(seconds)
+    }
+
+    #[test]
+    fn a_later_start_never_costs_less_and_a_missed_aim_costs_no_more() {
+        let aims = vec![
+            Aim {
+                by: s(60.0),
+                loss: 5.0,
+            },
+            Aim {
+                by: s(20.0),
+                loss: 10.0,
+            },
+            Aim {
+                by: s(5.0),
+                loss: -1.0,
+            },
+        ];
+        let w = Worth::new(aims, 0.01);
+        let losses: Vec<f64> = (0..200).map(|i| w.loss(s(f64::from(i)))).collect();
+        assert!(losses.windows(2).all(|p| p[0] <= p[1]));
+        assert_eq!(w.loss(Duration::ZERO), 0.0);
+        assert!((w.loss(s(20.0)) - 5.2).abs() < 1e-9, "half of it is lost");
+        assert!((w.gain(s(300.0), s(100.0)) - 2.0).abs() < 1e-9);
+        assert!(Worth::new(Vec::new(), f64::NAN).is_nil());
+    }
+
+    #[test]
+    fn a_tighter_share_makes_a_miss_dearer() {
+        assert!((weight(0.975) - 40.0).abs() < 1e-9);
+        assert!((weight(0.85) - 1.0 / 0.15).abs() < 1e-9);
+        // What settings may hold beside shares must not make work priceless.
+        assert_eq!(weight(1.0), 200.0);
+        assert_eq!(weight(f64::NAN), 1.0);
+        assert_eq!(weight(-3.0), 1.0);
+    }
+}
--- a/src/board.rs
+++ b/src/board.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 /// A kind of machine in a zone, ordinary or spot.
-pub type Offer = (String, String, bool);
+pub use burlusher_market::Offer;
 
 /// Whether a job may use machines of this kind, in this zone, ordinary or spot.
 pub fn allows(spec: &JobSpec, (kind, zone, spot): &Offer) -> bool {
--- /dev/null
+++ b/src/core/bidding.rs
@@ -0,0 +1,269 @@
+//! Bidding: what starts are worth to waiting and expected work, what the markets' answers teach,
+//! and the awards carried out.
+
+use super::Core;
+use super::leadership::Lead;
+use super::scheduling::InLine;
+use crate::bids::{self, Asked};
+use crate::board::Offer;
+use crate::fleet::Rent;
+use crate::forecast::{Coming, Unmet};
+use crate::job::{JobSpec, MachineId, Rank};
+use crate::policy::{Entry, FleetFacts, JobFacts};
+use burlusher_market::clear::{Cleared, stake};
+use burlusher_market::{Aim, Beliefs, Demand, Spread, Worth};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// A job takes as long as the slowest of its tasks.
+const SLOWEST: f64 = 1.3;
+/// What is expected comes in so many parts.
+const WAVES: u32 = 3;
+/// Fewer tasks of a class than this are not worth a forecast.
+const LEAST_EXPECTED: f64 = 0.5;
+
+/// A machine younger than this is paid for in any case.
+const PAID: Duration = Duration::from_secs(50);
+
+/// What comes of one class, by the newest of its jobs.
+pub struct Expected {
+    demand: Demand,
+    spec: Arc<JobSpec>,
+    rank: Rank,
+}
+
+/// The newest clearing, for those who look.
+#[derive(Default)]
+pub struct Bidding {
+    pub beliefs: Beliefs,
+    pub expected: BTreeMap<String, Expected>,
+    pub last: Option<Cleared>,
+    /// Exposure to losses was noted until then.
+    exposed: Option<Instant>,
+}
+
+impl Bidding {
+    /// A job came that this leader has not seen before.
+    pub fn arrived(&mut self, now: Instant, spec: &Arc<JobSpec>, rank: Rank, run: Duration) {
+        let e = self
+            .expected
+            .entry(spec.class.clone())
+            .or_insert_with(|| Expected {
+                demand: Demand::new(now),
+                spec: spec.clone(),
+                rank,
+            });
+        e.demand.note(now, spec.tasks, run);
+        e.spec = spec.clone();
+        e.rank = rank;
+    }
+
+    /// Machines of each market were there since the last call.
+    fn expose(&mut self, now: Instant, machines: &BTreeMap<Offer, u32>) {
+        if let Some(before) = self.exposed.replace(now) {
+            let span = now.saturating_duration_since(before);
+            for (offer, count) in machines {
+                self.beliefs.exposed(offer, *count, span, now);
+            }
+        }
+    }
+}
+
+impl Core {
+    pub(super) fn fleet_facts(&self, lead: &Lead) -> FleetFacts {
+        FleetFacts {
+            machines: lead.machines.values().count() as f64,
+            zones: self.settings.zones.len() as f64,
+            pause: lead.arrivals.pause(),
+        }
+    }
+
+    /// What a later start costs a task of a job: the aims that it can still meet, by the settings.
+    fn worth(&self, spec: &JobSpec, facts: &JobFacts, run: Duration) -> Worth {
+        let nominal = bids::nominal(&self.types, spec, run);
+        let times = self.policy.number(Entry::Worth, facts);
+        let slowest = run.as_secs_f64() * SLOWEST;
+        let mut aims = Vec::new();
+        for o in &self.settings.objectives {
+            let within = o.within.map_or(0.0, |d| d.as_secs_f64());
+            let by = match o.kind.as_str() {
+                "guarantee" if facts.guaranteed => within - facts.wait,
+                _ if o.class != spec.class => continue,
+                "wait" => within - facts.wait,
+                "finished" => within - facts.wait - slowest,
+                "deadline" if facts.has_deadline => {
+                    let whole = facts.deadline_left + facts.wait;
+                    facts.deadline_left + (o.times - 1.0) * whole - slowest
+                }
+                _ => continue,
+            };
+            // A missed aim is worth nothing any more.
+            if by > 0.0 {
+                let loss = stake(nominal, o.share.unwrap_or(0.0), times);
+                let by = Duration::from_secs_f64(by.min(1e7));
+                aims.push(Aim { by, loss });
+            }
+        }
+        Worth::new(aims, nominal * self.policy.number(Entry::Haste, facts))
+    }
+
+    /// What one entry of the queue asks of the markets.
+    pub(super) fn asked(&self, entry: &InLine, unmet: Unmet) -> Asked {
+        let run = unmet
+            .estimate
+            .min(entry.estimate.max(Duration::from_secs(1)));
+        Asked {
+            worth: self.worth(&unmet.spec, &entry.facts, run),
+            arrives: Duration::ZERO,
+            unmet,
+        }
+    }
+
+    /// What is expected to come within `ahead`, in waves.
+    fn expected(&self, lead: &mut Lead, ahead: Duration) -> Vec<Asked> {
+        let now = self.now.mono;
+        let mut out = Vec::new();
+        let wave = ahead / WAVES;
+        for e in lead.bidding.expected.values_mut() {
+            let jobs = e.demand.jobs_a_second(now) * wave.as_secs_f64();
+            let (size, run) = e.demand.size();
+            let tasks = jobs * size;
+            if tasks < LEAST_EXPECTED {
+                continue;
+            }
+            let goal = |kind: &str| self.goal(&e.spec.class, kind);
+            let facts = JobFacts {
+                estimate: run.as_secs_f64(),
+                tasks: size,
+                waiting: size,
+                cpus: e.spec.needs.cpus,
+                gpus: e.spec.needs.gpus,
+                ram: e.spec.needs.ram,
+                image_gb: e.spec.image_gb,
+                rank: e.rank as u8 as f64,
+                start_goal: goal("wait"),
+                finish_goal: goal("finished"),
+                has_deadline: e.spec.deadline.is_some(),
+                deadline_left: e.spec.deadline.map_or(0.0, |d| d.as_secs_f64()),
+                spot: e.spec.spot,
+                ..JobFacts::default()
+            };
+            let worth = self.worth(&e.spec, &facts, run);
+            for i in 0..WAVES {
+                out.push(Asked {
+                    unmet: Unmet {
+                        spec: e.spec.clone(),
+                        rank: e.rank,
+                        tasks: tasks.round().min(1e6) as u32,
+                        estimate: run,
+                        patience: Duration::ZERO,
+                        spot_patience: Duration::ZERO,
+                        shunned: Vec::new(),
+                    },
+                    arrives: wave * i + wave / 2,
+                    worth: worth.clone(),
+                });
+            }
+        }
+        out
+    }
+
+    /// Clears what waits and what is expected against the markets.
+    pub(super) fn bid(&mut self, mut asked: Vec<Asked>, coming: &[Coming]) -> Vec<Rent> {
+        let now = self.now.mono;
+        let Some(mut lead) = self.lead.take() else {
+            return Vec::new();
+        };
+        let facts = self.fleet_facts(&lead);
+        let ahead = self.policy.fleet_number(Entry::Foresight, &facts);
+        if ahead > 0.0 {
+            let ahead = Duration::from_secs_f64(ahead.min(600.0));
+            asked.extend(self.expected(&mut lead, ahead));
+            // What is expected comes behind what waits at the same rank, before lower ones.
+            asked.sort_by_key(|a| (a.unmet.rank, a.arrives));
+        }
+        let mut machines: BTreeMap<Offer, u32> = BTreeMap::new();
+        let tolerance = self.policy.fleet_number(Entry::Tolerance, &facts);
+        let zones = self.settings.zones.iter().map(String::as_str);
+        let mut spread = Spread::new(zones, tolerance.clamp(0.0, 1.0));
+        for class in &lead.board.classes {
+            let count = class.machines as u32;
+            *machines.entry(class.offer.clone()).or_default() += count;
+            spread.add(&class.offer.1, class.room.cpus * f64::from(count));
+        }
+        for c in coming {
+            spread.add(&c.offer.1, c.room.cpus * f64::from(c.count));
+        }
+        lead.bidding.expose(now, &machines);
+        let lots = bids::lots(&self.types, &lead.bidding.beliefs, now);
+        let types = &self.types;
+        let decided = bids::decide(&lead.board, coming, &asked, types, lots, &spread, now);
+        let cleared = decided.cleared;
+        if !cleared.awards.is_empty() {
+            log::debug!(
+                "cleared {:?}: saves {:.0}, costs {:.0}, {:.0} tasks not worth a machine; keep {:?}",
+                cleared.method,
+                cleared.saved,
+                cleared.cost,
+                cleared.unserved,
+                decided.keep,
+            );
+        }
+        retire(&mut lead, &decided.keep, now);
+        lead.bidding.last = Some(cleared);
+        self.lead = Some(lead);
+        decided.rents
+    }
+
+    /// A machine was lost, or is going to be: its market is less safe than it seemed.
+    pub(super) fn machine_lost(&mut self, id: &MachineId) {
+        let now = self.now.mono;
+        let Some(lead) = &mut self.lead else { return };
+        if let Some(m) = lead.machines.get(id) {
+            let offer = (m.kind.clone(), m.zone.clone(), m.spot);
+            lead.bidding.beliefs.lost(&offer, 1, now);
+        }
+    }
+}
+
+/// Of dear machines, those beyond what is worth keeping take no more tasks, and are returned when
+/// they are empty: the least loaded first, and rather those than others that were chosen before.
+fn retire(lead: &mut Lead, keep: &[(usize, u32)], now: Instant) {
+    let keep: BTreeMap<usize, u32> = keep.iter().copied().collect();
+    let mut held: BTreeMap<usize, Vec<(bool, usize, MachineId)>> = BTreeMap::new();
+    for (_, h) in lead.board.hosts() {
+        let Some(m) = lead.machines.get(&h.id) else {
+            continue;
+        };
+        if m.session > 0 && m.deleting.is_none() {
+            let load = (!m.retiring, h.tasks.len(), h.id.clone());
+            held.entry(h.class).or_default().push(load);
+        }
+    }
+    let mut changed = Vec::new();
+    for (class, mut machines) in held {
+        // What is not dear, or not any more, is kept.
+        let kept = keep.get(&class).map_or(usize::MAX, |n| *n as usize);
+        machines.sort();
+        let most = machines.len().saturating_sub(kept);
+        for (i, (_, _, id)) in machines.into_iter().enumerate() {
+            let Some(m) = lead.machines.get(&id) else {
+                continue;
+            };
+            // Until then it costs nothing more.
+            let paid = m.age + now.saturating_duration_since(m.known_since) < PAID;
+            let retiring = i < most && !paid;
+            if m.retiring != retiring {
+                changed.push((id, retiring));
+            }
+        }
+    }
+    for (id, retiring) in changed {
+        if let Some(m) = lead.machines.get_mut(&id) {
+            log::debug!("machine {id} retires: {retiring}");
+            m.retiring = retiring;
+            lead.plan_again = true;
+        }
+    }
+}
--- a/src/core/jobs.rs
+++ b/src/core/jobs.rs
@@ -5,6 +5,7 @@
 use super::machines::{Machines, StopReason};
 use super::mirror::{JobValue, job_key};
 use super::parts::{self, PartValue, Writing, part_key};
+use super::scheduling::Pace;
 use super::{Core, Effect, Now, Pending, ReadPurpose, Ticket, note};
 use crate::http::Answer;
 use crate::job::{Final, JobId, JobSpec, Kind, MachineId, TaskKey};
@@ -759,6 +760,9 @@
             lead.runs.insert(id.clone(), run);
             if job.version > lead.key_version {
                 lead.arrivals.note(self.now.mono, 1);
+                let pace = lead.pace.get(&job.spec.class).map_or(1.0, Pace::factor);
+                let (rank, run) = (job.spec.rank, job.spec.estimate.mul_f64(pace));
+                lead.bidding.arrived(self.now.mono, &job.spec, rank, run);
             }
             // Accepted while a cancellation of what it needs is being written.
             let doubtful = |a: &JobId| {
--- a/src/core/leadership.rs
+++ b/src/core/leadership.rs
@@ -97,6 +97,7 @@
     /// How actual run times compare with estimates, by class.
     pub pace: BTreeMap<String, super::scheduling::Pace>,
     pub arrivals: super::scheduling::Arrivals,
+    pub bidding: super::bidding::Bidding,
 }
 
 impl Lead {
@@ -392,6 +393,7 @@
             head: None,
             pace: BTreeMap::new(),
             arrivals: super::scheduling::Arrivals::new(self.now, self.mirror.jobs.values()),
+            bidding: Default::default(),
         };
         lead.writes.records = Records::new(&self.mirror, self.settings.value_bytes);
         lead.writes.types = !self.types.is_empty() && self.types != self.mirror.types;
--- a/src/core/machines.rs
+++ b/src/core/machines.rs
@@ -144,6 +144,9 @@
     /// Images on it or being fetched, the latest used last.
     pub images: Vec<(ImageTag, f64)>,
     pub faults: Faults,
+    /// It costs more than what it serves is worth: it takes no more tasks, and is returned when it
+    /// is empty, unless it is needed again before that.
+    pub retiring: bool,
     /// Whether the board shows it as open for tasks; time alone may change that.
     pub open: bool,
     /// It is among those whose change has been noted.
@@ -294,6 +297,7 @@
             idle_since: now,
             images: Vec::new(),
             faults: Faults::default(),
+            retiring: false,
             open: false,
             noted: false,
         }
@@ -359,6 +363,7 @@
             && self.deleting.is_none()
             && self.notice.is_none()
             && self.doubt.is_none()
+            && !self.retiring
             && now.saturating_duration_since(self.seen) < patience
     }
 
@@ -381,7 +386,6 @@
 #[derive(Default)]
 pub struct Market {
     pub rents: BTreeMap<String, RentOp>,
-    pub refused: BTreeMap<Offer, (Instant, Duration)>,
     pub next_rent: u64,
     pub list_asked: Option<Instant>,
     pub listing: bool,
@@ -503,7 +507,15 @@
         if m.up_since.is_none() {
             m.up_since = Some(now);
             m.idle_since = now;
+            let took = m.age + now.saturating_duration_since(m.known_since);
+            if let Some(t) = self.types.iter().find(|t| t.name == m.kind)
+                && m.session == 0
+            {
+                let announced = Duration::from_secs_f64(t.boot_s.clamp(0.0, 1e6));
+                lead.bidding.beliefs.came_up(&t.name, announced, took);
+            }
         }
+        let noticed = m.notice.is_none() && report.notice.is_some();
         m.session = report.session;
         m.seq = report.seq;
         m.seen = now;
@@ -516,6 +528,10 @@
         if m.doubt.is_some_and(|token| report.token >= token) {
             m.doubt = None;
         }
+        if noticed {
+            let offer = (m.kind.clone(), m.zone.clone(), m.spot);
+            lead.bidding.beliefs.lost(&offer, 1, now);
+        }
         if answered {
             m.answered = false;
         }
@@ -1160,6 +1176,7 @@
             self.session_over(&id);
         }
         for (id, why) in silent {
+            self.machine_lost(&id);
             self.give_up_machine(&id, why);
         }
         self.heed_notices();
@@ -1414,10 +1431,10 @@
         let offer = (op.body.kind.clone(), op.body.zone.clone(), op.body.spot);
         let asked = op.body.count as usize;
         let since = op.since;
-        let mut refused = false;
+        let mut got = Some(0);
         match outcome {
             CloudOutcome::Rented(ids) => {
-                refused = ids.len() < asked;
+                got = Some(ids.len());
                 lead.market.rents.remove(name);
                 for id in ids {
                     let m = Machine::new(id.clone(), &offer.0, &offer.1, offer.2, now);
@@ -1427,28 +1444,21 @@
                     }
                 }
             }
-            CloudOutcome::NoCapacity => {
-                refused = true;
-                lead.market.rents.remove(name);
-            }
-            CloudOutcome::Invalid(_) => {
-                refused = true;
+            CloudOutcome::NoCapacity | CloudOutcome::Invalid(_) => {
                 lead.market.rents.remove(name);
             }
             // It may have been carried out: only the same name asked again tells.
-            _ => op.again_at = now + Duration::from_secs(2),
-        }
-        if refused {
-            let pause = lead
-                .market
-                .refused
-                .get(&offer)
-                .filter(|(until, _)| now < *until + Duration::from_secs(30))
-                .map_or(Duration::from_secs(4), |(_, p)| {
-                    (*p * 2).min(Duration::from_secs(12))
-                });
-            lead.market.refused.insert(offer, (now + pause, pause));
-            lead.fleet_at = None;
+            _ => {
+                op.again_at = now + Duration::from_secs(2);
+                got = None;
+            }
+        }
+        if let Some(got) = got {
+            let beliefs = &mut lead.bidding.beliefs;
+            beliefs.answered(&offer, asked as u32, got as u32, now);
+            if got < asked {
+                lead.fleet_at = None;
+            }
         }
     }
 
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -13,6 +13,7 @@
 //! - `scheduling`: snapshots for `plan` and `fleet`, and their decisions carried out.
 
 mod barrier;
+mod bidding;
 mod jobs;
 mod leadership;
 mod machines;
--- a/src/core/scheduling.rs
+++ b/src/core/scheduling.rs
@@ -7,7 +7,8 @@
 use super::urgency::Urgency;
 use super::{Core, Now};
 use crate::board::{Board, Held, Host, Offer, Use, image_tag};
-use crate::fleet::{self, Coming, Unmet};
+use crate::fleet;
+use crate::forecast::{Coming, Unmet};
 use crate::job::{JobId, Kind, MachineId, Rank, Resources, TaskKey};
 use crate::plan::{self, TeamUse, Waiting};
 use crate::policy::{Entry, JobFacts, MachineFacts};
@@ -19,6 +20,8 @@
 const PLAN_PAUSE: Duration = Duration::from_millis(60);
 /// Without any change, waiting still changes what is best.
 const PLAN_EVERY: Duration = Duration::from_millis(1000);
+/// Machines that a new leader has not heard for so long hold nobody up any more.
+const RECOVERY: Duration = Duration::from_secs(8);
 const FLEET_EVERY: Duration = Duration::from_millis(1000);
 
 /// A policy's `dearest` from here on allows machines of any price.
@@ -91,19 +94,19 @@
 }
 
 /// A job in the queue.
-struct InLine<'a> {
+pub(super) struct InLine<'a> {
     id: &'a JobId,
     job: &'a Job,
     run: &'a Run,
     team: usize,
-    estimate: Duration,
-    facts: JobFacts,
+    pub estimate: Duration,
+    pub facts: JobFacts,
     /// Its own, or that of a job that needs it.
     rank: Rank,
     order: f64,
 }
 
-struct View<'a> {
+pub(super) struct View<'a> {
     now: Instant,
     lead: &'a Lead,
     jobs: &'a BTreeMap<JobId, Job>,
@@ -282,6 +285,16 @@
         out
     }
 
+    /// The tightest aim of a kind that the users state for a class, in seconds; 0 for none.
+    pub(super) fn goal(&self, class: &str, kind: &str) -> f64 {
+        let objectives = self.settings.objectives.iter();
+        objectives
+            .filter(|o| o.kind == kind && o.class == class)
+            .filter_map(|o| o.within)
+            .min()
+            .map_or(0.0, |d| d.as_secs_f64())
+    }
+
     pub(super) fn facts(
         &self,
         job: &Job,
@@ -299,15 +312,7 @@
             since.unwrap_or_default().as_secs_f64()
         };
         let deadline_left = urgency.due.map(|d| wall(d) - wall(self.now.wall));
-        let goal = |kind: &str| {
-            self.settings
-                .objectives
-                .iter()
-                .filter(|o| o.kind == kind && o.class == job.spec.class)
-                .filter_map(|o| o.within)
-                .min()
-                .map_or(0.0, |d| d.as_secs_f64())
-        };
+        let goal = |kind: &str| self.goal(&job.spec.class, kind);
         let spec = &job.spec;
         JobFacts {
             wait: wait.as_secs_f64(),
@@ -621,7 +626,17 @@
             return;
         }
         let view = self.view(lead);
-        let unmet = self.unmet(&view);
+        let facts = self.fleet_facts(lead);
+        let bidding = self.policy.fleet_truth(Entry::Bidding, &facts);
+        // A new leader bids when it knows what is there: until then all that runs seems to wait.
+        let known =
+            lead.unresolved.is_empty() || now.saturating_duration_since(lead.since) > RECOVERY;
+        let mut asked = Vec::new();
+        let unmet = self.unmet(&view, |entry, unmet| {
+            if bidding {
+                asked.push(self.asked(entry, unmet.clone()));
+            }
+        });
         let coming = self.coming(lead);
         let mut zones: BTreeMap<&str, (u32, u32)> = BTreeMap::new();
         for m in lead.machines.values().filter(|m| m.session > 0) {
@@ -629,22 +644,28 @@
             z.0 += 1;
             z.1 += u32::from(now.saturating_duration_since(m.seen) < self.settings.report * 2);
         }
-        let market = fleet::Market {
-            types: self.types.clone(),
-            refused: lead
-                .market
-                .refused
-                .iter()
-                .filter(|(_, (until, _))| now < *until)
-                .map(|(o, _)| o.clone())
-                .collect(),
-            cut: zones
-                .into_iter()
-                .filter(|(_, (all, up))| up * 2 < *all)
-                .map(|(z, _)| z.to_string())
-                .collect(),
+        let zones = zones.into_iter();
+        let heard: Vec<(String, bool)> = zones
+            .map(|(z, (all, up))| (z.to_string(), up * 2 >= all))
+            .collect();
+        let Some(lead) = &mut self.lead else { return };
+        for (zone, heard) in &heard {
+            let why = (!heard).then_some("its machines are not heard");
+            lead.bidding.beliefs.shut_zone(zone, why);
+        }
+        let rents = if bidding && !known {
+            Vec::new()
+        } else if bidding {
+            self.bid(asked, &coming)
+        } else {
+            let market = fleet::Market {
+                types: self.types.clone(),
+                refused: lead.bidding.beliefs.refused(now).cloned().collect(),
+                cut: heard.into_iter().filter(|h| !h.1).map(|h| h.0).collect(),
+            };
+            fleet::rent(&lead.board, &coming, &unmet, &market, now)
         };
-        let rents = fleet::rent(&lead.board, &coming, &unmet, &market, now);
+        let Some(lead) = &self.lead else { return };
         // A new leader first learns what there is.
         let settled = lead.unresolved.is_empty()
             && now.saturating_duration_since(lead.since) > self.settings.report * 2;
@@ -706,10 +727,8 @@
         );
     }
 
-    fn idle_keep(&self, lead: &Lead, id: &MachineId) -> Duration {
-        let Some(m) = lead.machines.get(id) else {
-            return Duration::ZERO;
-        };
+    fn idle_keep(&self, lead: &Lead, id: &MachineId) -> Option<Duration> {
+        let m = lead.machines.get(id).filter(|m| !m.retiring)?;
         let t = self.type_of(&m.kind);
         let age = m.age + self.now.mono.saturating_duration_since(m.known_since);
         let price = t.map_or(0.0, |t| {
@@ -729,7 +748,7 @@
             pause: lead.arrivals.pause(),
         };
         let s = self.policy.machine_number(Entry::IdleKeep, &facts);
-        Duration::from_secs_f64(s.clamp(0.0, 1e7))
+        Some(Duration::from_secs_f64(s.clamp(0.0, 1e7)))
     }
 
     /// Machines that were asked for and not named yet.
@@ -758,7 +777,7 @@
     }
 
     /// What waits for room, in the queue's order, within the teams' limits.
-    fn unmet(&self, view: &View) -> Vec<Unmet> {
+    fn unmet(&self, view: &View, mut told: impl FnMut(&InLine, &Unmet)) -> Vec<Unmet> {
         let lead = view.lead;
         let teams = self.team_use(lead, &lead.board);
         let mut spare: Vec<f64> = teams
@@ -797,7 +816,7 @@
                 Duration::from_secs_f64(s.max(fastest * 0.6).clamp(0.0, 1e6))
             };
             if tasks > 0 {
-                out.push(Unmet {
+                let unmet = Unmet {
                     spec: spec.clone(),
                     rank: entry.rank,
                     tasks,
@@ -809,7 +828,9 @@
                     patience: patience(Entry::Patience),
                     spot_patience: patience(Entry::SpotPatience),
                     shunned: self.shunned(entry.job, &entry.facts),
-                });
+                };
+                told(&entry, &unmet);
+                out.push(unmet);
             }
         }
         out
@@ -819,12 +840,7 @@
     pub(super) fn refused_offers(&self) -> Vec<Offer> {
         let now = self.now.mono;
         self.lead.as_ref().map_or(Vec::new(), |l| {
-            l.market
-                .refused
-                .iter()
-                .filter(|(_, (until, _))| now < *until)
-                .map(|(o, _)| o.clone())
-                .collect()
+            l.bidding.beliefs.refused(now).cloned().collect()
         })
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,10 +3,12 @@
 //! The program is a thin shell around this library. `core` decides everything and does no I/O;
 //! `service` runs it between threads that do nothing but I/O.
 
+pub mod bids;
 pub mod board;
 pub mod cloud;
 pub mod core;
 pub mod fleet;
+pub mod forecast;
 pub mod http;
 pub mod job;
 pub mod peer;
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -28,6 +28,7 @@
 enum About {
     Job,
     Machine,
+    Fleet,
 }
 
 /// The entries of a policy.
@@ -39,10 +40,15 @@
     SpotPatience,
     Dearest,
     Preempt,
+    Worth,
+    Haste,
     IdleKeep,
+    Bidding,
+    Foresight,
+    Tolerance,
 }
 
-const ENTRIES: [(Entry, &str, Type, About); 7] = [
+const ENTRIES: [(Entry, &str, Type, About); 12] = [
     (Entry::Merit, "merit", Type::Number, About::Job),
     (Entry::Order, "order", Type::Number, About::Job),
     (Entry::Patience, "patience", Type::Number, About::Job),
@@ -54,7 +60,12 @@
     ),
     (Entry::Dearest, "dearest", Type::Number, About::Job),
     (Entry::Preempt, "preempt", Type::Truth, About::Job),
+    (Entry::Worth, "worth", Type::Number, About::Job),
+    (Entry::Haste, "haste", Type::Number, About::Job),
     (Entry::IdleKeep, "idle_keep", Type::Number, About::Machine),
+    (Entry::Bidding, "bidding", Type::Truth, About::Fleet),
+    (Entry::Foresight, "foresight", Type::Number, About::Fleet),
+    (Entry::Tolerance, "tolerance", Type::Number, About::Fleet),
 ];
 
 const JOB_NAMES: [(&str, Type); 18] = [
@@ -88,10 +99,17 @@
     ("pause", Type::Number),
 ];
 
+const FLEET_NAMES: [(&str, Type); 3] = [
+    ("machines", Type::Number),
+    ("zones", Type::Number),
+    ("pause", Type::Number),
+];
+
 fn names(about: About) -> &'static [(&'static str, Type)] {
     match about {
         About::Job => &JOB_NAMES,
         About::Machine => &MACHINE_NAMES,
+        About::Fleet => &FLEET_NAMES,
     }
 }
 
@@ -173,6 +191,21 @@
     }
 }
 
+/// What entries on the fleet as a whole are asked with.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct FleetFacts {
+    pub machines: f64,
+    pub zones: f64,
+    /// Mean time between the arrivals of jobs.
+    pub pause: f64,
+}
+
+impl FleetFacts {
+    fn values(&self) -> [f64; FLEET_NAMES.len()] {
+        [self.machines, self.zones, self.pause]
+    }
+}
+
 #[derive(Clone, Debug)]
 struct Node {
     at: usize,
@@ -718,6 +751,14 @@
         self.value(entry, &facts.values()) != 0.0
     }
 
+    pub fn fleet_number(&self, entry: Entry, facts: &FleetFacts) -> f64 {
+        self.value(entry, &facts.values())
+    }
+
+    pub fn fleet_truth(&self, entry: Entry, facts: &FleetFacts) -> bool {
+        self.value(entry, &facts.values()) != 0.0
+    }
+
     pub fn machine_number(&self, entry: Entry, facts: &MachineFacts) -> f64 {
         self.value(entry, &facts.values())
     }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -28,6 +28,10 @@
     pub kind: String,
     pub class: String,
     pub within: Option<Duration>,
+    /// The part of the class that should meet it; `None` where the file says nothing.
+    pub share: Option<f64>,
+    /// Of a deadline: how many times as long counts.
+    pub times: f64,
 }
 
 #[derive(Clone, Debug)]
@@ -117,6 +121,8 @@
     #[serde(default)]
     class: String,
     within_s: Option<f64>,
+    share: Option<f64>,
+    times: Option<f64>,
 }
 
 #[derive(Deserialize)]
@@ -240,6 +246,8 @@
                 kind: o.kind,
                 class: o.class,
                 within,
+                share: o.share.filter(|s| (0.0..=1.0).contains(s)),
+                times: o.times.filter(|t| t.is_finite() && *t > 0.0).unwrap_or(1.0),
             });
         }
         let w = &p.workers;
