--- a/crates/market/src/clear.rs
+++ b/crates/market/src/clear.rs
@@ -104,7 +104,7 @@
 const PARTS: usize = 2;
 /// Work that is served on a new machine need not be paid for elsewhere: this part of its
 /// cheapest cost is set against the machine's.
-const CREDIT: f64 = 0.5;
+const CREDIT: f64 = 1.0;
 /// No fewer gains than this are worth a variable.
 const CRUMB: f64 = 1e-9;
 
--- a/src/bids.rs
+++ b/src/bids.rs
@@ -4,7 +4,6 @@
 //! costs; the market package clears.
 
 use crate::board::{Board, Held, Offer, Use};
-use crate::fleet::{Rent, in_requests};
 use crate::forecast::{Coming, Forecast, Unmet};
 use crate::job::{JobSpec, Rank};
 use crate::wire::MachineType;
@@ -91,7 +90,7 @@
 
 /// Classes of machines that nobody who bids need pay for: whoever could use them would have
 /// another market that costs much less, if it gave what is asked.
-pub fn dear(board: &Board, types: &[MachineType], asked: &[Asked]) -> Vec<bool> {
+pub fn dear_(board: &Board, types: &[MachineType], asked: &[Asked]) -> Vec<bool> {
     const MUCH: f64 = 1.3;
     let per_task = |offer: &Offer, spec: &JobSpec| {
         let t = types.iter().find(|t| t.name == offer.0)?;
@@ -177,7 +176,7 @@
 /// What was decided: which machines to rent, and how many to keep of which dear class, by its
 /// place on the board.
 pub struct Decided {
-    pub rents: Vec<Rent>,
+    pub rents: BTreeMap<Offer, u32>,
     pub keep: Vec<(usize, u32)>,
     pub cleared: Cleared,
 }
@@ -193,7 +192,7 @@
     now: Instant,
 ) -> Decided {
     let preempting = asked.iter().any(|a| a.unmet.rank < Rank::Low);
-    let dear = dear(board, types, asked);
+    let dear = vec![false; board.classes.len()]; let _ = dear_;
     let held = held(board, types, &dear, now);
     let offered = lots.len();
     lots.extend(held.iter().map(|(_, lot)| lot.clone()));
@@ -254,7 +253,7 @@
         }
     }
     Decided {
-        rents: in_requests(wanted),
+        rents: wanted,
         keep,
         cleared,
     }
--- a/src/core/bidding.rs
+++ b/src/core/bidding.rs
@@ -6,7 +6,7 @@
 use super::scheduling::InLine;
 use crate::bids::{self, Asked};
 use crate::board::Offer;
-use crate::fleet::Rent;
+use crate::fleet::{self, Rent};
 use crate::forecast::{Coming, Unmet};
 use crate::job::{JobSpec, MachineId, Rank};
 use crate::policy::{Entry, FleetFacts, JobFacts};
@@ -170,11 +170,19 @@
     }
 
     /// Clears what waits and what is expected against the markets.
-    pub(super) fn bid(&mut self, mut asked: Vec<Asked>, coming: &[Coming]) -> Vec<Rent> {
+    pub(super) fn bid(
+        &mut self,
+        mut asked: Vec<Asked>,
+        coming: &[Coming],
+        market: &fleet::Market,
+    ) -> Vec<Rent> {
         let now = self.now.mono;
         let Some(mut lead) = self.lead.take() else {
             return Vec::new();
         };
+        let unmet: Vec<Unmet> = asked.iter().map(|a| a.unmet.clone()).collect();
+        let mut rents = fleet::spot_first(&lead.board, coming, &unmet, market, now);
+        let coming = &fleet::with(coming, &rents, &self.types)[..];
         let facts = self.fleet_facts(&lead);
         let ahead = self.policy.fleet_number(Entry::Foresight, &facts);
         if ahead > 0.0 {
@@ -213,7 +221,10 @@
         retire(&mut lead, &decided.keep, now);
         lead.bidding.last = Some(cleared);
         self.lead = Some(lead);
-        decided.rents
+        for (offer, count) in decided.rents {
+            *rents.entry(offer).or_default() += count;
+        }
+        fleet::in_requests(rents)
     }
 
     /// A machine was lost, or is going to be: its market is less safe than it seemed.
--- a/src/core/scheduling.rs
+++ b/src/core/scheduling.rs
@@ -653,16 +653,16 @@
             let why = (!heard).then_some("its machines are not heard");
             lead.bidding.beliefs.shut_zone(zone, why);
         }
+        let market = fleet::Market {
+            types: self.types.clone(),
+            refused: lead.bidding.beliefs.refused(now).cloned().collect(),
+            cut: heard.into_iter().filter(|h| !h.1).map(|h| h.0).collect(),
+        };
         let rents = if bidding && !known {
             Vec::new()
         } else if bidding {
-            self.bid(asked, &coming)
+            self.bid(asked, &coming, &market)
         } else {
-            let market = fleet::Market {
-                types: self.types.clone(),
-                refused: lead.bidding.beliefs.refused(now).cloned().collect(),
-                cut: heard.into_iter().filter(|h| !h.1).map(|h| h.0).collect(),
-            };
             fleet::rent(&lead.board, &coming, &unmet, &market, now)
         };
         let Some(lead) = &self.lead else { return };
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -56,6 +56,22 @@
     market: &Market,
     now: Instant,
 ) -> Vec<Rent> {
+    let mut out = spot_first(board, coming, unmet, market, now);
+    let with_those = with(coming, &out, &market.types);
+    for (u, left) in lay_out(board, &with_those, unmet, now, |u| u.patience) {
+        shop(u, left, market, false, &mut out);
+    }
+    in_requests(out)
+}
+
+/// Spot machines for work that would wait longer than is worth one of these.
+pub fn spot_first(
+    board: &Board,
+    coming: &[Coming],
+    unmet: &[Unmet],
+    market: &Market,
+    now: Instant,
+) -> BTreeMap<Offer, u32> {
     let mut out: BTreeMap<Offer, u32> = BTreeMap::new();
     let sooner = |u: &Unmet| u.spec.spot && u.spot_patience < u.patience;
     // Laying out a long queue is the larger part of the work: not where no spot machine is to be
@@ -78,10 +94,19 @@
             shop(u, left, market, true, &mut out);
         }
     }
-    let mut with_those = coming.to_vec();
-    for (offer, count) in &out {
-        if let Some(t) = market.types.iter().find(|t| t.name == offer.0) {
-            with_those.push(Coming {
+    out
+}
+
+/// What is on its way when these are asked for as well.
+pub fn with(
+    coming: &[Coming],
+    wanted: &BTreeMap<Offer, u32>,
+    types: &[MachineType],
+) -> Vec<Coming> {
+    let mut all = coming.to_vec();
+    for (offer, count) in wanted {
+        if let Some(t) = types.iter().find(|t| t.name == offer.0) {
+            all.push(Coming {
                 offer: offer.clone(),
                 room: t.room(),
                 count: *count,
@@ -89,10 +114,7 @@
             });
         }
     }
-    for (u, left) in lay_out(board, &with_those, unmet, now, |u| u.patience) {
-        shop(u, left, market, false, &mut out);
-    }
-    in_requests(out)
+    all
 }
 
 /// As many requests as it takes, each of no more machines than one may name.
