--- a/crates/market/src/clear.rs
+++ b/crates/market/src/clear.rs
@@ -48,9 +48,7 @@
     pub offer: Offer,
     /// Per hour.
     pub price: f64,
-    /// Its machines are held already: an award says how many of them to keep.
-    pub held: bool,
-    /// When a machine rented now, or held, takes work, from now on.
+    /// When a machine rented now takes work, from now on.
     pub ready: Duration,
     /// A machine is paid for at least this long.
     pub least_paid: Duration,
@@ -125,6 +123,23 @@
     first: f64,
 }
 
+/// What one machine of a column would serve at best: tasks of each bid.
+struct Fill {
+    column: usize,
+    /// What that saves for each unit of its cost.
+    rate: f64,
+    saved: f64,
+    served: Vec<(usize, f64)>,
+}
+
+/// A column as the program knows it.
+struct Posed {
+    column: usize,
+    machines: Variable,
+    /// Bids, what a task of theirs saves, and how many of them are served.
+    served: Vec<(usize, f64, Variable)>,
+}
+
 /// A place between 0 and 1 that is the same in every process: what settles exact ties, so that
 /// a new leader clears as the old one would have.
 pub fn lot_of(text: &str) -> f64 {
@@ -153,11 +168,7 @@
             out.push(Column {
                 lot: i,
                 stay,
-                // What is held works on until it is free: that is paid for in any case.
-                cost: match lot.held {
-                    true => price * stay,
-                    false => price * (ready + stay).max(paid),
-                },
+                cost: price * (ready + stay).max(paid),
             });
         }
     }
@@ -313,8 +324,7 @@
         let mut p = Problem::new(OptimizationDirection::Maximize);
         let mut per_bid: Vec<Vec<(Variable, f64)>> = vec![Vec::new(); self.left.len()];
         let mut per_lot: BTreeMap<usize, Vec<(Variable, f64)>> = BTreeMap::new();
-        // (column, its machines, what each bid gets there)
-        let mut asked: Vec<(usize, Variable, Vec<(usize, f64, Variable)>)> = Vec::new();
+        let mut posed: Vec<Posed> = Vec::new();
         for (c, column) in self.columns.iter().enumerate() {
             if self.cells[c].iter().all(Option::is_none) {
                 continue;
@@ -344,7 +354,11 @@
             first.push((machines, -column.stay / 2.0));
             p.add_constraint(&first, ComparisonOp::Le, 0.0);
             per_lot.entry(column.lot).or_default().push((machines, 1.0));
-            asked.push((c, machines, served));
+            posed.push(Posed {
+                column: c,
+                machines,
+                served,
+            });
         }
         for (b, row) in per_bid.iter().enumerate().filter(|(_, r)| !r.is_empty()) {
             p.add_constraint(row, ComparisonOp::Le, self.left[b]);
@@ -353,7 +367,7 @@
             let most = f64::from(self.likely[*lot].min(1_000_000));
             p.add_constraint(row, ComparisonOp::Le, most);
         }
-        if asked.is_empty() {
+        if posed.is_empty() {
             return true;
         }
         let Ok(outcome) = p.solve_with(SolveOptions::default()) else {
@@ -362,7 +376,12 @@
         let Ok(solution) = outcome.into_solution() else {
             return false;
         };
-        for (c, machines, served) in asked {
+        for Posed {
+            column: c,
+            machines,
+            served,
+        } in posed
+        {
             let wanted = solution.var_value(machines);
             // What is a rounding error below a whole machine is a whole one.
             let whole = (wanted + 1e-6).floor();
@@ -384,8 +403,8 @@
         true
     }
 
-    /// What one machine of a column would serve at best, and what that saves.
-    fn fill(&self, c: usize) -> (f64, Vec<(usize, f64)>) {
+    /// What one machine of a column would serve at best.
+    fn fill(&self, c: usize) -> Fill {
         let column = &self.columns[c];
         let cells = &self.cells[c];
         let mut order: Vec<(f64, usize, usize)> = Vec::new();
@@ -420,25 +439,36 @@
             saved += n * cell.value[part];
             *served.entry(b).or_default() += n;
         }
-        (saved, served.into_iter().collect())
+        Fill {
+            column: c,
+            rate: saved / column.cost.max(CRUMB),
+            saved,
+            served: served.into_iter().collect(),
+        }
     }
 
     /// Rents the machine that saves most beyond its cost for each unit of its cost, as many of it
     /// as find the same to do, until none is worth its money.
     fn greedy(&mut self) {
         loop {
-            let mut best: Option<(f64, usize, f64, Vec<(usize, f64)>)> = None;
+            let mut best: Option<Fill> = None;
             for (c, column) in self.columns.iter().enumerate() {
                 if self.likely[column.lot] == 0 {
                     continue;
                 }
-                let (saved, served) = self.fill(c);
-                let rate = saved / column.cost.max(CRUMB);
-                if saved > column.cost && best.as_ref().is_none_or(|b| rate > b.0) {
-                    best = Some((rate, c, saved, served));
+                let fill = self.fill(c);
+                let better = best.as_ref().is_none_or(|b| fill.rate > b.rate);
+                if fill.saved > column.cost && better {
+                    best = Some(fill);
                 }
             }
-            let Some((_, c, saved, served)) = best else {
+            let Some(Fill {
+                column: c,
+                saved,
+                served,
+                ..
+            }) = best
+            else {
                 return;
             };
             let lot = self.columns[c].lot;
@@ -470,7 +500,6 @@
             .filter(|&j| {
                 let (a, b) = (&lots[i], &lots[j]);
                 a.offer.0 == b.offer.0
-                    && a.held == b.held
                     && a.offer.2 == b.offer.2
                     && b.likely > 0
                     && (a.price - b.price).abs() <= SAME * a.price.max(b.price)
--- /dev/null
+++ b/crates/standin/src/cloud.rs
@@ -0,0 +1,261 @@
+//! The stand-in cloud: markets with so many machines each, rented by name, listed and deleted.
+
+use crate::scenario::Scenario;
+use crate::state::query;
+use crate::worker::{Worker, World};
+use burlusher::http::{self, Answer, Request};
+use burlusher::job::Resources;
+use burlusher::wire::{
+    ListBody, ListedMachine, ListedState, MachineNames, MachineType, PATH_DELETE, PATH_MACHINES,
+    PATH_TYPES, RentBody, TypesBody, to_json,
+};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+type Offer = (String, String, bool);
+
+#[derive(Default)]
+struct Inner {
+    machines: BTreeMap<String, (Arc<Worker>, Instant)>,
+    rented: BTreeMap<Offer, u32>,
+    requests: BTreeMap<String, Vec<burlusher::job::MachineId>>,
+    drained: BTreeSet<String>,
+    down_until: Option<Instant>,
+    next: u64,
+    /// Money spent on machines that are gone, and how many were rented.
+    spent: f64,
+    count: (u64, u64),
+    refused: u64,
+}
+
+pub struct Cloud {
+    types: Vec<MachineType>,
+    most: BTreeMap<Offer, u32>,
+    world: Arc<World>,
+    inner: Mutex<Inner>,
+}
+
+/// What the cloud can tell at the end.
+pub struct Bill {
+    pub spent: f64,
+    pub ordinary: u64,
+    pub spot: u64,
+    pub refused: u64,
+}
+
+impl Cloud {
+    pub fn new(scenario: &Scenario, world: Arc<World>) -> Cloud {
+        let mut most = BTreeMap::new();
+        let mut types = Vec::new();
+        for m in &scenario.machines {
+            for z in &scenario.zones {
+                most.insert((m.name.clone(), z.clone(), false), m.ordinary);
+                most.insert((m.name.clone(), z.clone(), true), m.spot);
+            }
+            types.push(MachineType {
+                name: m.name.clone(),
+                cpus: m.cpus,
+                gpus: 0.0,
+                ram: m.ram_gb,
+                cache_gb: 50.0,
+                fetch_gb_per_s: 1.0,
+                price: m.price,
+                spot_price: m.spot_price,
+                boot_s: m.boot_s,
+                zones: scenario.zones.clone(),
+            });
+        }
+        Cloud {
+            types,
+            most,
+            world,
+            inner: Mutex::new(Inner::default()),
+        }
+    }
+
+    pub fn break_for(&self, time: Duration) {
+        self.inner.lock().expect("no panic holds it").down_until = Some(Instant::now() + time);
+    }
+
+    /// Nothing is rented there any more, and its machines are taken after the notice.
+    pub fn drain(&self, zone: &str, notice: Duration) {
+        let mut c = self.inner.lock().expect("no panic holds it");
+        c.drained.insert(zone.into());
+        let there = c.machines.values().filter(|(w, _)| w.zone == zone);
+        there.for_each(|(w, _)| w.notice(notice));
+    }
+
+    pub fn open(&self, zone: &str) {
+        self.inner.lock().expect("no panic").drained.remove(zone);
+    }
+
+    /// Machines that are up or booting, by zone.
+    pub fn held(&self) -> BTreeMap<String, usize> {
+        let c = self.inner.lock().expect("no panic holds it");
+        let mut held = BTreeMap::new();
+        for (w, _) in c.machines.values().filter(|(w, _)| !w.is_gone()) {
+            *held.entry(w.zone.clone()).or_default() += 1;
+        }
+        held
+    }
+
+    pub fn bill(&self) -> Bill {
+        let c = self.inner.lock().expect("no panic holds it");
+        let running = c.machines.values().map(|(w, since)| self.price(w, *since));
+        Bill {
+            spent: c.spent + running.sum::<f64>(),
+            ordinary: c.count.0,
+            spot: c.count.1,
+            refused: c.refused,
+        }
+    }
+
+    fn price(&self, w: &Worker, since: Instant) -> f64 {
+        let t = self.types.iter().find(|t| t.name == w.kind);
+        let hourly = t.map_or(0.0, |t| {
+            let spot = t.spot_price.filter(|_| w.spot);
+            spot.unwrap_or(t.price)
+        });
+        hourly * since.elapsed().as_secs_f64().max(60.0) / 3600.0
+    }
+
+    pub fn answer(&self, r: &Request) -> Answer {
+        let mut c = self.inner.lock().expect("no panic holds it");
+        if c.down_until.is_some_and(|t| Instant::now() < t) {
+            return Answer::error(503, "trouble");
+        }
+        let path = r.path.split('?').next().unwrap_or("");
+        match (r.method.as_str(), path) {
+            ("GET", PATH_TYPES) => {
+                let types = self.types.clone();
+                Answer::new(200, to_json(&TypesBody { types }))
+            }
+            ("GET", PATH_MACHINES) => {
+                let since = query(&r.path, "since").unwrap_or("").to_string();
+                let there = c.machines.values().filter(|(w, _)| !w.is_gone());
+                let listed = there.filter(|(w, _)| w.id > since).map(|(w, rented)| {
+                    let boot = self.types.iter().find(|t| t.name == w.kind);
+                    let up = rented.elapsed().as_secs_f64() > boot.map_or(0.0, |t| t.boot_s);
+                    ListedMachine {
+                        id: w.id.as_str().into(),
+                        addr: Some(w.addr.to_string()),
+                        kind: w.kind.clone(),
+                        zone: w.zone.clone(),
+                        spot: w.spot,
+                        state: if up {
+                            ListedState::Running
+                        } else {
+                            ListedState::Booting
+                        },
+                        age_s: rented.elapsed().as_secs_f64(),
+                    }
+                });
+                let machines = listed.collect();
+                Answer::new(
+                    200,
+                    to_json(&ListBody {
+                        machines,
+                        more: false,
+                    }),
+                )
+            }
+            ("POST", PATH_DELETE) => match serde_json::from_slice::<MachineNames>(&r.body) {
+                Ok(names) => {
+                    for id in &names.machines {
+                        self.take_away(&mut c, id);
+                    }
+                    Answer::new(200, b"{}".to_vec())
+                }
+                Err(e) => Answer::error(400, &e.to_string()),
+            },
+            ("POST", PATH_MACHINES) => match serde_json::from_slice::<RentBody>(&r.body) {
+                Ok(body) if body.count <= 50 => self.rent(&mut c, body),
+                Ok(_) => Answer::error(400, "count: at most 50"),
+                Err(e) => Answer::error(400, &e.to_string()),
+            },
+            _ => Answer::error(400, "malformed"),
+        }
+    }
+
+    fn take_away(&self, c: &mut Inner, id: &str) {
+        if let Some((w, since)) = c.machines.remove(id) {
+            w.remove();
+            c.spent += self.price(&w, since);
+            let offer = (w.kind.clone(), w.zone.clone(), w.spot);
+            if let Some(n) = c.rented.get_mut(&offer) {
+                *n -= 1;
+            }
+        }
+    }
+
+    fn rent(&self, c: &mut Inner, body: RentBody) -> Answer {
+        let names = |machines| Answer::new(200, to_json(&MachineNames { machines }));
+        if let Some(machines) = c.requests.get(&body.request) {
+            return names(machines.clone());
+        }
+        let gone: Vec<String> = c
+            .machines
+            .iter()
+            .filter(|(_, (w, _))| w.is_gone())
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in gone {
+            self.take_away(c, &id);
+        }
+        let offer = (body.kind, body.zone, body.spot);
+        let most = self.most.get(&offer).copied().unwrap_or(0);
+        let held = c.rented.get(&offer).copied().unwrap_or(0);
+        let count = body.count.min(most.saturating_sub(held));
+        let t = self.types.iter().find(|t| t.name == offer.0);
+        let (Some(t), true) = (t, count > 0 && !c.drained.contains(&offer.1)) else {
+            c.refused += 1;
+            return Answer::error(503, "no capacity");
+        };
+        let mut machines = Vec::new();
+        for _ in 0..count {
+            let Some(worker) = self.boot(c, &offer, t) else {
+                break;
+            };
+            machines.push(worker.id.as_str().into());
+            c.machines
+                .insert(worker.id.clone(), (worker, Instant::now()));
+        }
+        let got = machines.len() as u64;
+        *c.rented.entry(offer.clone()).or_default() += got as u32;
+        match offer.2 {
+            true => c.count.1 += got,
+            false => c.count.0 += got,
+        }
+        c.requests.insert(body.request, machines.clone());
+        names(machines)
+    }
+
+    fn boot(&self, c: &mut Inner, offer: &Offer, t: &MachineType) -> Option<Arc<Worker>> {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).ok()?;
+        let SocketAddr::V4(addr) = listener.local_addr().ok()? else {
+            return None;
+        };
+        c.next += 1;
+        let id = format!("i-{:06}", c.next);
+        let room = Resources {
+            cpus: t.cpus,
+            gpus: t.gpus,
+            ram: t.ram,
+        };
+        let worker = Worker::new(id, addr, offer.clone(), room, self.world.clone());
+        let worker = Arc::new(worker);
+        let (up, serving) = (worker.clone(), worker.clone());
+        let boot = Duration::from_secs_f64(t.boot_s);
+        std::thread::spawn(move || {
+            std::thread::sleep(boot);
+            std::thread::spawn(move || {
+                let answer = move |r: Request| serving.answer(&r);
+                http::serve(listener, 16, Arc::new(answer));
+            });
+            up.live();
+        });
+        Some(worker)
+    }
+}
--- /dev/null
+++ b/crates/standin/src/state.rs
@@ -0,0 +1,246 @@
+//! The stand-in state service: one lock, one map, watches that wait on a condition.
+
+use burlusher::http::{Answer, Request};
+use burlusher::wire::{
+    Change, Event, EventsBody, Item, ItemsBody, LeaseAnswer, LeaseBody, Txn, TxnAnswer, to_json,
+};
+use serde_json::Value;
+use std::collections::BTreeMap;
+use std::sync::{Condvar, Mutex};
+use std::time::{Duration, Instant};
+
+/// Changes that a watch may still ask for.
+const KEPT: usize = 10_000;
+
+#[derive(Default)]
+struct Store {
+    keys: BTreeMap<String, Item>,
+    leases: BTreeMap<u64, (Instant, Duration)>,
+    next_lease: u64,
+    revision: u64,
+    events: Vec<Event>,
+    down_until: Option<Instant>,
+}
+
+#[derive(Default)]
+pub struct StateService {
+    store: Mutex<Store>,
+    changed: Condvar,
+}
+
+impl Store {
+    fn note(&mut self, put: Option<&Item>, drop: Option<&str>) {
+        self.events.push(Event {
+            put: put.map(|i| i.key.clone()),
+            delete: drop.map(str::to_string),
+            value: put.map_or(Value::Null, |i| i.value.clone()),
+            version: self.revision,
+            lease: put.and_then(|i| i.lease),
+        });
+        if self.events.len() > 2 * KEPT {
+            self.events.drain(..KEPT);
+        }
+    }
+
+    fn end_leases(&mut self, now: Instant) {
+        let over: Vec<u64> = self
+            .leases
+            .iter()
+            .filter(|(_, (end, _))| *end <= now)
+            .map(|(id, _)| *id)
+            .collect();
+        for id in over {
+            self.end_lease(id);
+        }
+    }
+
+    fn end_lease(&mut self, id: u64) {
+        self.leases.remove(&id);
+        let held = self.keys.values().filter(|i| i.lease == Some(id));
+        let held: Vec<String> = held.map(|i| i.key.clone()).collect();
+        if !held.is_empty() {
+            self.revision += 1;
+        }
+        for key in held {
+            self.keys.remove(&key);
+            self.note(None, Some(&key));
+        }
+    }
+
+    fn commit(&mut self, txn: Txn) -> Answer {
+        let version = |key: &str| self.keys.get(key).map_or(0, |i| i.version);
+        let failed: Vec<String> = txn
+            .conditions
+            .iter()
+            .filter(|c| version(&c.key) != c.version)
+            .map(|c| c.key.clone())
+            .collect();
+        let answer = |status, revision, failed| {
+            let body = TxnAnswer { revision, failed };
+            Answer::new(status, to_json(&body))
+        };
+        if !failed.is_empty() {
+            return answer(409, self.revision, failed);
+        }
+        let gone = |l: &u64| !self.leases.contains_key(l);
+        for change in &txn.changes {
+            if let Change::Put { lease: Some(l), .. } = change
+                && gone(l)
+            {
+                return Answer::error(400, "no such lease");
+            }
+        }
+        if !txn.changes.is_empty() {
+            self.revision += 1;
+        }
+        for change in txn.changes {
+            match change {
+                Change::Put { key, value, lease } => {
+                    let version = self.revision;
+                    let item = Item {
+                        key: key.clone(),
+                        value,
+                        version,
+                        lease,
+                    };
+                    self.note(Some(&item), None);
+                    self.keys.insert(key, item);
+                }
+                Change::Delete { key } => {
+                    if self.keys.remove(&key).is_some() {
+                        self.note(None, Some(&key));
+                    }
+                }
+            }
+        }
+        answer(200, self.revision, Vec::new())
+    }
+}
+
+/// The value of a name in a path's query.
+pub fn query<'a>(path: &'a str, name: &str) -> Option<&'a str> {
+    let (_, query) = path.split_once('?')?;
+    let mut pairs = query.split('&').filter_map(|p| p.split_once('='));
+    pairs.find(|(n, _)| *n == name).map(|(_, v)| v)
+}
+
+impl StateService {
+    pub fn break_for(&self, time: Duration) {
+        let mut s = self.store.lock().expect("no panic holds it");
+        let until = Instant::now() + time;
+        s.down_until = Some(until);
+        // Every lease has its full time again afterwards.
+        for (end, ttl) in s.leases.values_mut() {
+            *end = until + *ttl;
+        }
+    }
+
+    pub fn answer(&self, r: &Request) -> Answer {
+        let now = Instant::now();
+        let mut s = self.store.lock().expect("no panic holds it");
+        if s.down_until.is_some_and(|t| now < t) {
+            return Answer::error(503, "trouble");
+        }
+        s.end_leases(now);
+        let path = r.path.split('?').next().unwrap_or("");
+        let number = |name| query(&r.path, name).and_then(|v| v.parse::<u64>().ok());
+        let answer = match (r.method.as_str(), path) {
+            ("GET", "/kv") => {
+                let under = query(&r.path, "under").unwrap_or("");
+                let since = query(&r.path, "since").unwrap_or("");
+                let page = number("page").unwrap_or(1000).min(1000) as usize;
+                let mut found = s
+                    .keys
+                    .values()
+                    .filter(|i| i.key.starts_with(under) && (since.is_empty() || *i.key > *since));
+                let items: Vec<Item> = found.by_ref().take(page).cloned().collect();
+                let more = found.next().is_some();
+                let revision = s.revision;
+                Answer::new(
+                    200,
+                    to_json(&ItemsBody {
+                        items,
+                        more,
+                        revision,
+                    }),
+                )
+            }
+            ("GET", "/changes") => return self.watch(s, r),
+            ("GET", key) if key.starts_with("/kv/") => match s.keys.get(&key[4..]) {
+                Some(item) => Answer::new(200, to_json(item)),
+                None => {
+                    let body = TxnAnswer {
+                        revision: s.revision,
+                        failed: Vec::new(),
+                    };
+                    Answer::new(404, to_json(&body))
+                }
+            },
+            ("POST", "/txn") => match serde_json::from_slice(&r.body) {
+                Ok(txn) => s.commit(txn),
+                Err(e) => Answer::error(400, &e.to_string()),
+            },
+            ("POST", "/leases") => match serde_json::from_slice::<LeaseBody>(&r.body) {
+                Ok(l) => {
+                    s.next_lease += 1;
+                    let (id, ttl) = (s.next_lease, Duration::from_millis(l.ttl_ms));
+                    s.leases.insert(id, (now + ttl, ttl));
+                    Answer::new(200, to_json(&LeaseAnswer { lease: id }))
+                }
+                Err(e) => Answer::error(400, &e.to_string()),
+            },
+            (method, lease) if lease.starts_with("/leases/") => {
+                let id = lease[8..].split('/').next().and_then(|i| i.parse().ok());
+                match (method, id) {
+                    ("DELETE", Some(id)) => {
+                        s.end_lease(id);
+                        Answer::new(200, b"{}".to_vec())
+                    }
+                    ("POST", Some(id)) => match s.leases.get_mut(&id) {
+                        Some((end, ttl)) => {
+                            *end = now + *ttl;
+                            Answer::new(200, to_json(&LeaseAnswer { lease: id }))
+                        }
+                        None => Answer::error(404, "no such lease"),
+                    },
+                    _ => Answer::error(400, "malformed"),
+                }
+            }
+            _ => Answer::error(400, "malformed"),
+        };
+        self.changed.notify_all();
+        answer
+    }
+
+    /// Waits until something with the prefix changed after the revision, or the time is over.
+    fn watch<'a>(&'a self, mut s: std::sync::MutexGuard<'a, Store>, r: &Request) -> Answer {
+        let under = query(&r.path, "under").unwrap_or("").to_string();
+        let number = |name| query(&r.path, name).and_then(|v| v.parse::<u64>().ok());
+        let since = number("since").unwrap_or(0);
+        let wait = Duration::from_millis(number("wait_ms").unwrap_or(0).min(60_000));
+        let until = Instant::now() + wait;
+        loop {
+            s.end_leases(Instant::now());
+            if s.events.len() >= KEPT && s.events.first().is_some_and(|e| e.version > since + 1) {
+                return Answer::error(410, "too old");
+            }
+            let named = |e: &&Event| {
+                let key = e.put.as_ref().or(e.delete.as_ref());
+                e.version > since && key.is_some_and(|k| k.starts_with(&under))
+            };
+            let events: Vec<Event> = s.events.iter().filter(named).cloned().collect();
+            let left = until.saturating_duration_since(Instant::now());
+            if !events.is_empty() || left.is_zero() {
+                let revision = s.revision;
+                return Answer::new(200, to_json(&EventsBody { revision, events }));
+            }
+            // Leases end without anybody's doing.
+            let nap = left.min(Duration::from_millis(100));
+            let (next, _) = self
+                .changed
+                .wait_timeout(s, nap)
+                .expect("no panic holds it");
+            s = next;
+        }
+    }
+}
--- /dev/null
+++ b/crates/standin/src/users.rs
@@ -0,0 +1,220 @@
+//! Stand-in users: a seeded load of jobs, submitted through any controller and asked about until
+//! they are done.
+
+use crate::records::{Quantiles, histogram, quantiles};
+use crate::scenario::{Job, Scenario};
+use crate::worker::World;
+use burlusher::http::Client;
+use burlusher::job::{JobSpec, Kind, Rank, Resources};
+use burlusher::wire::{JOB_PREFIX, JobAnswer, JobState, PATH_JOBS, submission};
+use hdrhistogram::Histogram;
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+const ASK_EVERY: Duration = Duration::from_secs(1);
+const ANSWER: Duration = Duration::from_secs(5);
+
+/// A job in the load: when it comes, and how long each of its tasks runs.
+pub struct Coming {
+    pub at: Duration,
+    pub spec: JobSpec,
+    pub run: Duration,
+}
+
+/// The load of a scenario: the same for the same seed.
+pub fn load(scenario: &Scenario) -> Vec<Coming> {
+    let mut rng = SmallRng::seed_from_u64(scenario.seed);
+    let mut all = Vec::new();
+    for class in &scenario.jobs {
+        let rate = *class.a_minute.get_ref() / 60.0;
+        if rate == 0.0 {
+            continue;
+        }
+        let mut at = 0.0;
+        loop {
+            let chance: f64 = rng.random_range(1e-9..1.0);
+            at -= chance.ln() / rate;
+            if at >= scenario.load_s {
+                break;
+            }
+            all.push((at, class, rng.random_range(0.6..1.4)));
+        }
+    }
+    all.sort_by(|a, b| a.0.total_cmp(&b.0));
+    let numbered = all.into_iter().enumerate();
+    numbered.map(|(n, x)| coming(n, x.0, x.1, x.2)).collect()
+}
+
+fn coming(number: usize, at: f64, class: &Job, stretch: f64) -> Coming {
+    let run = Duration::from_secs_f64(class.run_s * stretch);
+    Coming {
+        at: Duration::from_secs_f64(at),
+        run,
+        spec: JobSpec {
+            id: format!("{JOB_PREFIX}{number:06}").into(),
+            class: class.class.clone(),
+            team: "all".into(),
+            kind: Kind::Array,
+            rank: if class.urgent {
+                Rank::High
+            } else {
+                Rank::Normal
+            },
+            tasks: *class.tasks.get_ref(),
+            needs: Resources {
+                cpus: class.cpus,
+                gpus: 0.0,
+                ram: class.ram_gb,
+            },
+            image: format!("image-of-{}", class.class),
+            image_gb: 0.3,
+            types: None,
+            zone: None,
+            one_zone: false,
+            spread: false,
+            spot: class.spot,
+            // Owners estimate roughly.
+            estimate: Duration::from_secs_f64(class.run_s),
+            checkpoint: Duration::ZERO,
+            save: Duration::ZERO,
+            deadline: class.deadline_s.map(Duration::from_secs_f64),
+            awaits: Vec::new(),
+        },
+    }
+}
+
+/// What users saw.
+#[derive(Default)]
+pub struct Seen {
+    pub accepted: u64,
+    pub refused: Vec<String>,
+    pub done: u64,
+    /// Told done before all rows had completed, or told done and then something else.
+    pub wrong: Vec<String>,
+    accept_ms: Option<Histogram<u64>>,
+    finish_ms: BTreeMap<String, Histogram<u64>>,
+}
+
+impl Seen {
+    pub fn accept(&self) -> Quantiles {
+        quantiles(self.accept_ms.as_ref().unwrap_or(&histogram()))
+    }
+
+    pub fn finish(&self) -> BTreeMap<String, Quantiles> {
+        let all = self.finish_ms.iter();
+        all.map(|(class, h)| (class.clone(), quantiles(h)))
+            .collect()
+    }
+}
+
+pub struct Users {
+    world: Arc<World>,
+    pub seen: Mutex<Seen>,
+}
+
+impl Users {
+    pub fn new(world: Arc<World>) -> Users {
+        Users {
+            world,
+            seen: Mutex::new(Seen::default()),
+        }
+    }
+
+    /// One call through some controller, moved on by the caller when it fails.
+    fn call(&self, n: usize, method: &str, path: &str, body: &[u8]) -> Option<(u16, Vec<u8>)> {
+        let nodes = &self.world.nodes;
+        let mut client = Client::new(nodes[n % nodes.len()].1, Duration::from_millis(300));
+        client.call(method, path, body, ANSWER, false).ok()
+    }
+
+    /// Submits a job and follows it until it is done or the time is over.
+    pub fn follow(&self, n: usize, job: Coming, until: Instant) {
+        let (id, class) = (job.spec.id.to_string(), job.spec.class.clone());
+        let tasks = u64::from(job.spec.tasks);
+        let body = submission(&job.spec);
+        let shared = Arc::new((job.spec, job.run));
+        let mut jobs = self.world.jobs.lock().expect("no panic holds it");
+        jobs.insert(id.clone(), shared);
+        drop(jobs);
+        let mut records = self.world.records.lock().expect("no panic holds it");
+        records.submitted(&id, &class);
+        drop(records);
+        let begin = Instant::now();
+        let mut tries = n;
+        loop {
+            match self.call(tries, "POST", PATH_JOBS, &body) {
+                Some((200 | 201, _)) => break,
+                Some((status @ (400 | 422), why)) => {
+                    let why = String::from_utf8_lossy(&why).into_owned();
+                    let mut seen = self.seen.lock().expect("no panic holds it");
+                    return seen.refused.push(format!("{id}: {status} {why}"));
+                }
+                _ if Instant::now() > until => return,
+                _ => std::thread::sleep(ASK_EVERY / 2),
+            }
+            tries += 1;
+        }
+        let mut seen = self.seen.lock().expect("no panic holds it");
+        seen.accepted += 1;
+        let accepted = seen.accept_ms.get_or_insert_with(histogram);
+        accepted.saturating_record(begin.elapsed().as_millis() as u64);
+        drop(seen);
+        let path = format!("{PATH_JOBS}/{id}");
+        let mut done = false;
+        let mut more = 2;
+        while Instant::now() < until && more > 0 {
+            std::thread::sleep(ASK_EVERY);
+            tries += 1;
+            let answer = self.call(tries, "GET", &path, b"");
+            let mut seen = self.seen.lock().expect("no panic holds it");
+            let state = match answer {
+                Some((200, body)) => serde_json::from_slice::<JobAnswer>(&body).ok(),
+                Some((404, _)) => {
+                    seen.wrong.push(format!("{id}: accepted, and then unknown"));
+                    return;
+                }
+                _ => None,
+            };
+            let Some(state) = state.map(|a| a.state) else {
+                continue;
+            };
+            match (done, state == JobState::Done) {
+                (false, true) => {
+                    done = true;
+                    seen.done += 1;
+                    let h = seen.finish_ms.entry(class.clone());
+                    let took = begin.elapsed().as_millis() as u64;
+                    h.or_insert_with(histogram).saturating_record(took);
+                    let records = self.world.records.lock().expect("no panic holds it");
+                    if records.done(&id) < tasks {
+                        seen.wrong
+                            .push(format!("{id}: told done before all its tasks were"));
+                    }
+                }
+                (true, false) => seen.wrong.push(format!("{id}: done, and then {state:?}")),
+                _ => {}
+            }
+            // Asked a little longer: what was said must not be unsaid.
+            more -= u32::from(done);
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn the_same_seed_gives_the_same_load_and_another_one_another() {
+        let text = include_str!("../../../scenarios/three-zones.toml");
+        let times = |seed: u64| {
+            let mut s = Scenario::parse("s", text).unwrap();
+            s.seed = seed;
+            load(&s).iter().map(|c| c.at).collect::<Vec<_>>()
+        };
+        assert!(times(1) == times(1) && times(1) != times(2) && times(1).len() > 10);
+    }
+}
--- /dev/null
+++ b/crates/standin/src/worker.rs
@@ -0,0 +1,331 @@
+//! A stand-in machine with its worker: it boots, reports, runs tasks by the clock, and is lost.
+
+use crate::records::Records;
+use burlusher::http::{Answer, Client, Request};
+use burlusher::job::{JobSpec, Resources};
+use burlusher::wire::{
+    DirectBody, Order, PATH_REPORT, Redirect, Report, ReportAnswer, RowReport, RowState, Why,
+    parse_task, to_json,
+};
+use std::collections::BTreeMap;
+use std::net::SocketAddrV4;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+pub const REPORT: Duration = Duration::from_secs(1);
+pub const LEASE: Duration = Duration::from_secs(8);
+const FETCH: Duration = Duration::from_millis(300);
+const TICK: Duration = Duration::from_millis(30);
+
+/// What all machines share: the jobs that users uploaded, the records, the controllers.
+pub struct World {
+    pub jobs: Mutex<BTreeMap<String, Arc<(JobSpec, Duration)>>>,
+    pub records: Mutex<Records>,
+    /// Name and public address of each controller.
+    pub nodes: Vec<(String, SocketAddrV4)>,
+}
+
+struct Task {
+    job: Arc<(JobSpec, Duration)>,
+    attempt: u64,
+    state: RowState,
+    until: Instant,
+    why: Option<Why>,
+}
+
+struct Inner {
+    session: u64,
+    seq: u64,
+    token: u64,
+    /// When the last answered report was sent.
+    answered: Instant,
+    tasks: BTreeMap<String, Task>,
+    images: Vec<String>,
+    gone: bool,
+    taken_at: Option<Instant>,
+    news: bool,
+}
+
+pub struct Worker {
+    pub id: String,
+    pub addr: SocketAddrV4,
+    pub kind: String,
+    pub zone: String,
+    pub spot: bool,
+    pub room: Resources,
+    world: Arc<World>,
+    inner: Mutex<Inner>,
+}
+
+impl Worker {
+    pub fn new(
+        id: String,
+        addr: SocketAddrV4,
+        offer: (String, String, bool),
+        room: Resources,
+        world: Arc<World>,
+    ) -> Worker {
+        Worker {
+            id,
+            addr,
+            kind: offer.0,
+            zone: offer.1,
+            spot: offer.2,
+            room,
+            world,
+            inner: Mutex::new(Inner {
+                session: 1,
+                seq: 0,
+                token: 0,
+                answered: Instant::now(),
+                tasks: BTreeMap::new(),
+                images: Vec::new(),
+                gone: false,
+                taken_at: None,
+                news: false,
+            }),
+        }
+    }
+
+    /// The machine will be taken after this time.
+    pub fn notice(&self, after: Duration) {
+        let mut w = self.inner.lock().expect("no panic holds it");
+        w.taken_at = Some(Instant::now() + after);
+        w.news = true;
+    }
+
+    /// The machine and everything on it is gone.
+    pub fn remove(&self) {
+        let mut w = self.inner.lock().expect("no panic holds it");
+        self.forget_all(&mut w);
+        w.gone = true;
+    }
+
+    pub fn is_gone(&self) -> bool {
+        self.inner.lock().expect("no panic holds it").gone
+    }
+
+    fn forget_all(&self, w: &mut Inner) {
+        let mut records = self.world.records.lock().expect("no panic holds it");
+        for (task, t) in std::mem::take(&mut w.tasks) {
+            if t.state == RowState::Running
+                && let Some(key) = parse_task(&task)
+            {
+                records.leave(&key.job, key.row, &self.zone, None);
+            }
+        }
+    }
+
+    /// What the passing of time brings about.
+    fn advance(&self, w: &mut Inner) {
+        let now = Instant::now();
+        if w.taken_at.is_some_and(|t| now >= t) && !w.gone {
+            self.forget_all(w);
+            w.gone = true;
+        }
+        if now > w.answered + LEASE {
+            self.forget_all(w);
+            w.session += 1;
+            w.answered = now;
+            w.news = true;
+        }
+        for (task, t) in &mut w.tasks {
+            let Some(key) = parse_task(task).filter(|_| now >= t.until) else {
+                continue;
+            };
+            let mut records = self.world.records.lock().expect("no panic holds it");
+            match t.state {
+                RowState::Fetching => {
+                    t.state = RowState::Running;
+                    t.until = now + t.job.1;
+                    records.start(&key.job, key.row, &self.id);
+                }
+                RowState::Running => {
+                    t.state = RowState::Exited;
+                    t.why = Some(Why::Done);
+                    let ran = Some((t.job.1, t.job.0.needs.cpus));
+                    records.leave(&key.job, key.row, &self.zone, ran);
+                }
+                _ => continue,
+            }
+            w.news = true;
+        }
+    }
+
+    fn execute(&self, w: &mut Inner, orders: Vec<Order>) {
+        let now = Instant::now();
+        for order in orders {
+            w.news = true;
+            match order {
+                Order::Start { task, attempt } => {
+                    let held = w.tasks.get(&task);
+                    if held.is_some_and(|t| t.attempt == attempt) {
+                        continue;
+                    }
+                    let busy = held.is_some_and(|t| t.state != RowState::Exited);
+                    let jobs = self.world.jobs.lock().expect("no panic holds it");
+                    let Some(job) = parse_task(&task).and_then(|k| jobs.get(&*k.job).cloned())
+                    else {
+                        continue;
+                    };
+                    let mut free = self.room;
+                    for t in w.tasks.values().filter(|t| t.state != RowState::Exited) {
+                        free.sub(&t.job.0.needs);
+                    }
+                    let image = job.0.image.clone();
+                    let why = if busy {
+                        // Another attempt of it is here: this one is refused, and not kept.
+                        continue;
+                    } else if job.0.needs.fits(&free) {
+                        None
+                    } else {
+                        Some(Why::NoRoom)
+                    };
+                    let cached = w.images.contains(&image);
+                    if !cached {
+                        w.images.push(image);
+                    }
+                    let task_now = Task {
+                        job,
+                        attempt,
+                        state: match why {
+                            Some(_) => RowState::Exited,
+                            None => RowState::Fetching,
+                        },
+                        until: if cached { now } else { now + FETCH },
+                        why,
+                    };
+                    w.tasks.insert(task, task_now);
+                }
+                Order::Stop { task, attempt, .. } => {
+                    if let Some(t) = w.tasks.get_mut(&task).filter(|t| t.attempt == attempt)
+                        && t.state != RowState::Exited
+                    {
+                        if t.state == RowState::Running
+                            && let Some(key) = parse_task(&task)
+                        {
+                            let mut records = self.world.records.lock().expect("no panic");
+                            records.leave(&key.job, key.row, &self.zone, None);
+                        }
+                        t.state = RowState::Exited;
+                        t.why = Some(Why::Stopped);
+                    }
+                }
+                Order::Forget { task, attempt } => {
+                    let exited = |t: &Task| t.attempt == attempt && t.state == RowState::Exited;
+                    if w.tasks.get(&task).is_some_and(exited) {
+                        w.tasks.remove(&task);
+                    }
+                }
+            }
+        }
+    }
+
+    fn report(&self, w: &mut Inner) -> Report {
+        self.advance(w);
+        w.seq += 1;
+        let left = |t: Instant| t.saturating_duration_since(Instant::now()).as_secs_f64();
+        Report {
+            machine: self.id.as_str().into(),
+            addr: self.addr.to_string(),
+            kind: self.kind.clone(),
+            zone: self.zone.clone(),
+            spot: self.spot,
+            session: w.session,
+            seq: w.seq,
+            token: w.token,
+            notice: w.taken_at.map(left),
+            rows: w
+                .tasks
+                .iter()
+                .map(|(task, t)| RowReport {
+                    task: task.clone(),
+                    attempt: t.attempt,
+                    state: t.state,
+                    why: t.why,
+                    saved: None,
+                })
+                .collect(),
+        }
+    }
+
+    /// Direct commands and questions.
+    pub fn answer(&self, r: &Request) -> Option<Answer> {
+        let mut w = self.inner.lock().expect("no panic holds it");
+        if w.gone {
+            return None;
+        }
+        let mut status = 200;
+        if r.method == "POST" {
+            let Ok(body) = serde_json::from_slice::<DirectBody>(&r.body) else {
+                return Some(Answer::error(400, "malformed"));
+            };
+            self.advance(&mut w);
+            if body.token < w.token || body.session != w.session {
+                status = 409;
+            } else {
+                w.token = body.token;
+                self.execute(&mut w, body.orders);
+            }
+        }
+        let report = self.report(&mut w);
+        Some(Answer::new(status, to_json(&report)))
+    }
+
+    /// Reports until the machine is gone.
+    pub fn live(&self) {
+        let mut node = 0;
+        let mut client = Client::new(self.world.nodes[node].1, Duration::from_millis(500));
+        let mut last = Instant::now() - REPORT;
+        loop {
+            std::thread::sleep(TICK);
+            let report = {
+                let mut w = self.inner.lock().expect("no panic holds it");
+                self.advance(&mut w);
+                if w.gone {
+                    return;
+                }
+                let due = last.elapsed() >= REPORT || (w.news && last.elapsed() >= REPORT / 2);
+                if !due {
+                    continue;
+                }
+                w.news = false;
+                to_json(&self.report(&mut w))
+            };
+            last = Instant::now();
+            let answer = client.call("POST", PATH_REPORT, &report, Duration::from_secs(4), false);
+            let next = match answer {
+                Ok((200, body)) => {
+                    if let Ok(a) = serde_json::from_slice::<ReportAnswer>(&body) {
+                        self.take_in(a, last);
+                    }
+                    continue;
+                }
+                Ok((421, body)) => {
+                    let to = serde_json::from_slice::<Redirect>(&body).ok();
+                    let name = to.and_then(|r| r.leader);
+                    self.world.nodes.iter().position(|n| Some(&*n.0) == name)
+                }
+                _ => None,
+            };
+            if next.is_none_or(|n| n == node) {
+                std::thread::sleep(Duration::from_secs(1));
+            }
+            node = next
+                .filter(|n| *n != node)
+                .unwrap_or((node + 1) % self.world.nodes.len());
+            client = Client::new(self.world.nodes[node].1, Duration::from_millis(500));
+            last = Instant::now() - REPORT;
+        }
+    }
+
+    fn take_in(&self, answer: ReportAnswer, sent: Instant) {
+        let mut w = self.inner.lock().expect("no panic holds it");
+        if answer.token < w.token || w.gone || Instant::now() > w.answered + LEASE {
+            return;
+        }
+        w.token = answer.token;
+        w.answered = sent;
+        self.execute(&mut w, answer.orders);
+    }
+}
--- a/src/bids.rs
+++ b/src/bids.rs
@@ -3,9 +3,9 @@
 //! The forecast says when each task would start without another machine; its worth says what that
 //! costs; the market package clears.
 
-use crate::board::{Board, Held, Offer, Use};
+use crate::board::{Board, Offer, Use};
 use crate::forecast::{Coming, Forecast, Unmet};
-use crate::job::{JobSpec, Rank};
+use crate::job::{JobSpec, MachineId, Rank};
 use crate::wire::MachineType;
 use burlusher_market::clear::{self, Cleared};
 use burlusher_market::{Beliefs, Bid, Carry, Lot, Spread, Worth};
@@ -72,7 +72,6 @@
                 let offer = (t.name.clone(), zone.clone(), spot);
                 let outlook = beliefs.outlook(&offer, now);
                 out.push(Lot {
-                    held: false,
                     price,
                     ready: beliefs.boot(&t.name, announced),
                     least_paid: LEAST_PAID,
@@ -88,9 +87,13 @@
     out
 }
 
-/// Classes of machines that nobody who bids need pay for: whoever could use them would have
-/// another market that costs much less, if it gave what is asked.
-pub fn dear_(board: &Board, types: &[MachineType], asked: &[Asked]) -> Vec<bool> {
+/// Classes of machines that nobody need pay for: whoever could use them would have another market
+/// that costs much less, if it gave what is asked.
+pub fn dear<'a>(
+    board: &Board,
+    types: &[MachineType],
+    specs: impl Iterator<Item = &'a JobSpec>,
+) -> Vec<bool> {
     const MUCH: f64 = 1.3;
     let per_task = |offer: &Offer, spec: &JobSpec| {
         let t = types.iter().find(|t| t.name == offer.0)?;
@@ -100,8 +103,7 @@
     };
     let mut dear: Vec<bool> = board.classes.iter().map(|c| c.machines > 0).collect();
     let mut seen = BTreeSet::new();
-    for a in asked {
-        let spec = &a.unmet.spec;
+    for spec in specs {
         // Jobs of one class are much alike; this is about prices only.
         if !seen.insert((spec.class.as_str(), spec.spot, &spec.zone, &spec.types)) {
             continue;
@@ -118,40 +120,42 @@
     dear
 }
 
-/// Held machines of dear classes as lots: what they are paid for as long as they are kept.
-fn held(board: &Board, types: &[MachineType], dear: &[bool], now: Instant) -> Vec<(usize, Lot)> {
-    let mut sums = vec![(0u32, 0.0); board.classes.len()];
-    for (_, h) in board.hosts().filter(|(_, h)| dear[h.class]) {
-        let ends = |t: &Held| match t.ends {
-            Some(at) if !t.stopping => at.saturating_duration_since(now).as_secs_f64(),
-            _ => 0.0,
-        };
-        // Until a place is free there, on the average.
-        let ready = match h.usage {
-            Use::Closed => continue,
-            Use::Booting(at) => at.saturating_duration_since(now).as_secs_f64(),
-            _ => h.tasks.iter().map(ends).sum::<f64>() / h.tasks.len().max(1) as f64 / 2.0,
-        };
-        sums[h.class].0 += 1;
-        sums[h.class].1 += ready;
+/// Which machines of dear classes to let go: as many as the room that is free on the others now
+/// would carry the work of, less what waits; the least loaded first, and rather those that were
+/// let go before. `paid` are those that cost nothing more for a while.
+pub fn let_go(
+    board: &Board,
+    dear: &[bool],
+    waiting_cpus: f64,
+    went: impl Fn(&MachineId) -> bool,
+    paid: impl Fn(&MachineId) -> bool,
+) -> BTreeSet<MachineId> {
+    /// Room is in pieces, and work comes in waves.
+    const USABLE: f64 = 0.5;
+    let is_dear = |class: usize| dear.get(class) == Some(&true);
+    let mut spare = -waiting_cpus;
+    let mut held = Vec::new();
+    for (_, h) in board.hosts() {
+        if !is_dear(h.class) {
+            if h.usage == Use::Open {
+                spare += h.free.cpus.max(0.0) * USABLE;
+            }
+        } else if matches!(h.usage, Use::Open | Use::Resting) && !paid(&h.id) {
+            let load: f64 = h.tasks.iter().map(|t| t.needs.cpus).sum();
+            held.push((!went(&h.id), load, &h.id));
+        }
     }
-    let lot = |(class, (count, ready)): (usize, (u32, f64))| {
-        let c = &board.classes[class];
-        let t = types.iter().find(|t| t.name == c.offer.0)?;
-        let price = if c.offer.2 { t.spot_price? } else { t.price };
-        let lot = Lot {
-            offer: c.offer.clone(),
-            held: true,
-            price,
-            ready: Duration::from_secs_f64(ready / f64::from(count.max(1))),
-            least_paid: Duration::ZERO,
-            likely: count,
-            hazard: 0.0,
-            size: c.room.cpus,
-        };
-        (count > 0).then_some((class, lot))
-    };
-    sums.into_iter().enumerate().filter_map(lot).collect()
+    held.sort_by(|a, b| (a.0.cmp(&b.0)).then(a.1.total_cmp(&b.1)).then(a.2.cmp(b.2)));
+    let mut out = BTreeSet::new();
+    for (_, load, id) in held {
+        // An empty one is let go as well only where there is room beside it.
+        spare -= load.max(1.0);
+        if spare < 0.0 {
+            break;
+        }
+        out.insert(id.clone());
+    }
+    out
 }
 
 /// How many tasks of a job start how long from now on, where those near to each other go together.
@@ -173,30 +177,18 @@
     }
 }
 
-/// What was decided: which machines to rent, and how many to keep of which dear class, by its
-/// place on the board.
-pub struct Decided {
-    pub rents: BTreeMap<Offer, u32>,
-    pub keep: Vec<(usize, u32)>,
-    pub cleared: Cleared,
-}
-
-/// Which machines are worth renting and keeping for what was asked, in the queue's order.
-pub fn decide(
+/// Which machines are worth renting for what was asked, in the queue's order.
+pub fn rent(
     board: &Board,
     coming: &[Coming],
     asked: &[Asked],
     types: &[MachineType],
-    mut lots: Vec<Lot>,
+    lots: &[Lot],
     spread: &Spread,
     now: Instant,
-) -> Decided {
+) -> (BTreeMap<Offer, u32>, Cleared) {
     let preempting = asked.iter().any(|a| a.unmet.rank < Rank::Low);
-    let dear = vec![false; board.classes.len()]; let _ = dear_;
-    let held = held(board, types, &dear, now);
-    let offered = lots.len();
-    lots.extend(held.iter().map(|(_, lot)| lot.clone()));
-    let mut forecast = Forecast::new(board, coming, now, HORIZON, preempting, dear);
+    let mut forecast = Forecast::new(board, coming, now, HORIZON, preempting);
     if asked.iter().any(|a| !a.arrives.is_zero()) {
         forecast.with_free();
     }
@@ -241,20 +233,8 @@
             });
         }
     }
-    let cleared = clear::clear(&bids, &lots, spread);
-    let mut wanted = BTreeMap::new();
-    let mut keep: Vec<(usize, u32)> = held.iter().map(|(class, _)| (*class, 0)).collect();
-    for award in &cleared.awards {
-        match award.lot.checked_sub(offered) {
-            Some(i) => keep[i].1 = award.count,
-            None => {
-                wanted.insert(lots[award.lot].offer.clone(), award.count);
-            }
-        }
-    }
-    Decided {
-        rents: wanted,
-        keep,
-        cleared,
-    }
+    let cleared = clear::clear(&bids, lots, spread);
+    let awards = cleared.awards.iter();
+    let wanted = awards.map(|a| (lots[a.lot].offer.clone(), a.count));
+    (wanted.collect(), cleared)
 }
--- a/src/core/bidding.rs
+++ b/src/core/bidding.rs
@@ -3,6 +3,7 @@
 
 use super::Core;
 use super::leadership::Lead;
+use super::machines::Machine;
 use super::scheduling::InLine;
 use crate::bids::{self, Asked};
 use crate::board::Offer;
@@ -133,6 +134,11 @@
                 continue;
             }
             let goal = |kind: &str| self.goal(&e.spec.class, kind);
+            // Owners derive deadlines from their estimates: one job's slack stands for all.
+            let due = e
+                .spec
+                .deadline
+                .map(|d| d.saturating_sub(e.spec.estimate) + run);
             let facts = JobFacts {
                 estimate: run.as_secs_f64(),
                 tasks: size,
@@ -144,8 +150,8 @@
                 rank: e.rank as u8 as f64,
                 start_goal: goal("wait"),
                 finish_goal: goal("finished"),
-                has_deadline: e.spec.deadline.is_some(),
-                deadline_left: e.spec.deadline.map_or(0.0, |d| d.as_secs_f64()),
+                has_deadline: due.is_some(),
+                deadline_left: due.map_or(0.0, |d| d.as_secs_f64()),
                 spot: e.spec.spot,
                 ..JobFacts::default()
             };
@@ -206,22 +212,26 @@
         lead.bidding.expose(now, &machines);
         let lots = bids::lots(&self.types, &lead.bidding.beliefs, now);
         let types = &self.types;
-        let decided = bids::decide(&lead.board, coming, &asked, types, lots, &spread, now);
-        let cleared = decided.cleared;
+        let (more, cleared) = bids::rent(&lead.board, coming, &asked, types, &lots, &spread, now);
         if !cleared.awards.is_empty() {
             log::debug!(
-                "cleared {:?}: saves {:.0}, costs {:.0}, {:.0} tasks not worth a machine; keep {:?}",
+                "cleared {:?}: saves {:.0}, costs {:.0}, {:.0} tasks not worth a machine",
                 cleared.method,
                 cleared.saved,
                 cleared.cost,
                 cleared.unserved,
-                decided.keep,
             );
         }
-        retire(&mut lead, &decided.keep, now);
+        let live = lead.runs.keys().filter_map(|id| self.mirror.jobs.get(id));
+        let specs = live.map(|j| &*j.spec);
+        let specs = specs.chain(lead.bidding.expected.values().map(|e| &*e.spec));
+        let dear = bids::dear(&lead.board, types, specs);
+        let waiting = asked.iter().filter(|a| a.arrives.is_zero());
+        let waiting = waiting.map(|a| a.unmet.spec.needs.cpus * f64::from(a.unmet.tasks));
+        retire(&mut lead, &dear, waiting.sum(), now);
         lead.bidding.last = Some(cleared);
         self.lead = Some(lead);
-        for (offer, count) in decided.rents {
+        for (offer, count) in more {
             *rents.entry(offer).or_default() += count;
         }
         fleet::in_requests(rents)
@@ -238,42 +248,26 @@
     }
 }
 
-/// Of dear machines, those beyond what is worth keeping take no more tasks, and are returned when
-/// they are empty: the least loaded first, and rather those than others that were chosen before.
-fn retire(lead: &mut Lead, keep: &[(usize, u32)], now: Instant) {
-    let keep: BTreeMap<usize, u32> = keep.iter().copied().collect();
-    let mut held: BTreeMap<usize, Vec<(bool, usize, MachineId)>> = BTreeMap::new();
-    for (_, h) in lead.board.hosts() {
-        let Some(m) = lead.machines.get(&h.id) else {
-            continue;
-        };
-        if m.session > 0 && m.deleting.is_none() {
-            let load = (!m.retiring, h.tasks.len(), h.id.clone());
-            held.entry(h.class).or_default().push(load);
-        }
-    }
-    let mut changed = Vec::new();
-    for (class, mut machines) in held {
-        // What is not dear, or not any more, is kept.
-        let kept = keep.get(&class).map_or(usize::MAX, |n| *n as usize);
-        machines.sort();
-        let most = machines.len().saturating_sub(kept);
-        for (i, (_, _, id)) in machines.into_iter().enumerate() {
-            let Some(m) = lead.machines.get(&id) else {
-                continue;
-            };
-            // Until then it costs nothing more.
-            let paid = m.age + now.saturating_duration_since(m.known_since) < PAID;
-            let retiring = i < most && !paid;
-            if m.retiring != retiring {
-                changed.push((id, retiring));
-            }
-        }
-    }
-    for (id, retiring) in changed {
+/// Dear machines whose work others have room for take no more tasks, and are returned when they
+/// are empty; those that are needed again before that go on.
+fn retire(lead: &mut Lead, dear: &[bool], waiting_cpus: f64, now: Instant) {
+    let machines = &lead.machines;
+    let went = |id: &MachineId| machines.get(id).is_some_and(|m| m.retiring);
+    let paid = |id: &MachineId| {
+        let age = |m: &Machine| m.age + now.saturating_duration_since(m.known_since);
+        machines.get(id).is_none_or(|m| age(m) < PAID)
+    };
+    let gone = bids::let_go(&lead.board, dear, waiting_cpus, went, paid);
+    let turns = |m: &&Machine| m.retiring != gone.contains(&m.id);
+    let turning: Vec<MachineId> = machines
+        .values()
+        .filter(turns)
+        .map(|m| m.id.clone())
+        .collect();
+    for id in turning {
         if let Some(m) = lead.machines.get_mut(&id) {
-            log::debug!("machine {id} retires: {retiring}");
-            m.retiring = retiring;
+            m.retiring = !m.retiring;
+            log::debug!("machine {id} retires: {}", m.retiring);
             lead.plan_again = true;
         }
     }
--- a/src/forecast.rs
+++ b/src/forecast.rs
@@ -41,8 +41,6 @@
 /// Room that comes by itself: what running tasks and booting machines will give.
 pub struct Forecast<'a> {
     board: &'a Board,
-    /// Classes of machines that are left out of it, by their place on the board.
-    without: Vec<bool>,
     /// Machines that are on their way come after the board's, numbered on.
     coming: Vec<&'a Coming>,
     /// Machines on which work of the lowest rank can be stopped, a number for each task.
@@ -71,9 +69,7 @@
         now: Instant,
         horizon: Duration,
         preempting: bool,
-        without: Vec<bool>,
     ) -> Self {
-        let left_out = |slot: usize| without.get(board.host(slot).class) == Some(&true);
         let mut gains: Vec<((Duration, usize), Resources)> = Vec::new();
         let mut boots = BTreeMap::new();
         for (at, slot, t) in board.ends(now) {
@@ -81,7 +77,7 @@
             if after > horizon {
                 break;
             }
-            if board.host(slot).usage == Use::Closed || left_out(slot) {
+            if board.host(slot).usage == Use::Closed {
                 continue;
             }
             match gains.last_mut() {
@@ -89,7 +85,7 @@
                 _ => gains.push(((after, slot), t.needs)),
             }
         }
-        for slot in board.booting().filter(|s| !left_out(*s)) {
+        for slot in board.booting() {
             let h = board.host(slot);
             if let Use::Booting(at) = h.usage {
                 // Later than expected: at any moment, as far as one knows.
@@ -109,10 +105,7 @@
         }
         let mut yielded = Vec::new();
         if preempting && board.has_below(Rank::Normal) {
-            for (slot, h) in board
-                .hosts()
-                .filter(|(s, h)| h.usage == Use::Open && !left_out(*s))
-            {
+            for (slot, h) in board.hosts().filter(|(_, h)| h.usage == Use::Open) {
                 for t in h
                     .tasks
                     .iter()
@@ -127,7 +120,6 @@
         Forecast {
             last_boot,
             board,
-            without,
             coming,
             yielded,
             // Nearly in order already, and built at once.
@@ -157,9 +149,7 @@
 
     /// Room that is free now counts as well: for what comes while it is there.
     pub fn with_free(&mut self) {
-        let left_out = |class: usize| self.without.get(class) == Some(&true);
-        let open = self.board.open();
-        for slot in open.filter(|s| !left_out(self.board.host(*s).class)) {
+        for slot in self.board.open() {
             let none = Resources::default();
             self.gains.entry((Duration::ZERO, slot)).or_insert(none);
         }
@@ -240,7 +230,7 @@
         return Vec::new();
     };
     let preempting = unmet.iter().any(|u| u.rank < Rank::Low);
-    let mut forecast = Forecast::new(board, coming, now, horizon, preempting, Vec::new());
+    let mut forecast = Forecast::new(board, coming, now, horizon, preempting);
     let left = |u: &'a Unmet| {
         (
             u,
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -25,7 +25,7 @@
 
 // ---------------------------------------------------------------- users
 
-#[derive(Deserialize)]
+#[derive(Deserialize, Serialize)]
 struct SubmitBody {
     name_id: String,
     crop: String,
@@ -38,9 +38,9 @@
     ram_gb: f64,
     seedstock: String,
     size_gb: f64,
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
     breeds: Option<Vec<String>>,
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
     parcel: Option<String>,
     together: bool,
     scatter: bool,
@@ -48,9 +48,9 @@
     reckon_s: f64,
     harvest_s: f64,
     bale_s: f64,
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
     due_s: Option<f64>,
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
     awaits: Option<BTreeSet<String>>,
 }
 
@@ -147,6 +147,43 @@
     })
 }
 
+/// A submission as users send it.
+pub fn submission(spec: &JobSpec) -> Vec<u8> {
+    let awaits: BTreeSet<String> = spec.awaits.iter().map(|a| a.to_string()).collect();
+    to_json(&SubmitBody {
+        name_id: spec.id.to_string(),
+        crop: spec.class.clone(),
+        steward: spec.team.clone(),
+        shape: match spec.kind {
+            Kind::Array => ShapeWord::Array,
+            Kind::Service => ShapeWord::Service,
+            Kind::Gang => ShapeWord::Ensemble,
+        },
+        rank: match spec.rank {
+            Rank::Production => RankWord::Production,
+            Rank::High => RankWord::Urgent,
+            Rank::Normal => RankWord::Standard,
+            Rank::Low => RankWord::Low,
+        },
+        rows: u64::from(spec.tasks),
+        cpus: spec.needs.cpus,
+        accelerators: spec.needs.gpus,
+        ram_gb: spec.needs.ram,
+        seedstock: spec.image.clone(),
+        size_gb: spec.image_gb,
+        breeds: spec.types.clone(),
+        parcel: spec.zone.clone(),
+        together: spec.one_zone,
+        scatter: spec.spread,
+        gleanable: spec.spot,
+        reckon_s: spec.estimate.as_secs_f64(),
+        harvest_s: spec.checkpoint.as_secs_f64(),
+        bale_s: spec.save.as_secs_f64(),
+        due_s: spec.deadline.map(|d| d.as_secs_f64()),
+        awaits: (!awaits.is_empty()).then_some(awaits),
+    })
+}
+
 /// The id in a submission that is otherwise unreadable, if it has one.
 pub fn submitted_id(body: &[u8]) -> Option<String> {
     let v: Value = serde_json::from_slice(body).ok()?;
@@ -311,9 +348,14 @@
     pub orders: Vec<Order>,
 }
 
-#[derive(Serialize)]
+#[derive(Serialize, Deserialize)]
 pub struct Redirect<'a> {
-    #[serde(rename = "foreman", skip_serializing_if = "Option::is_none")]
+    #[serde(
+        rename = "foreman",
+        borrow,
+        default,
+        skip_serializing_if = "Option::is_none"
+    )]
     pub leader: Option<&'a str>,
 }
 
@@ -495,12 +537,12 @@
     pub failed: Vec<String>,
 }
 
-#[derive(Serialize)]
+#[derive(Serialize, Deserialize)]
 pub struct LeaseBody {
     pub ttl_ms: u64,
 }
 
-#[derive(Deserialize)]
+#[derive(Serialize, Deserialize)]
 pub struct LeaseAnswer {
     #[serde(rename = "tenancy")]
     pub lease: u64,
@@ -545,6 +587,7 @@
     #[test]
     fn a_submission_is_read_and_every_fault_in_it_is_refused() {
         let spec = parse_submission(&body(|_| ())).unwrap();
+        assert_eq!(parse_submission(&submission(&spec)).unwrap(), spec);
         assert_eq!((spec.tasks, spec.rank), (16, Rank::High));
         assert_eq!(spec.deadline, Some(Duration::from_secs(900)));
         let faults: &[(&str, Value)] = &[
