--- a/crates/market/src/clear.rs
+++ b/crates/market/src/clear.rs
@@ -12,7 +12,9 @@
 use crate::{Offer, worth};
 use microlp::{ComparisonOp, OptimizationDirection, Problem, SolveOptions, Variable};
 use siphasher::sip::SipHasher13;
-use std::collections::BTreeMap;
+use std::borrow::Cow;
+use std::cmp::Ordering;
+use std::collections::{BTreeMap, BinaryHeap};
 use std::hash::Hasher;
 use std::time::Duration;
 
@@ -93,7 +95,9 @@
 /// Bids beyond this are joined with their likes.
 const MOST_BIDS: usize = 24;
 /// The program takes in this many variables at most; beyond that the greedy way clears.
-const MOST_VARIABLES: usize = 2_000;
+const MOST_VARIABLES: usize = 400;
+/// As many as this are as good as any number.
+const MOST_MACHINES: u32 = 1_000_000;
 /// A rented machine stays at least this long after it is up, whatever it is paid for.
 const SHORTEST_STAY: f64 = 20.0;
 /// Stays: the paid minute, and this much longer.
@@ -125,19 +129,49 @@
 
 /// What one machine of a column would serve at best: tasks of each bid.
 struct Fill {
-    column: usize,
     /// What that saves for each unit of its cost.
     rate: f64,
     saved: f64,
     served: Vec<(usize, f64)>,
 }
 
-/// A column as the program knows it.
+/// A column as the program knows it, by the numbers of its variables.
 struct Posed {
     column: usize,
-    machines: Variable,
+    machines: usize,
     /// Bids, what a task of theirs saves, and how many of them are served.
-    served: Vec<(usize, f64, Variable)>,
+    served: Vec<(usize, f64, usize)>,
+}
+
+/// A linear program: the greatest sum of `gains` times variables, each between 0 and its `most`,
+/// so that each row's sum is no more than its bound.
+#[derive(Clone, Debug, Default)]
+pub struct Program {
+    pub gains: Vec<f64>,
+    pub most: Vec<f64>,
+    pub rows: Vec<(Vec<(usize, f64)>, f64)>,
+}
+
+impl Program {
+    fn variable(&mut self, gain: f64, most: f64) -> usize {
+        self.gains.push(gain);
+        self.most.push(most);
+        self.gains.len() - 1
+    }
+
+    /// The variables' values, by the simplex method; `None` if it finds none.
+    pub fn solve(&self) -> Option<Vec<f64>> {
+        let mut p = Problem::new(OptimizationDirection::Maximize);
+        let bounds = self.gains.iter().zip(&self.most);
+        let vars: Vec<Variable> = bounds.map(|(g, m)| p.add_var(*g, (0.0, *m))).collect();
+        for (row, bound) in &self.rows {
+            let row: Vec<(Variable, f64)> = row.iter().map(|(x, c)| (vars[*x], *c)).collect();
+            p.add_constraint(&row, ComparisonOp::Le, *bound);
+        }
+        let outcome = p.solve_with(SolveOptions::default()).ok()?;
+        let solution = outcome.into_solution().ok()?;
+        Some(vars.iter().map(|x| solution.var_value(*x)).collect())
+    }
 }
 
 /// A place between 0 and 1 that is the same in every process: what settles exact ties, so that
@@ -148,10 +182,14 @@
     (h.finish() >> 11) as f64 / (1u64 << 53) as f64
 }
 
+/// The place of a market among others that are its equals.
+fn place(offer: &Offer) -> f64 {
+    lot_of(&format!("{}/{}/{}", offer.0, offer.1, offer.2))
+}
+
 fn effective_price(lot: &Lot, spread: &Spread) -> f64 {
-    let name = format!("{}/{}/{}", lot.offer.0, lot.offer.1, lot.offer.2);
     // A millionth: enough to make each answer the only best one.
-    lot.price * spread.factor(&lot.offer.1) * (1.0 + 1e-6 * lot_of(&name))
+    lot.price * spread.factor(&lot.offer.1) * (1.0 + 1e-6 * place(&lot.offer))
 }
 
 fn columns(lots: &[Lot], spread: &Spread) -> Vec<Column> {
@@ -260,28 +298,32 @@
     clear_by(bids, lots, spread, false)
 }
 
-fn clear_by(bids: &[Bid], lots: &[Lot], spread: &Spread, program: bool) -> Cleared {
-    let joined;
-    let bids = if bids.len() > MOST_BIDS {
-        joined = join(bids);
-        &joined[..]
+/// The program that clearing would solve, for measuring other ways to solve it.
+pub fn pose(bids: &[Bid], lots: &[Lot], spread: &Spread) -> Program {
+    let bids = few(bids);
+    let columns = columns(lots, spread);
+    let cells = cells(&bids, lots, &columns);
+    Clearing::new(&bids, lots, &columns, &cells).pose().0
+}
+
+fn few(bids: &[Bid]) -> Cow<'_, [Bid]> {
+    if bids.len() > MOST_BIDS {
+        Cow::Owned(join(bids))
     } else {
-        bids
-    };
+        Cow::Borrowed(bids)
+    }
+}
+
+fn cells(bids: &[Bid], lots: &[Lot], columns: &[Column]) -> Vec<Vec<Option<Cell>>> {
+    let row = |c: &Column| bids.iter().map(|b| cell(b, &lots[c.lot], c)).collect();
+    columns.iter().map(row).collect()
+}
+
+fn clear_by(bids: &[Bid], lots: &[Lot], spread: &Spread, program: bool) -> Cleared {
+    let bids = few(bids);
     let columns = columns(lots, spread);
-    let cells: Vec<Vec<Option<Cell>>> = columns
-        .iter()
-        .map(|c| bids.iter().map(|b| cell(b, &lots[c.lot], c)).collect())
-        .collect();
-    let mut market = Clearing {
-        left: bids.iter().map(|b| b.tasks.max(0.0)).collect(),
-        likely: lots.iter().map(|l| l.likely).collect(),
-        counts: vec![0; lots.len()],
-        saved: 0.0,
-        cost: 0.0,
-        columns: &columns,
-        cells: &cells,
-    };
+    let cells = cells(&bids, lots, &columns);
+    let mut market = Clearing::new(&bids, lots, &columns, &cells);
     let mut method = Method::Greedy;
     let variables: usize = cells.iter().flatten().flatten().count() * PARTS + columns.len();
     if program && variables <= MOST_VARIABLES && market.solve() {
@@ -318,19 +360,36 @@
     cells: &'a [Vec<Option<Cell>>],
 }
 
-impl Clearing<'_> {
-    /// The linear program, its answer rounded down to whole machines; false if there is none.
-    fn solve(&mut self) -> bool {
-        let mut p = Problem::new(OptimizationDirection::Maximize);
-        let mut per_bid: Vec<Vec<(Variable, f64)>> = vec![Vec::new(); self.left.len()];
-        let mut per_lot: BTreeMap<usize, Vec<(Variable, f64)>> = BTreeMap::new();
+impl<'a> Clearing<'a> {
+    fn new(
+        bids: &[Bid],
+        lots: &[Lot],
+        columns: &'a [Column],
+        cells: &'a [Vec<Option<Cell>>],
+    ) -> Clearing<'a> {
+        Clearing {
+            left: bids.iter().map(|b| b.tasks.max(0.0)).collect(),
+            likely: lots.iter().map(|l| l.likely).collect(),
+            counts: vec![0; lots.len()],
+            saved: 0.0,
+            cost: 0.0,
+            columns,
+            cells,
+        }
+    }
+
+    /// The linear program of what is left.
+    fn pose(&self) -> (Program, Vec<Posed>) {
+        let mut p = Program::default();
+        let mut per_bid: Vec<Vec<(usize, f64)>> = vec![Vec::new(); self.left.len()];
+        let mut per_lot: BTreeMap<usize, Vec<(usize, f64)>> = BTreeMap::new();
         let mut posed: Vec<Posed> = Vec::new();
         for (c, column) in self.columns.iter().enumerate() {
             if self.cells[c].iter().all(Option::is_none) {
                 continue;
             }
-            let most = f64::from(self.likely[column.lot].min(1_000_000));
-            let machines = p.add_var(-column.cost, (0.0, most));
+            let most = f64::from(self.likely[column.lot].min(MOST_MACHINES));
+            let machines = p.variable(-column.cost, most);
             let (mut whole, mut first) = (Vec::new(), Vec::new());
             let mut served = Vec::new();
             for (b, cell) in self.cells[c].iter().enumerate() {
@@ -339,7 +398,7 @@
                     if *value <= CRUMB {
                         continue;
                     }
-                    let x = p.add_var(*value, (0.0, self.left[b]));
+                    let x = p.variable(*value, self.left[b]);
                     per_bid[b].push((x, 1.0));
                     whole.push((x, cell.takes));
                     if part == 0 {
@@ -350,9 +409,9 @@
             }
             // Room in seconds of a machine: over the stay, and in its first half.
             whole.push((machines, -column.stay));
-            p.add_constraint(&whole, ComparisonOp::Le, 0.0);
+            p.rows.push((whole, 0.0));
             first.push((machines, -column.stay / 2.0));
-            p.add_constraint(&first, ComparisonOp::Le, 0.0);
+            p.rows.push((first, 0.0));
             per_lot.entry(column.lot).or_default().push((machines, 1.0));
             posed.push(Posed {
                 column: c,
@@ -360,20 +419,25 @@
                 served,
             });
         }
-        for (b, row) in per_bid.iter().enumerate().filter(|(_, r)| !r.is_empty()) {
-            p.add_constraint(row, ComparisonOp::Le, self.left[b]);
+        for (b, row) in per_bid.into_iter().enumerate() {
+            if !row.is_empty() {
+                p.rows.push((row, self.left[b]));
+            }
         }
-        for (lot, row) in &per_lot {
-            let most = f64::from(self.likely[*lot].min(1_000_000));
-            p.add_constraint(row, ComparisonOp::Le, most);
+        for (lot, row) in per_lot {
+            let most = f64::from(self.likely[lot].min(MOST_MACHINES));
+            p.rows.push((row, most));
         }
+        (p, posed)
+    }
+
+    /// The program's answer rounded down to whole machines; false if there is none.
+    fn solve(&mut self) -> bool {
+        let (program, posed) = self.pose();
         if posed.is_empty() {
             return true;
         }
-        let Ok(outcome) = p.solve_with(SolveOptions::default()) else {
-            return false;
-        };
-        let Ok(solution) = outcome.into_solution() else {
+        let Some(values) = program.solve() else {
             return false;
         };
         for Posed {
@@ -382,7 +446,7 @@
             served,
         } in posed
         {
-            let wanted = solution.var_value(machines);
+            let wanted = values[machines];
             // What is a rounding error below a whole machine is a whole one.
             let whole = (wanted + 1e-6).floor();
             if whole < 1.0 {
@@ -395,7 +459,7 @@
             self.counts[lot] += count;
             self.cost += self.columns[c].cost * f64::from(count);
             for (b, value, x) in served {
-                let tasks = (solution.var_value(x) * kept).clamp(0.0, self.left[b]);
+                let tasks = (values[x] * kept).clamp(0.0, self.left[b]);
                 self.left[b] -= tasks;
                 self.saved += value * tasks;
             }
@@ -440,52 +504,77 @@
             *served.entry(b).or_default() += n;
         }
         Fill {
-            column: c,
             rate: saved / column.cost.max(CRUMB),
             saved,
             served: served.into_iter().collect(),
         }
     }
 
-    /// Rents the machine that saves most beyond its cost for each unit of its cost, as many of it
-    /// as find the same to do, until none is worth its money.
+    /// Rents the machine that saves most for each unit of its cost, as many of it as find the same
+    /// to do, until none is worth its money. What a column saves only falls as tasks are served,
+    /// so a column is looked at again only when its last answer is the best of all.
     fn greedy(&mut self) {
-        loop {
-            let mut best: Option<Fill> = None;
-            for (c, column) in self.columns.iter().enumerate() {
-                if self.likely[column.lot] == 0 {
-                    continue;
-                }
-                let fill = self.fill(c);
-                let better = best.as_ref().is_none_or(|b| fill.rate > b.rate);
-                if fill.saved > column.cost && better {
-                    best = Some(fill);
-                }
+        let mut order: BinaryHeap<Rated> = BinaryHeap::new();
+        for column in 0..self.columns.len() {
+            let rate = f64::INFINITY;
+            order.push(Rated { rate, column });
+        }
+        while let Some(Rated { column: c, .. }) = order.pop() {
+            let column = &self.columns[c];
+            let lot = column.lot;
+            if self.likely[lot] == 0 {
+                continue;
             }
-            let Some(Fill {
+            let fill = self.fill(c);
+            if fill.saved <= column.cost {
+                continue;
+            }
+            let rated = Rated {
+                rate: fill.rate,
                 column: c,
-                saved,
-                served,
-                ..
-            }) = best
-            else {
-                return;
             };
-            let lot = self.columns[c].lot;
-            let alike = served.iter().map(|(b, n)| (self.left[*b] / n).floor());
+            if order.peek().is_some_and(|next| *next > rated) {
+                order.push(rated);
+                continue;
+            }
+            let served = fill.served.iter();
+            let alike = served.map(|(b, n)| (self.left[*b] / n).floor());
             let alike = alike.fold(f64::INFINITY, f64::min).clamp(1.0, 1e6);
             let count = (alike as u32).min(self.likely[lot]);
             self.likely[lot] -= count;
             self.counts[lot] += count;
-            self.cost += self.columns[c].cost * f64::from(count);
-            self.saved += saved * f64::from(count);
-            for (b, n) in served {
+            self.cost += column.cost * f64::from(count);
+            self.saved += fill.saved * f64::from(count);
+            for (b, n) in fill.served {
                 self.left[b] = (self.left[b] - n * f64::from(count)).max(0.0);
             }
+            order.push(rated);
         }
     }
 }
 
+/// A column and what it saves for each unit of its cost, at most.
+#[derive(PartialEq)]
+struct Rated {
+    rate: f64,
+    column: usize,
+}
+
+impl Eq for Rated {}
+
+impl Ord for Rated {
+    fn cmp(&self, other: &Rated) -> Ordering {
+        // Among equals the first column.
+        (self.rate.total_cmp(&other.rate)).then(other.column.cmp(&self.column))
+    }
+}
+
+impl PartialOrd for Rated {
+    fn partial_cmp(&self, other: &Rated) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
 /// Machines of one kind at the same price are the same to the bids: they go where the zone holds
 /// least, one by one, as far as each market is likely to give them.
 fn even(counts: &mut [u32], lots: &[Lot], spread: &Spread) {
@@ -518,8 +607,9 @@
             let open = alike.iter().filter(|&&j| counts[j] < lots[j].likely);
             let next = open.min_by(|&&a, &&b| {
                 let part = |j: usize| spread.part(&lots[j].offer.1);
-                let (x, y) = (part(a), part(b));
-                x.total_cmp(&y).then(a.cmp(&b))
+                let tie = |j: usize| place(&lots[j].offer);
+                // By their place, not by the order in which they were listed.
+                (part(a).total_cmp(&part(b))).then(tie(a).total_cmp(&tie(b)))
             });
             let Some(&j) = next else { break };
             // A few at a time, as there may be hundreds.
@@ -541,3 +631,196 @@
     };
     nominal * worth::weight(share) * times
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::worth::Aim;
+    use rand::rngs::SmallRng;
+    use rand::{RngExt, SeedableRng};
+
+    fn s(seconds: f64) -> Duration {
+        Duration::from_secs_f64(seconds)
+    }
+
+    fn lot(kind: &str, zone: &str, spot: bool, price: f64) -> Lot {
+        Lot {
+            offer: (kind.into(), zone.into(), spot),
+            price,
+            ready: s(15.0),
+            least_paid: s(60.0),
+            likely: 100,
+            hazard: 0.0,
+            size: 4.0,
+        }
+    }
+
+    /// Tasks that would start after `after`, and lose `loss` if that is later than `by`.
+    fn bid(tasks: f64, after: f64, by: f64, loss: f64, lots: usize) -> Bid {
+        let aims = vec![Aim { by: s(by), loss }];
+        Bid {
+            tasks,
+            run: s(10.0),
+            arrives: Duration::ZERO,
+            after: s(after),
+            worth: Worth::new(aims, 0.0),
+            nominal: 1.0,
+            carries: vec![
+                Some(Carry {
+                    slots: 1,
+                    fetch: s(1.0)
+                });
+                lots
+            ],
+        }
+    }
+
+    fn counts(c: &Cleared, lots: &[Lot]) -> BTreeMap<Offer, u32> {
+        let awards = c.awards.iter();
+        awards
+            .map(|a| (lots[a.lot].offer.clone(), a.count))
+            .collect()
+    }
+
+    fn anywhere() -> Spread {
+        Spread::new(["a", "b"], 1.0)
+    }
+
+    #[test]
+    fn a_dear_market_is_paid_for_only_by_what_loses_more_by_waiting() {
+        let lots = [lot("k", "a", false, 1.0), lot("k", "a", true, 0.3)];
+        let late = [bid(30.0, 120.0, 50.0, 50.0, 2)];
+        let c = clear(&late, &lots, &anywhere());
+        assert!(c.saved > c.cost && c.method == Method::Program);
+        let got = counts(&c, &lots);
+        assert!(got[&lots[1].offer] >= 5 && !got.contains_key(&lots[0].offer));
+        // The cheap one refuses: the dear one is worth it as well, and for little it is not.
+        let mut refused = lots.clone();
+        refused[1].likely = 0;
+        let c = clear(&late, &refused, &anywhere());
+        assert!(counts(&c, &lots)[&lots[0].offer] >= 5);
+        let little = [bid(30.0, 120.0, 50.0, 2.0, 2)];
+        let c = clear(&little, &refused, &anywhere());
+        assert_eq!((c.method, c.unserved), (Method::Nothing, 30.0));
+        // A price that moves by a third between two steps moves the choice.
+        let both = [lot("k", "a", false, 1.0), lot("l", "a", false, 1.1)];
+        let first = clear(&late, &both, &anywhere());
+        let mut moved = both.clone();
+        moved[0].price = 1.33;
+        let then = clear(&late, &moved, &anywhere());
+        assert!(counts(&first, &both).contains_key(&both[0].offer));
+        assert!(!counts(&then, &both).contains_key(&both[0].offer));
+    }
+
+    #[test]
+    fn work_without_worth_or_in_time_anyway_gets_nothing() {
+        let lots = [lot("k", "a", false, 0.01)];
+        let mut nil = bid(50.0, 500.0, 50.0, 0.0, 1);
+        nil.worth = Worth::default();
+        let in_time = bid(50.0, 20.0, 90.0, 1e6, 1);
+        // No machine can be there before it is too late.
+        let lost = bid(50.0, 100.0, 3.0, 1e6, 1);
+        let c = clear(&[nil, in_time, lost], &lots, &anywhere());
+        assert_eq!((c.method, c.awards.len()), (Method::Nothing, 0));
+        let nothing = clear(&[], &lots, &anywhere());
+        assert!(nothing.awards.is_empty() && clear(&[], &[], &anywhere()).awards.is_empty());
+    }
+
+    #[test]
+    fn where_there_is_too_little_for_all_the_dearest_losses_are_spared_first() {
+        let mut lots = [lot("k", "a", false, 0.5)];
+        lots[0].likely = 4;
+        let urgent = bid(8.0, 200.0, 60.0, 500.0, 1);
+        let slow = bid(400.0, 200.0, 60.0, 40.0, 1);
+        let c = clear(&[slow.clone(), urgent], &lots, &anywhere());
+        assert_eq!(c.awards, [Award { lot: 0, count: 4 }]);
+        assert!(c.saved > 8.0 * 400.0, "{}", c.saved);
+        // Left alone, the slow ones get the machines: nobody starves for ever.
+        let c = clear(&[slow], &lots, &anywhere());
+        assert_eq!(c.awards, [Award { lot: 0, count: 4 }]);
+    }
+
+    #[test]
+    fn an_exact_tie_is_settled_alike_by_every_process_whatever_the_order() {
+        let lots = vec![
+            lot("k", "a", false, 1.0),
+            lot("k", "b", false, 1.0),
+            lot("l", "a", false, 1.0),
+            lot("l", "b", false, 1.0),
+        ];
+        let bids = vec![
+            bid(7.0, 120.0, 50.0, 50.0, 4),
+            bid(7.0, 120.0, 50.0, 50.0, 4),
+        ];
+        let here = counts(&clear(&bids, &lots, &anywhere()), &lots);
+        let turned: Vec<Lot> = lots.iter().rev().cloned().collect();
+        let there = counts(&clear(&bids, &turned, &anywhere()), &turned);
+        assert_eq!(here, there);
+        let kinds: Vec<&String> = here.keys().map(|o| &o.0).collect();
+        assert!(kinds.windows(2).all(|k| k[0] == k[1]), "{here:?}");
+        // Of the same kind and price, zones share what is rented.
+        let by_zone: Vec<u32> = here.values().copied().collect();
+        assert!(by_zone.len() == 2 && by_zone[0].abs_diff(by_zone[1]) <= 1);
+    }
+
+    #[test]
+    fn a_zone_beyond_its_share_is_paid_less_for_and_one_without_another_still_served() {
+        let mut lots = vec![lot("k", "a", false, 1.0), lot("k", "b", false, 1.05)];
+        let late = [bid(30.0, 120.0, 50.0, 500.0, 2)];
+        let mut spread = Spread::new(["a", "b"], 0.1);
+        spread.add("a", 90.0);
+        spread.add("b", 10.0);
+        let got = counts(&clear(&late, &lots, &spread), &lots);
+        assert!(!got.contains_key(&lots[0].offer) && got[&lots[1].offer] > 0);
+        // The other zone drains: better there than not at all.
+        lots[1].likely = 0;
+        let got = counts(&clear(&late, &lots, &spread), &lots);
+        assert!(got[&lots[0].offer] > 0);
+    }
+
+    #[test]
+    fn whatever_is_asked_awards_stay_within_what_is_likely_and_save_more_than_they_cost() {
+        for seed in 0..60 {
+            let mut rng = SmallRng::seed_from_u64(seed);
+            let lots: Vec<Lot> = (0..rng.random_range(1..12))
+                .map(|i| {
+                    let zone = if i % 2 == 0 { "a" } else { "b" };
+                    let mut l = lot(&format!("k{}", i / 4), zone, i % 3 == 0, 1.0);
+                    l.price = rng.random_range(0.1..6.0);
+                    l.likely = rng.random_range(0..40);
+                    l.ready = s(rng.random_range(0.0..60.0));
+                    l.hazard = rng.random_range(0.0..0.01);
+                    l
+                })
+                .collect();
+            let bids: Vec<Bid> = (0..rng.random_range(0..200))
+                .map(|_| {
+                    let after = rng.random_range(0.0..300.0);
+                    let by = rng.random_range(1.0..200.0);
+                    let loss = rng.random_range(0.0..80.0);
+                    let tasks = f64::from(rng.random_range(0..300u32));
+                    let mut b = bid(tasks, after, by, loss, lots.len());
+                    b.run = s(rng.random_range(0.1..400.0));
+                    for c in &mut b.carries {
+                        let slots = rng.random_range(0..17u32);
+                        *c = (slots > 0).then_some(Carry {
+                            slots,
+                            fetch: s(rng.random_range(0.0..20.0)),
+                        });
+                    }
+                    b
+                })
+                .collect();
+            for c in [
+                clear(&bids, &lots, &anywhere()),
+                clear_greedily(&bids, &lots, &anywhere()),
+            ] {
+                for a in &c.awards {
+                    assert!(a.count <= lots[a.lot].likely, "seed {seed}");
+                }
+                assert!(c.saved >= c.cost * 0.98, "seed {seed}: {c:?}");
+                assert!(c.unserved >= -1e-6);
+            }
+        }
+    }
+}
