--- a/src/core/bidding.rs
+++ b/src/core/bidding.rs
@@ -121,13 +121,13 @@
         }
     }
 
-    /// What is expected to come within `ahead`, in waves.
+    /// What is expected to come within `ahead` beyond what is usual, in waves.
     fn expected(&self, lead: &mut Lead, ahead: Duration) -> Vec<Asked> {
         let now = self.now.mono;
         let mut out = Vec::new();
         let wave = ahead / WAVES;
         for e in lead.bidding.expected.values_mut() {
-            let jobs = e.demand.jobs_a_second(now) * wave.as_secs_f64();
+            let jobs = e.demand.surge(now) * wave.as_secs_f64();
             let (size, run) = e.demand.size();
             let tasks = jobs * size;
             if tasks < LEAST_EXPECTED {
