Stories of bidding; a stay has three parts; letting dear machines go by itself is undone

Cause, found by a story: machines were thought to begin work in the middle of the first half of their stay, so that short aims could never be met by renting and slow boots looked as good as fast ones.

--- a/crates/market/src/clear.rs
+++ b/crates/market/src/clear.rs
@@ -1,8 +1,8 @@
 //! Clearing: which machines to rent, so that what waiting work saves outweighs what they cost.
 //!
 //! A machine that is rented serves bids over a *stay*: from when it is up for some time. Each
-//! stay of each market is a column of a linear program; bids share its room in two halves, the
-//! first of which starts work sooner. The program weighs all bids against all markets at once;
+//! stay of each market is a column of a linear program; bids share its room in three parts, the
+//! first of which starts work soonest. The program weighs all bids against all markets at once;
 //! its answer is rounded down to whole machines, and what is left over is cleared greedily, one
 //! best machine after the other. Where there is more than the program may take in, the greedy
 //! way clears all of it: its answer is as sound, and a little dearer.
@@ -102,8 +102,9 @@
 const SHORTEST_STAY: f64 = 20.0;
 /// Stays: the paid minute, and this much longer.
 const LONGER_STAYS: [f64; 3] = [0.0, 60.0, 180.0];
-/// Halves of a stay.
-const PARTS: usize = 2;
+/// Parts of a stay, and where each ends: the first is short, as what comes first starts at once.
+const PARTS: usize = 3;
+const ENDS: [f64; PARTS] = [1.0 / 6.0, 0.5, 1.0];
 /// Work that is served on a new machine need not be paid for elsewhere: this part of its
 /// cheapest cost is set against the machine's.
 const CREDIT: f64 = 1.0;
@@ -117,14 +118,20 @@
     cost: f64,
 }
 
-/// What one task of a bid saves in each half of a column, and how much of a slot's time it takes.
+/// What one task of a bid saves in each part of a column, and what it takes.
 #[derive(Clone, Copy)]
 struct Cell {
     value: [f64; PARTS],
-    /// Seconds of a whole machine.
-    takes: f64,
-    /// The same, as far as it falls into the first half.
-    first: f64,
+    /// Begun in the first index's part: seconds of a whole machine until the second one's end.
+    takes: [[f64; PARTS]; PARTS],
+}
+
+/// When a part of a stay begins, in seconds.
+fn begin(stay: f64, part: usize) -> f64 {
+    match part {
+        0 => 0.0,
+        _ => stay * ENDS[part - 1],
+    }
 }
 
 /// What one machine of a column would serve at best: tasks of each bid.
@@ -218,22 +225,27 @@
     let (run, fetch) = (bid.run.as_secs_f64(), carry.fetch.as_secs_f64());
     // The first tasks of a machine fetch, those that follow mostly need not.
     let time = (run + fetch * 0.5).max(0.1);
-    let half = column.stay / 2.0;
     let slots = f64::from(carry.slots.max(1));
     let ready = lot.ready.as_secs_f64();
     let arrives = bid.arrives.as_secs_f64();
     let later = bid.after.saturating_sub(bid.arrives);
     let survives = (1.0 - lot.hazard * time).max(0.0);
     let mut value = [0.0; PARTS];
-    for (part, value) in value.iter_mut().enumerate() {
-        // What is longer than the stay keeps its machine for longer: that is paid for below.
-        if part > 0 && time > half {
+    let mut takes = [[0.0; PARTS]; PARTS];
+    for part in 0..PARTS {
+        let from = begin(column.stay, part);
+        for (end, takes) in takes[part].iter_mut().enumerate().skip(part) {
+            *takes = time.min(column.stay * ENDS[end] - from) / slots;
+        }
+        // What is longer than the stay can only begin at once.
+        if part > 0 && time > column.stay - from {
             continue;
         }
-        let within = (half - time).max(0.0) / 2.0;
-        let begins = (ready + half * part as f64 + within).max(arrives);
+        let length = column.stay * ENDS[part] - from;
+        let within = (length - time).max(0.0) / 2.0;
+        let begins = (ready + from + within).max(arrives);
         let sooner = begins + fetch - arrives;
-        if sooner >= later.as_secs_f64() || begins - ready + time > column.stay.max(time) + 1.0 {
+        if sooner >= later.as_secs_f64() {
             continue;
         }
         let gain = bid.worth.gain(later, Duration::from_secs_f64(sooner));
@@ -245,13 +257,10 @@
         } else {
             0.0
         };
-        *value = (gain * survives + credit - longer).max(0.0);
+        value[part] = (gain * survives + credit - longer).max(0.0);
     }
-    value.iter().any(|v| *v > CRUMB).then_some(Cell {
-        value,
-        takes: time.min(column.stay) / slots,
-        first: time.min(half) / slots,
-    })
+    let any = value.iter().any(|v| *v > CRUMB);
+    any.then_some(Cell { value, takes })
 }
 
 /// Bids that are alike, joined, so that a queue of thousands clears as fast as one of dozens.
@@ -390,7 +399,7 @@
             }
             let most = f64::from(self.likely[column.lot].min(MOST_MACHINES));
             let machines = p.variable(-column.cost, most);
-            let (mut whole, mut first) = (Vec::new(), Vec::new());
+            let mut room: [Vec<(usize, f64)>; PARTS] = Default::default();
             let mut served = Vec::new();
             for (b, cell) in self.cells[c].iter().enumerate() {
                 let Some(cell) = cell else { continue };
@@ -400,18 +409,17 @@
                     }
                     let x = p.variable(*value, self.left[b]);
                     per_bid[b].push((x, 1.0));
-                    whole.push((x, cell.takes));
-                    if part == 0 {
-                        first.push((x, cell.first));
+                    for (row, takes) in room.iter_mut().zip(cell.takes[part]).skip(part) {
+                        row.push((x, takes));
                     }
                     served.push((b, *value, x));
                 }
             }
-            // Room in seconds of a machine: over the stay, and in its first half.
-            whole.push((machines, -column.stay));
-            p.rows.push((whole, 0.0));
-            first.push((machines, -column.stay / 2.0));
-            p.rows.push((first, 0.0));
+            // Room in seconds of a machine, until the end of each part.
+            for (mut row, end) in room.into_iter().zip(ENDS) {
+                row.push((machines, -column.stay * end));
+                p.rows.push((row, 0.0));
+            }
             per_lot.entry(column.lot).or_default().push((machines, 1.0));
             posed.push(Posed {
                 column: c,
@@ -478,27 +486,25 @@
             };
             for (part, value) in cell.value.iter().enumerate() {
                 if *value > CRUMB {
-                    order.push((value / cell.takes, b, part));
+                    order.push((value / cell.takes[part][PARTS - 1], b, part));
                 }
             }
         }
         order.sort_by(|a, b| b.0.total_cmp(&a.0).then((a.1, a.2).cmp(&(b.1, b.2))));
-        let (mut room, mut first) = (column.stay, column.stay / 2.0);
+        let mut room = ENDS.map(|end| column.stay * end);
         let mut saved = 0.0;
         let mut served: BTreeMap<usize, f64> = BTreeMap::new();
         for (_, b, part) in order {
             let Some(cell) = cells[b] else { continue };
             let had = served.get(&b).copied().unwrap_or(0.0);
-            let mut n = (self.left[b] - had).min(room / cell.takes);
-            if part == 0 {
-                n = n.min(first / cell.first);
-            }
+            let fits = room.iter().zip(cell.takes[part]).skip(part);
+            let fits = fits.map(|(room, takes)| room / takes.max(CRUMB));
+            let n = fits.fold(self.left[b] - had, f64::min);
             if n <= CRUMB {
                 continue;
             }
-            room -= n * cell.takes;
-            if part == 0 {
-                first -= n * cell.first;
+            for (room, takes) in room.iter_mut().zip(cell.takes[part]).skip(part) {
+                *room -= n * takes;
             }
             saved += n * cell.value[part];
             *served.entry(b).or_default() += n;
--- a/src/bids.rs
+++ b/src/bids.rs
@@ -3,13 +3,13 @@
 //! The forecast says when each task would start without another machine; its worth says what that
 //! costs; the market package clears.
 
-use crate::board::{Board, Offer, Use};
+use crate::board::{Board, Offer};
 use crate::forecast::{Coming, Forecast, Unmet};
-use crate::job::{JobSpec, MachineId, Rank};
+use crate::job::{JobSpec, Rank};
 use crate::wire::MachineType;
 use burlusher_market::clear::{self, Cleared};
 use burlusher_market::{Beliefs, Bid, Carry, Lot, Spread, Worth};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
 /// Nothing is forecast beyond this: what would start later bids as if it started then.
@@ -87,77 +87,6 @@
     out
 }
 
-/// Classes of machines that nobody need pay for: whoever could use them would have another market
-/// that costs much less, if it gave what is asked.
-pub fn dear<'a>(
-    board: &Board,
-    types: &[MachineType],
-    specs: impl Iterator<Item = &'a JobSpec>,
-) -> Vec<bool> {
-    const MUCH: f64 = 1.3;
-    let per_task = |offer: &Offer, spec: &JobSpec| {
-        let t = types.iter().find(|t| t.name == offer.0)?;
-        let slots = spec.needs.count_in(&t.room());
-        let price = if offer.2 { t.spot_price? } else { t.price };
-        (slots > 0).then(|| price / f64::from(slots))
-    };
-    let mut dear: Vec<bool> = board.classes.iter().map(|c| c.machines > 0).collect();
-    let mut seen = BTreeSet::new();
-    for spec in specs {
-        // Jobs of one class are much alike; this is about prices only.
-        if !seen.insert((spec.class.as_str(), spec.spot, &spec.zone, &spec.types)) {
-            continue;
-        }
-        let cheapest = nominal(types, spec, Duration::from_secs(1));
-        for (class, dear) in board.classes.iter().zip(&mut dear) {
-            let price = per_task(&class.offer, spec).filter(|_| class.allowed(spec));
-            *dear &= price.is_none_or(|p| p > cheapest * MUCH);
-        }
-    }
-    if seen.is_empty() {
-        dear.fill(false);
-    }
-    dear
-}
-
-/// Which machines of dear classes to let go: as many as the room that is free on the others now
-/// would carry the work of, less what waits; the least loaded first, and rather those that were
-/// let go before. `paid` are those that cost nothing more for a while.
-pub fn let_go(
-    board: &Board,
-    dear: &[bool],
-    waiting_cpus: f64,
-    went: impl Fn(&MachineId) -> bool,
-    paid: impl Fn(&MachineId) -> bool,
-) -> BTreeSet<MachineId> {
-    /// Room is in pieces, and work comes in waves.
-    const USABLE: f64 = 0.5;
-    let is_dear = |class: usize| dear.get(class) == Some(&true);
-    let mut spare = -waiting_cpus;
-    let mut held = Vec::new();
-    for (_, h) in board.hosts() {
-        if !is_dear(h.class) {
-            if h.usage == Use::Open {
-                spare += h.free.cpus.max(0.0) * USABLE;
-            }
-        } else if matches!(h.usage, Use::Open | Use::Resting) && !paid(&h.id) {
-            let load: f64 = h.tasks.iter().map(|t| t.needs.cpus).sum();
-            held.push((!went(&h.id), load, &h.id));
-        }
-    }
-    held.sort_by(|a, b| (a.0.cmp(&b.0)).then(a.1.total_cmp(&b.1)).then(a.2.cmp(b.2)));
-    let mut out = BTreeSet::new();
-    for (_, load, id) in held {
-        // An empty one is let go as well only where there is room beside it.
-        spare -= load.max(1.0);
-        if spare < 0.0 {
-            break;
-        }
-        out.insert(id.clone());
-    }
-    out
-}
-
 /// How many tasks of a job start how long from now on, where those near to each other go together.
 #[derive(Default)]
 struct Starts {
--- a/src/core/bidding.rs
+++ b/src/core/bidding.rs
@@ -3,7 +3,6 @@
 
 use super::Core;
 use super::leadership::Lead;
-use super::machines::Machine;
 use super::scheduling::InLine;
 use crate::bids::{self, Asked};
 use crate::board::Offer;
@@ -24,9 +23,6 @@
 /// Fewer tasks of a class than this are not worth a forecast.
 const LEAST_EXPECTED: f64 = 0.5;
 
-/// A machine younger than this is paid for in any case.
-const PAID: Duration = Duration::from_secs(50);
-
 /// What comes of one class, by the newest of its jobs.
 pub struct Expected {
     demand: Demand,
@@ -222,13 +218,6 @@
                 cleared.unserved,
             );
         }
-        let live = lead.runs.keys().filter_map(|id| self.mirror.jobs.get(id));
-        let specs = live.map(|j| &*j.spec);
-        let specs = specs.chain(lead.bidding.expected.values().map(|e| &*e.spec));
-        let dear = bids::dear(&lead.board, types, specs);
-        let waiting = asked.iter().filter(|a| a.arrives.is_zero());
-        let waiting = waiting.map(|a| a.unmet.spec.needs.cpus * f64::from(a.unmet.tasks));
-        retire(&mut lead, &dear, waiting.sum(), now);
         lead.bidding.last = Some(cleared);
         self.lead = Some(lead);
         for (offer, count) in more {
@@ -247,28 +236,3 @@
         }
     }
 }
-
-/// Dear machines whose work others have room for take no more tasks, and are returned when they
-/// are empty; those that are needed again before that go on.
-fn retire(lead: &mut Lead, dear: &[bool], waiting_cpus: f64, now: Instant) {
-    let machines = &lead.machines;
-    let went = |id: &MachineId| machines.get(id).is_some_and(|m| m.retiring);
-    let paid = |id: &MachineId| {
-        let age = |m: &Machine| m.age + now.saturating_duration_since(m.known_since);
-        machines.get(id).is_none_or(|m| age(m) < PAID)
-    };
-    let gone = bids::let_go(&lead.board, dear, waiting_cpus, went, paid);
-    let turns = |m: &&Machine| m.retiring != gone.contains(&m.id);
-    let turning: Vec<MachineId> = machines
-        .values()
-        .filter(turns)
-        .map(|m| m.id.clone())
-        .collect();
-    for id in turning {
-        if let Some(m) = lead.machines.get_mut(&id) {
-            m.retiring = !m.retiring;
-            log::debug!("machine {id} retires: {}", m.retiring);
-            lead.plan_again = true;
-        }
-    }
-}
--- a/src/core/machines.rs
+++ b/src/core/machines.rs
@@ -144,9 +144,6 @@
     /// Images on it or being fetched, the latest used last.
     pub images: Vec<(ImageTag, f64)>,
     pub faults: Faults,
-    /// It costs more than what it serves is worth: it takes no more tasks, and is returned when it
-    /// is empty, unless it is needed again before that.
-    pub retiring: bool,
     /// Whether the board shows it as open for tasks; time alone may change that.
     pub open: bool,
     /// It is among those whose change has been noted.
@@ -297,7 +294,6 @@
             idle_since: now,
             images: Vec::new(),
             faults: Faults::default(),
-            retiring: false,
             open: false,
             noted: false,
         }
@@ -363,7 +359,6 @@
             && self.deleting.is_none()
             && self.notice.is_none()
             && self.doubt.is_none()
-            && !self.retiring
             && now.saturating_duration_since(self.seen) < patience
     }
 
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -14,6 +14,8 @@
 
 mod barrier;
 mod bidding;
+#[cfg(test)]
+mod bidding_stories;
 mod jobs;
 mod leadership;
 mod machines;
--- a/src/core/scheduling.rs
+++ b/src/core/scheduling.rs
@@ -727,8 +727,10 @@
         );
     }
 
-    fn idle_keep(&self, lead: &Lead, id: &MachineId) -> Option<Duration> {
-        let m = lead.machines.get(id).filter(|m| !m.retiring)?;
+    fn idle_keep(&self, lead: &Lead, id: &MachineId) -> Duration {
+        let Some(m) = lead.machines.get(id) else {
+            return Duration::ZERO;
+        };
         let t = self.type_of(&m.kind);
         let age = m.age + self.now.mono.saturating_duration_since(m.known_since);
         let price = t.map_or(0.0, |t| {
@@ -748,7 +750,7 @@
             pause: lead.arrivals.pause(),
         };
         let s = self.policy.machine_number(Entry::IdleKeep, &facts);
-        Some(Duration::from_secs_f64(s.clamp(0.0, 1e7)))
+        Duration::from_secs_f64(s.clamp(0.0, 1e7))
     }
 
     /// Machines that were asked for and not named yet.
--- a/src/core/world.rs
+++ b/src/core/world.rs
@@ -43,7 +43,9 @@
         "params": {
             "zones": ["a", "b"],
             "teams": [{"name": "t", "cpus": 0.0, "cpus_max": 24.0}, {"name": "u", "cpus": 8.0}],
-            "objectives": [],
+            "objectives": [
+                {"kind": "wait", "class": "urgent", "within_s": 10.0, "share": 0.95}
+            ],
             "workers": {"report_s": 1.0, "lease_s": 10.0, "cancel_s": 20.0},
             "state": {"rps": 100.0, "write_rps": 50.0, "value_kb": 8.0, "txn_ops": 16,
                       "next": {"write_rps": 35.0, "value_kb": 2.0, "txn_ops": 10}},
@@ -268,6 +270,11 @@
     pub held_commands: Vec<(MachineId, DirectBody)>,
     pub hold_commands: bool,
     pub cloud_down: bool,
+    /// Rentals are carried out, but nobody hears of it.
+    pub rentals_unheard: bool,
+    /// Zones in which nothing is to be had.
+    pub drained: BTreeSet<String>,
+    pub policy: Arc<Policy>,
     pub cloud_calls: u32,
     pub reports: u32,
     pub broken_jobs: BTreeSet<String>,
@@ -285,6 +292,10 @@
 
 impl World {
     pub fn new(seed: u64) -> World {
+        World::with_policy(seed, Policy::built_in())
+    }
+
+    pub fn with_policy(seed: u64, policy: Policy) -> World {
         let now = Instant::now();
         let mut w = World {
             now,
@@ -336,6 +347,9 @@
             held_commands: Vec::new(),
             hold_commands: false,
             cloud_down: false,
+            rentals_unheard: false,
+            drained: BTreeSet::new(),
+            policy: Arc::new(policy),
             cloud_calls: 0,
             reports: 0,
             broken_jobs: BTreeSet::new(),
@@ -367,7 +381,7 @@
         let s = Arc::new(settings(&format!("n{i}")));
         let nonce = self.rng.random();
         Node {
-            core: Core::new(s, Arc::new(Policy::built_in()), nonce, self.clock()),
+            core: Core::new(s, self.policy.clone(), nonce, self.clock()),
             up: true,
             state: Link::Good,
             peers: true,
@@ -1017,6 +1031,9 @@
                 if let Some(ids) = self.hires.get(&body.request) {
                     return CloudOutcome::Rented(ids.clone());
                 }
+                if self.drained.contains(&body.zone) {
+                    return CloudOutcome::NoCapacity;
+                }
                 let mut ids = Vec::new();
                 for _ in 0..body.count {
                     let left = self
@@ -1044,6 +1061,9 @@
                     return CloudOutcome::NoCapacity;
                 }
                 self.hires.insert(body.request, ids.clone());
+                if self.rentals_unheard {
+                    return CloudOutcome::Trouble("timeout".into());
+                }
                 CloudOutcome::Rented(ids)
             }
             CloudRequest::Delete(names) => {
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -183,25 +183,23 @@
     }
 }
 
-/// Machines that have idled longer than `keep` and are not wanted; those for which it says `None`
-/// are returned as soon as they idle, whoever waits.
+/// Machines that have idled longer than `keep` and are not wanted.
 pub fn give_back(
     board: &Board,
     unmet: &[Unmet],
     now: Instant,
-    keep: impl Fn(&MachineId) -> Option<Duration>,
+    keep: impl Fn(&MachineId) -> Duration,
 ) -> Vec<MachineId> {
     let idle = |slot: &usize| {
         let h = board.host(*slot);
         let idle = h.idle_since.map(|t| now.saturating_duration_since(t));
-        idle.is_some_and(|d| keep(&h.id).is_none_or(|k| d > k))
+        idle.is_some_and(|d| d > keep(&h.id))
     };
     let unwanted = |slot: &usize| {
         let (h, class) = (board.host(*slot), board.class_of(*slot));
-        keep(&h.id).is_none()
-            || !unmet
-                .iter()
-                .any(|u| u.takes(&class.offer) && u.spec.needs.fits(&h.free))
+        !unmet
+            .iter()
+            .any(|u| u.takes(&class.offer) && u.spec.needs.fits(&h.free))
     };
     board
         .idle()
