--- a/src/core/bidding.rs
+++ b/src/core/bidding.rs
@@ -12,6 +12,7 @@
 use crate::policy::{Entry, FleetFacts, JobFacts};
 use burlusher_market::clear::{Cleared, stake};
 use burlusher_market::{Aim, Beliefs, Demand, Spread, Worth};
+use serde_json::{Value, json};
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -176,23 +177,13 @@
         &mut self,
         mut asked: Vec<Asked>,
         coming: &[Coming],
-        market: &fleet::Market,
+        mut market: fleet::Market,
     ) -> Vec<Rent> {
         let now = self.now.mono;
         let Some(mut lead) = self.lead.take() else {
             return Vec::new();
         };
-        let unmet: Vec<Unmet> = asked.iter().map(|a| a.unmet.clone()).collect();
-        let mut rents = fleet::spot_first(&lead.board, coming, &unmet, market, now);
-        let coming = &fleet::with(coming, &rents, &self.types)[..];
         let facts = self.fleet_facts(&lead);
-        let ahead = self.policy.fleet_number(Entry::Foresight, &facts);
-        if ahead > 0.0 {
-            let ahead = Duration::from_secs_f64(ahead.min(600.0));
-            asked.extend(self.expected(&mut lead, ahead));
-            // What is expected comes behind what waits at the same rank, before lower ones.
-            asked.sort_by_key(|a| (a.unmet.rank, a.arrives));
-        }
         let mut machines: BTreeMap<Offer, u32> = BTreeMap::new();
         let tolerance = self.policy.fleet_number(Entry::Tolerance, &facts);
         let zones = self.settings.zones.iter().map(String::as_str);
@@ -205,6 +196,21 @@
         for c in coming {
             spread.add(&c.offer.1, c.room.cpus * f64::from(c.count));
         }
+        market.spread = spread.clone();
+        // What spot machines carry bids no more: they are had as soon as waiting is worth one.
+        let unmet: Vec<Unmet> = asked.iter().map(|a| a.unmet.clone()).collect();
+        let mut rents = fleet::spot_first(&lead.board, coming, &unmet, &market, now);
+        let coming = &fleet::with(coming, &rents, &self.types)[..];
+        let ahead = self.policy.fleet_number(Entry::Foresight, &facts);
+        if ahead > 0.0 {
+            let ahead = Duration::from_secs_f64(ahead.min(600.0));
+            for expected in self.expected(&mut lead, ahead) {
+                // Behind what waits at its rank, before lower ones; the guarantee's order stays.
+                let before = |a: &Asked| a.unmet.rank <= expected.unmet.rank;
+                let at = asked.iter().rposition(before).map_or(0, |i| i + 1);
+                asked.insert(at, expected);
+            }
+        }
         lead.bidding.expose(now, &machines);
         let lots = bids::lots(&self.types, &lead.bidding.beliefs, now);
         let types = &self.types;
@@ -226,6 +232,35 @@
         fleet::in_requests(rents)
     }
 
+    /// Each market as it is believed to be, and what the last clearing made of all bids.
+    pub(super) fn markets_view(&self, lead: &Lead) -> Value {
+        let now = self.now.mono;
+        let beliefs = &lead.bidding.beliefs;
+        let mut markets = Vec::new();
+        for (i, lot) in bids::lots(&self.types, beliefs, now).iter().enumerate() {
+            let (kind, zone, spot) = &lot.offer;
+            let held = lead.board.classes.iter().find(|c| c.offer == lot.offer);
+            let last = lead.bidding.last.as_ref();
+            let award = last.and_then(|c| c.awards.iter().find(|a| a.lot == i));
+            markets.push(json!({
+                "type": kind, "zone": zone, "spot": spot,
+                "price": lot.price, "ready_s": lot.ready.as_secs_f64().round(),
+                "lost_per_hour": (lot.hazard * 3600.0 * 100.0).round() / 100.0,
+                "held": held.map_or(0, |c| c.machines),
+                "awarded": award.map_or(0, |a| a.count),
+                "shut": beliefs.outlook(&lot.offer, now).shut,
+            }));
+        }
+        let cleared = lead.bidding.last.as_ref().map(|c| {
+            json!({
+                "by": format!("{:?}", c.method).to_lowercase(),
+                "saves": c.saved.round(), "costs": c.cost.round(),
+                "tasks_not_worth_a_machine": c.unserved.round(),
+            })
+        });
+        json!({"cleared": cleared, "markets": markets})
+    }
+
     /// A machine was lost, or is going to be: its market is less safe than it seemed.
     pub(super) fn machine_lost(&mut self, id: &MachineId) {
         let now = self.now.mono;
--- a/src/core/scheduling.rs
+++ b/src/core/scheduling.rs
@@ -13,6 +13,7 @@
 use crate::plan::{self, TeamUse, Waiting};
 use crate::policy::{Entry, JobFacts, MachineFacts};
 use crate::settings::Team;
+use burlusher_market::Spread;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant, SystemTime};
 
@@ -657,11 +658,12 @@
             types: self.types.clone(),
             refused: lead.bidding.beliefs.refused(now).cloned().collect(),
             cut: heard.into_iter().filter(|h| !h.1).map(|h| h.0).collect(),
+            spread: Spread::default(),
         };
         let rents = if bidding && !known {
             Vec::new()
         } else if bidding {
-            self.bid(asked, &coming, &market)
+            self.bid(asked, &coming, market)
         } else {
             fleet::rent(&lead.board, &coming, &unmet, &market, now)
         };
--- a/src/core/status.rs
+++ b/src/core/status.rs
@@ -65,6 +65,7 @@
             "leads_s": self.since(lead.since),
             "machines_not_heard_yet": lead.unresolved.len(),
             "refused_offers": refused,
+            "bidding": self.markets_view(lead),
             "machines": machines,
             "jobs_live": lead.runs.len(),
             "jobs_finished": self.mirror.finished.len(),
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -4,6 +4,7 @@
 use crate::forecast::{Coming, Unmet, lay_out};
 use crate::job::{JobSpec, MachineId};
 use crate::wire::MachineType;
+use burlusher_market::Spread;
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
@@ -36,6 +37,8 @@
     pub refused: Vec<Offer>,
     /// Zones whose machines cannot be reached now.
     pub cut: Vec<String>,
+    /// What each zone holds, and how far beyond its part it may go before it counts as dearer.
+    pub spread: Spread,
 }
 
 #[derive(Clone, Debug, PartialEq)]
@@ -155,6 +158,7 @@
             if !u.spec.allows_zone(zone) || market.cut.contains(zone) {
                 continue;
             }
+            let far = market.spread.factor(zone);
             for spot in [true, false] {
                 let price = if spot { t.spot_price } else { Some(t.price) };
                 let offer = (t.name.clone(), zone.clone(), spot);
@@ -164,7 +168,7 @@
                     && !market.refused.contains(&offer)
                     && !u.shunned.contains(&offer)
                 {
-                    offers.push((price / useful * bulk, fit, offer));
+                    offers.push((price * far / useful * bulk, fit, offer));
                 }
             }
         }
--- a/src/view.rs
+++ b/src/view.rs
@@ -38,6 +38,36 @@
         for offer in list(view, "refused_offers") {
             line(format!("the cloud refuses {}", text(offer)));
         }
+        let bidding = &view["bidding"];
+        if let Some(c) = bidding["cleared"].as_object() {
+            line(format!(
+                "\nMARKETS (last cleared by {}: saves {}, costs {}; {} tasks not worth a machine)",
+                text(&c["by"]),
+                text(&c["saves"]),
+                text(&c["costs"]),
+                text(&c["tasks_not_worth_a_machine"])
+            ));
+        } else {
+            line("\nMARKETS (nothing bids)".into());
+        }
+        for m in list(bidding, "markets") {
+            let spot = m["spot"] == Value::Bool(true);
+            line(format!(
+                "{:<12} {:<12} {:<9} price {:<7} up in {:>4} s, {:>6} lost an hour each, {} held, {} awarded{}",
+                text(&m["type"]),
+                text(&m["zone"]),
+                if spot { "spot" } else { "ordinary" },
+                text(&m["price"]),
+                text(&m["ready_s"]),
+                text(&m["lost_per_hour"]),
+                text(&m["held"]),
+                text(&m["awarded"]),
+                match m["shut"].as_str() {
+                    Some(why) => format!("; not asked: {why}"),
+                    None => String::new(),
+                }
+            ));
+        }
         line("\nMACHINES".into());
         for m in list(view, "machines") {
             let spot = m["spot"] == Value::Bool(true);
