--- a/src/bids.rs
+++ b/src/bids.rs
@@ -4,11 +4,12 @@
 //! costs; the market package clears.
 
 use crate::board::{Board, Offer};
+use crate::fleet::Market;
 use crate::forecast::{Coming, Forecast, Unmet};
 use crate::job::{JobSpec, Rank};
 use crate::wire::MachineType;
 use burlusher_market::clear::{self, Cleared};
-use burlusher_market::{Beliefs, Bid, Carry, Lot, Spread, Worth};
+use burlusher_market::{Beliefs, Bid, Carry, Lot, Worth};
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
@@ -111,13 +112,13 @@
     board: &Board,
     coming: &[Coming],
     asked: &[Asked],
-    types: &[MachineType],
+    market: &Market,
     lots: &[Lot],
-    spread: &Spread,
     now: Instant,
 ) -> (BTreeMap<Offer, u32>, Cleared) {
     let preempting = asked.iter().any(|a| a.unmet.rank < Rank::Low);
-    let mut forecast = Forecast::new(board, coming, now, HORIZON, preempting);
+    let types = &market.types[..];
+    let mut forecast = Forecast::new(board, coming, now, HORIZON, preempting, &market.cut);
     if asked.iter().any(|a| !a.arrives.is_zero()) {
         forecast.with_free();
     }
@@ -162,7 +163,7 @@
             });
         }
     }
-    let cleared = clear::clear(&bids, lots, spread);
+    let cleared = clear::clear(&bids, lots, &market.spread);
     let awards = cleared.awards.iter();
     let wanted = awards.map(|a| (lots[a.lot].offer.clone(), a.count));
     (wanted.collect(), cleared)
--- a/src/core/bidding.rs
+++ b/src/core/bidding.rs
@@ -8,14 +8,13 @@
 use crate::board::Offer;
 use crate::fleet::{self, Rent};
 use crate::forecast::{Coming, Unmet};
-use crate::job::{JobSpec, MachineId, Rank};
+use crate::job::{JobSpec, MachineId};
 use crate::policy::{Entry, FleetFacts, JobFacts};
-use burlusher_market::clear::{Cleared, stake};
-use burlusher_market::{Aim, Beliefs, Demand, Spread, Worth};
+use burlusher_market::clear::stake;
+use burlusher_market::{Aim, Spread, Worth};
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
-use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// A job takes as long as the slowest of its tasks.
 const SLOWEST: f64 = 1.3;
@@ -24,50 +23,6 @@
 /// Fewer tasks of a class than this are not worth a forecast.
 const LEAST_EXPECTED: f64 = 0.5;
 
-/// What comes of one class, by the newest of its jobs.
-pub struct Expected {
-    demand: Demand,
-    spec: Arc<JobSpec>,
-    rank: Rank,
-}
-
-/// The newest clearing, for those who look.
-#[derive(Default)]
-pub struct Bidding {
-    pub beliefs: Beliefs,
-    pub expected: BTreeMap<String, Expected>,
-    pub last: Option<Cleared>,
-    /// Exposure to losses was noted until then.
-    exposed: Option<Instant>,
-}
-
-impl Bidding {
-    /// A job came that this leader has not seen before.
-    pub fn arrived(&mut self, now: Instant, spec: &Arc<JobSpec>, rank: Rank, run: Duration) {
-        let e = self
-            .expected
-            .entry(spec.class.clone())
-            .or_insert_with(|| Expected {
-                demand: Demand::new(now),
-                spec: spec.clone(),
-                rank,
-            });
-        e.demand.note(now, spec.tasks, run);
-        e.spec = spec.clone();
-        e.rank = rank;
-    }
-
-    /// Machines of each market were there since the last call.
-    fn expose(&mut self, now: Instant, machines: &BTreeMap<Offer, u32>) {
-        if let Some(before) = self.exposed.replace(now) {
-            let span = now.saturating_duration_since(before);
-            for (offer, count) in machines {
-                self.beliefs.exposed(offer, *count, span, now);
-            }
-        }
-    }
-}
-
 impl Core {
     pub(super) fn fleet_facts(&self, lead: &Lead) -> FleetFacts {
         FleetFacts {
@@ -196,7 +151,7 @@
         for c in coming {
             spread.add(&c.offer.1, c.room.cpus * f64::from(c.count));
         }
-        market.spread = spread.clone();
+        market.spread = spread;
         // What spot machines carry bids no more: they are had as soon as waiting is worth one.
         let unmet: Vec<Unmet> = asked.iter().map(|a| a.unmet.clone()).collect();
         let mut rents = fleet::spot_first(&lead.board, coming, &unmet, &market, now);
@@ -213,8 +168,7 @@
         }
         lead.bidding.expose(now, &machines);
         let lots = bids::lots(&self.types, &lead.bidding.beliefs, now);
-        let types = &self.types;
-        let (more, cleared) = bids::rent(&lead.board, coming, &asked, types, &lots, &spread, now);
+        let (more, cleared) = bids::rent(&lead.board, coming, &asked, &market, &lots, now);
         if !cleared.awards.is_empty() {
             log::debug!(
                 "cleared {:?}: saves {:.0}, costs {:.0}, {:.0} tasks not worth a machine",
--- /dev/null
+++ b/src/core/expectation.rs
@@ -0,0 +1,54 @@
+//! What a leader believes of markets and expects to come: kept from step to step, by it alone.
+
+use crate::board::Offer;
+use crate::job::{JobSpec, Rank};
+use burlusher_market::clear::Cleared;
+use burlusher_market::{Beliefs, Demand};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// What comes of one class, by the newest of its jobs.
+pub struct Expected {
+    pub demand: Demand,
+    pub spec: Arc<JobSpec>,
+    pub rank: Rank,
+}
+
+#[derive(Default)]
+pub struct Bidding {
+    pub beliefs: Beliefs,
+    /// By class.
+    pub expected: BTreeMap<String, Expected>,
+    /// The newest clearing, for those who look.
+    pub last: Option<Cleared>,
+    /// Exposure to losses was noted until then.
+    exposed: Option<Instant>,
+}
+
+impl Bidding {
+    /// A job came that this leader has not seen before.
+    pub fn arrived(&mut self, now: Instant, spec: &Arc<JobSpec>, rank: Rank, run: Duration) {
+        let e = self
+            .expected
+            .entry(spec.class.clone())
+            .or_insert_with(|| Expected {
+                demand: Demand::new(now),
+                spec: spec.clone(),
+                rank,
+            });
+        e.demand.note(now, spec.tasks, run);
+        e.spec = spec.clone();
+        e.rank = rank;
+    }
+
+    /// Machines of each market were there since the last call.
+    pub fn expose(&mut self, now: Instant, machines: &BTreeMap<Offer, u32>) {
+        if let Some(before) = self.exposed.replace(now) {
+            let span = now.saturating_duration_since(before);
+            for (offer, count) in machines {
+                self.beliefs.exposed(offer, *count, span, now);
+            }
+        }
+    }
+}
--- a/src/core/leadership.rs
+++ b/src/core/leadership.rs
@@ -97,7 +97,7 @@
     /// How actual run times compare with estimates, by class.
     pub pace: BTreeMap<String, super::scheduling::Pace>,
     pub arrivals: super::scheduling::Arrivals,
-    pub bidding: super::bidding::Bidding,
+    pub bidding: super::expectation::Bidding,
 }
 
 impl Lead {
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -16,6 +16,7 @@
 mod bidding;
 #[cfg(test)]
 mod bidding_stories;
+mod expectation;
 mod jobs;
 mod leadership;
 mod machines;
--- a/src/core/stories.rs
+++ b/src/core/stories.rs
@@ -542,6 +542,30 @@
     }
 }
 
+/// While a zone was cut off, the ends of its tasks counted as room to come: nothing was rented in
+/// the others until the cut was over.
+#[test]
+fn what_ends_in_a_zone_that_is_cut_off_makes_no_room_and_others_are_rented_meanwhile() {
+    for (cut, rented) in [(false, 0), (true, 2)] {
+        let (mut w, leader) = begin(61);
+        w.submit(leader, &job("wk-1", 16, 1.0, 9));
+        w.run(1.5);
+        if cut {
+            let there = w.workers.values_mut().filter(|m| m.zone == "a");
+            there.for_each(|m| m.cut.extend(0..3));
+        }
+        w.run(3.0);
+        // With four machines all start in a few seconds; with two, two would wait for 40 s more.
+        let mut next = job("wk-2", 4, 4.0, 40);
+        next.team = "u".into();
+        w.submit(leader, &next);
+        w.run(3.0);
+        assert_eq!(w.rented.1, rented);
+        w.workers.values_mut().for_each(|m| m.cut.clear());
+        w.until_done("wk-2", 120.0);
+    }
+}
+
 #[test]
 fn a_service_keeps_its_replicas_until_it_is_cancelled() {
     let (mut w, leader) = begin(20);
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -61,7 +61,7 @@
 ) -> Vec<Rent> {
     let mut out = spot_first(board, coming, unmet, market, now);
     let with_those = with(coming, &out, &market.types);
-    for (u, left) in lay_out(board, &with_those, unmet, now, |u| u.patience) {
+    for (u, left) in lay_out(board, &with_those, unmet, now, &market.cut, |u| u.patience) {
         shop(u, left, market, false, &mut out);
     }
     in_requests(out)
@@ -92,7 +92,7 @@
                 u.patience
             }
         };
-        let short = lay_out(board, coming, unmet, now, patience);
+        let short = lay_out(board, coming, unmet, now, &market.cut, patience);
         for (u, left) in short.into_iter().filter(|(u, _)| sooner(u)) {
             shop(u, left, market, true, &mut out);
         }
--- a/src/forecast.rs
+++ b/src/forecast.rs
@@ -1,6 +1,6 @@
 //! The forecast: what running tasks and booting machines will give, laid out over the queue. Pure.
 
-use crate::board::{Board, Offer, Use, allows};
+use crate::board::{Board, Class, Offer, Use, allows};
 use crate::job::{JobSpec, Rank, Resources};
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -69,7 +69,12 @@
         now: Instant,
         horizon: Duration,
         preempting: bool,
+        cut: &[String],
     ) -> Self {
+        // What ends in a zone that cannot be reached makes no room for anybody.
+        let zone = |c: &Class| cut.contains(&c.offer.1);
+        let cut: Vec<bool> = board.classes.iter().map(zone).collect();
+        let reached = |slot: usize| !cut[board.host(slot).class];
         let mut gains: Vec<((Duration, usize), Resources)> = Vec::new();
         let mut boots = BTreeMap::new();
         for (at, slot, t) in board.ends(now) {
@@ -77,7 +82,7 @@
             if after > horizon {
                 break;
             }
-            if board.host(slot).usage == Use::Closed {
+            if board.host(slot).usage == Use::Closed || !reached(slot) {
                 continue;
             }
             match gains.last_mut() {
@@ -85,7 +90,7 @@
                 _ => gains.push(((after, slot), t.needs)),
             }
         }
-        for slot in board.booting() {
+        for slot in board.booting().filter(|s| reached(*s)) {
             let h = board.host(slot);
             if let Use::Booting(at) = h.usage {
                 // Later than expected: at any moment, as far as one knows.
@@ -224,13 +229,14 @@
     coming: &[Coming],
     unmet: &'a [Unmet],
     now: Instant,
+    cut: &[String],
     patience: impl Fn(&Unmet) -> Duration,
 ) -> Vec<(&'a Unmet, u32)> {
     let Some(horizon) = unmet.iter().map(&patience).max() else {
         return Vec::new();
     };
     let preempting = unmet.iter().any(|u| u.rank < Rank::Low);
-    let mut forecast = Forecast::new(board, coming, now, horizon, preempting);
+    let mut forecast = Forecast::new(board, coming, now, horizon, preempting, cut);
     let left = |u: &'a Unmet| {
         (
             u,
