--- a/src/policy.rs
+++ b/src/policy.rs
@@ -792,12 +792,23 @@
         assert!(fault("merit = min(1)").2.contains("arguments"));
         assert!(fault("merit = 1 order = 2 merit = 3").2.contains("twice"));
         assert!(fault("idle_keep = wait").2.contains("known here: spot"));
+        assert!(fault("bidding = machines").2.contains("true or false"));
+        assert!(fault("foresight = wait").2.contains("known here: machines"));
         let deep = format!("merit = {}1{}", "(".repeat(500), ")".repeat(500));
         assert!(fault(&deep).2.contains("deeply"));
         let deep = format!("merit = {}1", "-".repeat(5000));
         assert!(fault(&deep).2.contains("deeply"));
     }
 
+    /// What the deploy file starts controllers with must check, or none would start.
+    #[test]
+    fn the_policy_that_is_deployed_checks_and_bids() {
+        let text = include_str!("../deploy/bidding.policy");
+        let p = Policy::with("deploy/bidding.policy", text).unwrap();
+        assert!(p.fleet_truth(Entry::Bidding, &FleetFacts::default()));
+        assert!(!Policy::built_in().fleet_truth(Entry::Bidding, &FleetFacts::default()));
+    }
+
     #[test]
     fn expressions_are_evaluated_and_a_failing_one_falls_back() {
         let p = Policy::with(
