--- a/crates/market/examples/ways.rs
+++ b/crates/market/examples/ways.rs
@@ -47,10 +47,12 @@
         let aims = vec![
             Aim {
                 by: s(rng.random_range(5.0..60.0)),
+                unsure: Duration::ZERO,
                 loss: nominal * rng.random_range(1.0..12.0),
             },
             Aim {
                 by: s(rng.random_range(60.0..180.0)),
+                unsure: Duration::ZERO,
                 loss: nominal * rng.random_range(1.0..12.0),
             },
         ];
--- a/crates/market/src/clear.rs
+++ b/crates/market/src/clear.rs
@@ -663,7 +663,12 @@
 
     /// Tasks that would start after `after`, and lose `loss` if that is later than `by`.
     fn bid(tasks: f64, after: f64, by: f64, loss: f64, lots: usize) -> Bid {
-        let aims = vec![Aim { by: s(by), loss }];
+        let unsure = Duration::ZERO;
+        let aims = vec![Aim {
+            by: s(by),
+            unsure,
+            loss,
+        }];
         Bid {
             tasks,
             run: s(10.0),
--- a/crates/market/src/worth.rs
+++ b/crates/market/src/worth.rs
@@ -6,6 +6,8 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Aim {
     pub by: Duration,
+    /// How far off that may be, as nobody knows how long a task runs; zero for aims on starting.
+    pub unsure: Duration,
     /// Units of money for each task that misses it.
     pub loss: f64,
 }
@@ -47,7 +49,8 @@
         let delay = delay.as_secs_f64();
         let missed = |a: &Aim| {
             let by = a.by.as_secs_f64();
-            let blur = (by * BLUR).max(LEAST_BLUR_S);
+            let unsure = a.unsure.as_secs_f64();
+            let blur = (by * BLUR).max(LEAST_BLUR_S).max(unsure);
             let late = ((delay - (by - blur)) / (2.0 * blur)).clamp(0.0, 1.0);
             a.loss * late
         };
@@ -83,14 +86,17 @@
         let aims = vec![
             Aim {
                 by: s(60.0),
+                unsure: Duration::ZERO,
                 loss: 5.0,
             },
             Aim {
                 by: s(20.0),
+                unsure: Duration::ZERO,
                 loss: 10.0,
             },
             Aim {
                 by: s(5.0),
+                unsure: Duration::ZERO,
                 loss: -1.0,
             },
         ];
@@ -103,6 +109,23 @@
         assert!(Worth::new(Vec::new(), f64::NAN).is_nil());
     }
 
+    /// Where run times are unsure, starting late may still do, and a little late is a little lost.
+    #[test]
+    fn an_unsure_aim_is_lost_bit_by_bit() {
+        let aim = |unsure: f64| Aim {
+            by: s(20.0),
+            unsure: s(unsure),
+            loss: 10.0,
+        };
+        let (sure, unsure) = (
+            Worth::new(vec![aim(0.0)], 0.0),
+            Worth::new(vec![aim(30.0)], 0.0),
+        );
+        assert_eq!(sure.gain(s(60.0), s(30.0)), 0.0);
+        assert!(unsure.gain(s(60.0), s(30.0)) > 1.0);
+        assert!(unsure.loss(s(10.0)) > sure.loss(s(10.0)));
+    }
+
     #[test]
     fn a_tighter_share_makes_a_miss_dearer() {
         assert!((weight(0.975) - 40.0).abs() < 1e-9);
--- a/src/core/bidding.rs
+++ b/src/core/bidding.rs
@@ -37,25 +37,28 @@
         let nominal = bids::nominal(&self.types, spec, run);
         let times = self.policy.number(Entry::Worth, facts);
         let slowest = run.as_secs_f64() * SLOWEST;
+        // Estimates are often wrong by half.
+        let wrong = run.min(Duration::from_secs(3600)) / 2;
         let mut aims = Vec::new();
         for o in &self.settings.objectives {
             let within = o.within.map_or(0.0, |d| d.as_secs_f64());
-            let by = match o.kind.as_str() {
-                "guarantee" if facts.guaranteed => within - facts.wait,
+            let (by, unsure) = match o.kind.as_str() {
+                "guarantee" if facts.guaranteed => (within - facts.wait, Duration::ZERO),
                 _ if o.class != spec.class => continue,
-                "wait" => within - facts.wait,
-                "finished" => within - facts.wait - slowest,
+                "wait" => (within - facts.wait, Duration::ZERO),
+                "finished" => (within - facts.wait - slowest, wrong),
                 "deadline" if facts.has_deadline => {
                     let whole = facts.deadline_left + facts.wait;
-                    facts.deadline_left + (o.times - 1.0) * whole - slowest
+                    let left = facts.deadline_left + (o.times - 1.0) * whole;
+                    (left - slowest, wrong)
                 }
                 _ => continue,
             };
             // A missed aim is worth nothing any more.
-            if by > 0.0 {
+            if by + unsure.as_secs_f64() > 0.0 {
                 let loss = stake(nominal, o.share.unwrap_or(0.0), times);
-                let by = Duration::from_secs_f64(by.min(1e7));
-                aims.push(Aim { by, loss });
+                let by = Duration::from_secs_f64(by.clamp(0.0, 1e7));
+                aims.push(Aim { by, unsure, loss });
             }
         }
         Worth::new(aims, nominal * self.policy.number(Entry::Haste, facts))
