--- a/src/core/bidding.rs
+++ b/src/core/bidding.rs
@@ -155,9 +155,11 @@
             spread.add(&c.offer.1, c.room.cpus * f64::from(c.count));
         }
         market.spread = spread;
-        // What spot machines carry bids no more: they are had as soon as waiting is worth one.
+        // What spot machines carry bids no more: they are had as soon as waiting is worth one, for
+        // all who may use them, however little patience they have for others.
         let unmet: Vec<Unmet> = asked.iter().map(|a| a.unmet.clone()).collect();
-        let mut rents = fleet::spot_first(&lead.board, coming, &unmet, &market, now);
+        let mut rents =
+            fleet::spot_first(&lead.board, coming, &unmet, &market, now, |u| u.spec.spot);
         let coming = &fleet::with(coming, &rents, &self.types)[..];
         let ahead = self.policy.fleet_number(Entry::Foresight, &facts);
         if ahead > 0.0 {
--- a/src/core/bidding_stories.rs
+++ b/src/core/bidding_stories.rs
@@ -42,6 +42,19 @@
     assert_eq!(w.rented.1, rented.1);
 }
 
+/// Work whose patience is the same for spot machines as for others had to bid for them, and went
+/// without where nothing that it could still meet was at stake.
+#[test]
+fn spot_machines_are_had_by_patience_whatever_the_patience_for_others() {
+    let (mut w, leader) = begin(307, "haste = 0\npatience = 5\nspot_patience = 5");
+    let mut plain = job("wk-1", 2, 4.0, 8);
+    plain.spot = true;
+    w.submit(leader, &plain);
+    w.run(3.0);
+    assert_eq!(w.rented, (2, 0));
+    w.until_done("wk-1", 40.0);
+}
+
 /// A zone's machines are taken and its markets refuse while jobs bid for them.
 #[test]
 fn a_zone_that_drains_while_bids_are_open_voids_its_awards_and_all_bid_anew() {
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -59,7 +59,8 @@
     market: &Market,
     now: Instant,
 ) -> Vec<Rent> {
-    let mut out = spot_first(board, coming, unmet, market, now);
+    let sooner = |u: &Unmet| u.spec.spot && u.spot_patience < u.patience;
+    let mut out = spot_first(board, coming, unmet, market, now, sooner);
     let with_those = with(coming, &out, &market.types);
     for (u, left) in lay_out(board, &with_those, unmet, now, &market.cut, |u| u.patience) {
         shop(u, left, market, false, &mut out);
@@ -67,16 +68,16 @@
     in_requests(out)
 }
 
-/// Spot machines for work that would wait longer than is worth one of these.
+/// Spot machines for those of the work that would wait longer than is worth one of these.
 pub fn spot_first(
     board: &Board,
     coming: &[Coming],
     unmet: &[Unmet],
     market: &Market,
     now: Instant,
+    sooner: impl Fn(&Unmet) -> bool,
 ) -> BTreeMap<Offer, u32> {
     let mut out: BTreeMap<Offer, u32> = BTreeMap::new();
-    let sooner = |u: &Unmet| u.spec.spot && u.spot_patience < u.patience;
     // Laying out a long queue is the larger part of the work: not where no spot machine is to be
     // had in any case.
     let mut spot = market.types.iter().filter(|t| t.spot_price.is_some());
@@ -84,7 +85,7 @@
         let open = |z: &String| !market.refused.contains(&(t.name.clone(), z.clone(), true));
         t.zones.iter().any(open)
     });
-    if offered && unmet.iter().any(sooner) {
+    if offered && unmet.iter().any(&sooner) {
         let patience = |u: &Unmet| {
             if sooner(u) {
                 u.spot_patience
