--- a/src/bids.rs
+++ b/src/bids.rs
@@ -4,7 +4,7 @@
 //! costs; the market package clears.
 
 use crate::board::{Board, Offer};
-use crate::fleet::Market;
+use crate::fleet::{Market, shop};
 use crate::forecast::{Coming, Forecast, Unmet};
 use crate::job::{JobSpec, Rank};
 use crate::wire::MachineType;
@@ -123,6 +123,7 @@
         forecast.with_free();
     }
     let mut bids = Vec::new();
+    let mut wanted: BTreeMap<Offer, u32> = BTreeMap::new();
     for a in asked {
         let mut starts = Starts::default();
         let spec = &a.unmet.spec;
@@ -133,6 +134,11 @@
         let left = forecast.serve(&occupies, a.arrives, HORIZON, &mut |after, n| {
             starts.add(after, n);
         });
+        if left == occupies.tasks && a.arrives.is_zero() {
+            // No room is in sight for any of it: whatever it is worth, it must not wait for ever.
+            shop(&a.unmet, left, market, false, &mut wanted);
+            continue;
+        }
         if left > 0 {
             starts.add(HORIZON, left);
         }
@@ -164,7 +170,8 @@
         }
     }
     let cleared = clear::clear(&bids, lots, &market.spread);
-    let awards = cleared.awards.iter();
-    let wanted = awards.map(|a| (lots[a.lot].offer.clone(), a.count));
-    (wanted.collect(), cleared)
+    for a in &cleared.awards {
+        *wanted.entry(lots[a.lot].offer.clone()).or_default() += a.count;
+    }
+    (wanted, cleared)
 }
--- a/src/core/bidding_stories.rs
+++ b/src/core/bidding_stories.rs
@@ -34,7 +34,7 @@
     let rented = w.rented;
     assert!(rented.0 == 2 && rented.1 >= 3, "{rented:?}");
     w.until_done("wk-1", 40.0);
-    // Nothing depends on when this starts: it is done on what is there, or not at all.
+    // Nothing depends on when this starts, and room comes: it waits for it.
     let mut idle = job("wk-2", 6, 4.0, 8);
     idle.rank = Rank::Low;
     w.submit(leader, &idle);
@@ -42,6 +42,14 @@
     assert_eq!(w.rented.1, rented.1);
 }
 
+/// A job without aims, and with no machine at all, was not worth one and waited for ever.
+#[test]
+fn work_for_which_no_room_is_in_sight_is_rented_for_whatever_it_is_worth() {
+    let (mut w, leader) = begin(308, "haste = 0");
+    w.submit(leader, &job("wk-1", 5, 2.0, 5));
+    w.until_done("wk-1", 60.0);
+}
+
 /// Work whose patience is the same for spot machines as for others had to bid for them, and went
 /// without where nothing that it could still meet was at stake.
 #[test]
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -136,7 +136,7 @@
 }
 
 /// Picks the offers that carry `left` tasks of a job for the least money.
-fn shop(
+pub fn shop(
     u: &Unmet,
     mut left: u32,
     market: &Market,
