A zone whose machines are all gone is open to bids again

Cause, found on reading: a zone was shut when its machines were not heard and opened when they were, so one that lost all of them stayed shut to bids for the rest of the term. The shut zones are now those of the step alone.

--- a/crates/market/src/belief.rs
+++ b/crates/market/src/belief.rs
@@ -162,16 +162,10 @@
         h.lost += f64::from(machines);
     }
 
-    /// Nothing is rented in this zone, until it is opened again.
-    pub fn shut_zone(&mut self, zone: &str, why: Option<&'static str>) {
-        match why {
-            Some(why) => {
-                self.shut_zones.insert(zone.to_string(), why);
-            }
-            None => {
-                self.shut_zones.remove(zone);
-            }
-        }
+    /// Nothing is rented in these zones and, of all that were shut before, in no others: one whose
+    /// machines are all gone has nobody left to be heard.
+    pub fn shut_only(&mut self, zones: &[String], why: &'static str) {
+        self.shut_zones = zones.iter().map(|z| (z.clone(), why)).collect();
     }
 
     /// What is believed of a market now.
@@ -265,10 +259,10 @@
         assert!((28.0..30.5).contains(&learned), "{learned}");
         b.came_up("k", Duration::ZERO, Duration::from_secs(30));
         let now = Instant::now();
-        b.shut_zone("a", Some("its machines are not heard"));
+        b.shut_only(&["a".into()], "its machines are not heard");
         assert_eq!(b.outlook(&offer("a"), now).likely, 0);
         assert_eq!(b.outlook(&offer("b"), now).likely, u32::MAX);
-        b.shut_zone("a", None);
+        b.shut_only(&[], "its machines are not heard");
         assert_eq!(b.outlook(&offer("a"), now).likely, u32::MAX);
     }
 }
--- a/src/core/scheduling.rs
+++ b/src/core/scheduling.rs
@@ -646,18 +646,17 @@
             z.1 += u32::from(now.saturating_duration_since(m.seen) < self.settings.report * 2);
         }
         let zones = zones.into_iter();
-        let heard: Vec<(String, bool)> = zones
-            .map(|(z, (all, up))| (z.to_string(), up * 2 >= all))
+        let cut: Vec<String> = zones
+            .filter(|(_, (all, up))| up * 2 < *all)
+            .map(|(z, _)| z.to_string())
             .collect();
         let Some(lead) = &mut self.lead else { return };
-        for (zone, heard) in &heard {
-            let why = (!heard).then_some("its machines are not heard");
-            lead.bidding.beliefs.shut_zone(zone, why);
-        }
+        let beliefs = &mut lead.bidding.beliefs;
+        beliefs.shut_only(&cut, "its machines are not heard");
         let market = fleet::Market {
             types: self.types.clone(),
             refused: lead.bidding.beliefs.refused(now).cloned().collect(),
-            cut: heard.into_iter().filter(|h| !h.1).map(|h| h.0).collect(),
+            cut,
             spread: Spread::default(),
         };
         let rents = if bidding && !known {
