--- /dev/null
+++ b/crates/membership/src/digest.rs
@@ -0,0 +1,50 @@
+//! Whether a worker says the same as before, without keeping what it said.
+
+use siphasher::sip128::{Hasher128, SipHasher13};
+use std::hash::Hasher;
+
+/// A keyed hash of everything that one report says, in 128 bits: with a key that each process
+/// draws for itself, two different reports of a machine are never taken for one another, even if
+/// somebody chose the names of tasks for it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Digest(u128);
+
+/// Takes in the parts of a report one after another.
+pub struct Digester(SipHasher13);
+
+impl Digester {
+    pub fn new(key: u64) -> Digester {
+        Digester(SipHasher13::new_with_keys(key, !key))
+    }
+
+    /// A text, with its length, so that no two sequences of texts run into one another.
+    pub fn text(&mut self, text: &str) {
+        self.0.write_usize(text.len());
+        self.0.write(text.as_bytes());
+    }
+
+    pub fn number(&mut self, n: u64) {
+        self.0.write_u64(n);
+    }
+
+    pub fn finish(self) -> Digest {
+        Digest(self.0.finish128().as_u128())
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn texts_do_not_run_into_one_another() {
+        let of = |texts: &[&str]| {
+            let mut d = Digester::new(7);
+            texts.iter().for_each(|t| d.text(t));
+            d.finish()
+        };
+        assert_eq!(of(&["ab", "c"]), of(&["ab", "c"]));
+        assert_ne!(of(&["ab", "c"]), of(&["a", "bc"]));
+        assert_ne!(of(&["ab", ""]), of(&["ab"]));
+    }
+}
--- /dev/null
+++ b/crates/membership/src/grant.rs
@@ -0,0 +1,129 @@
+//! A leader's word, lent to another controller for a while.
+//!
+//! The borrower asks (a numbered request) and the leader answers with a span: how long its own
+//! word still holds, counted from when it worked on the request. The borrower counts the span from
+//! when it *sent* that request, which was earlier, so its grant ends before the leader's word does,
+//! whatever the clocks say and however long either answer took. A leader's word ends before another
+//! one can lead; so no grant outlives its leader, and a successor need not ask who had one.
+
+use std::time::{Duration, Instant};
+
+/// The steady clocks of two machines drift apart by at most this part of a span: twice what the
+/// protocol states, as both may be off.
+const DRIFT: u32 = 1000;
+
+/// What a borrower holds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Held {
+    /// The term of the leader who granted it.
+    pub term: u64,
+    pub until: Instant,
+}
+
+impl Held {
+    /// From an answer to a request that was sent at `sent`.
+    pub fn new(term: u64, sent: Instant, span: Duration) -> Held {
+        Held {
+            term,
+            until: sent + span.saturating_sub(span / DRIFT),
+        }
+    }
+
+    pub fn holds(&self, term: u64, now: Instant) -> bool {
+        self.term == term && now < self.until
+    }
+}
+
+/// What a leader keeps of one borrower.
+#[derive(Clone, Debug)]
+pub struct Issued {
+    pub incarnation: u64,
+    /// The newest request that was taken in.
+    pub number: u64,
+    /// When that was.
+    pub heard: Instant,
+    /// No answer under any grant was given later than this.
+    pub until: Instant,
+}
+
+/// What a leader makes of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Request {
+    Next,
+    /// The first one of a process; the one before it under this name is over, and what it kept is
+    /// forgotten.
+    Fresh,
+    /// Held up on the way; a newer one has been answered since.
+    Old,
+}
+
+impl Issued {
+    pub fn first(incarnation: u64, number: u64, now: Instant) -> Issued {
+        Issued {
+            incarnation,
+            number,
+            heard: now,
+            until: now,
+        }
+    }
+
+    /// Takes in a request's number.
+    pub fn request(&mut self, incarnation: u64, number: u64, now: Instant) -> Request {
+        if incarnation == self.incarnation {
+            if number <= self.number {
+                return Request::Old;
+            }
+            (self.number, self.heard) = (number, now);
+            return Request::Next;
+        }
+        (self.incarnation, self.number, self.heard) = (incarnation, number, now);
+        Request::Fresh
+    }
+
+    /// The span to answer with, given until when the leader's own word holds.
+    pub fn grant(&mut self, word: Instant, now: Instant) -> Duration {
+        // Never earlier than what an earlier answer allowed.
+        self.until = self.until.max(word);
+        word.saturating_duration_since(now)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const fn ms(n: u64) -> Duration {
+        Duration::from_millis(n)
+    }
+
+    /// The way of an answer may take any time: counting from the receipt would let a borrower speak
+    /// for a leader that has been succeeded.
+    #[test]
+    fn a_grant_ends_before_the_leaders_word_however_long_the_answer_took() {
+        let t = Instant::now();
+        let word = t + ms(2600);
+        for (sent, worked) in [(0, 0), (0, 900), (100, 2500), (0, 2599)] {
+            let mut issued = Issued::first(1, 1, t + ms(worked));
+            let span = issued.grant(word, t + ms(worked));
+            let held = Held::new(4, t + ms(sent), span);
+            assert!(held.until <= word, "{sent} {worked}");
+            assert!(!held.holds(4, word));
+            assert!(!held.holds(5, t));
+        }
+    }
+
+    #[test]
+    fn requests_that_were_held_up_are_known_and_a_new_process_begins_anew() {
+        let t = Instant::now();
+        let mut issued = Issued::first(1, 5, t);
+        assert_eq!(issued.request(1, 5, t + ms(1)), Request::Old);
+        assert_eq!(issued.request(1, 7, t + ms(2)), Request::Next);
+        assert_eq!(issued.request(1, 6, t + ms(3)), Request::Old);
+        assert_eq!(issued.heard, t + ms(2));
+        issued.grant(t + ms(900), t + ms(4));
+        assert_eq!(issued.request(2, 1, t + ms(5)), Request::Fresh);
+        // What the process before was granted counts until it has run out.
+        issued.grant(t + ms(800), t + ms(6));
+        assert_eq!(issued.until, t + ms(900));
+    }
+}
--- /dev/null
+++ b/crates/membership/src/share.rs
@@ -0,0 +1,121 @@
+//! How many workers each controller should serve, and how many are moved now.
+//!
+//! A worker that is moved connects anew, which costs both ends more than several reports do. So
+//! workers stay where they come to; only a load well above the even share is lowered, only
+//! towards controllers well below it, and so many at a time that nobody is flooded.
+
+/// One controller that may serve workers.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Server {
+    pub name: String,
+    pub load: u32,
+    /// The part of an even share that it should have: less for the leader, which does more besides.
+    pub weight: f64,
+}
+
+/// So many workers of `from` should go to `to`.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Move {
+    pub from: String,
+    pub to: String,
+    pub count: u32,
+}
+
+/// Loads within this part of the even share are even.
+const TOLERANCE: f64 = 0.15;
+/// Nobody is moved for fewer workers than this.
+const FEW: f64 = 6.0;
+
+/// What is to be moved now, `most` workers in all.
+pub fn moves(servers: &[Server], most: u32) -> Vec<Move> {
+    let total: u32 = servers.iter().map(|s| s.load).sum();
+    let weights: f64 = servers.iter().map(|s| s.weight).sum();
+    if weights <= 0.0 {
+        return Vec::new();
+    }
+    let due = |s: &Server| f64::from(total) * s.weight / weights;
+    // Surplus and room against the due share; the largest first, ties by name.
+    let mut over: Vec<(f64, &Server)> = Vec::new();
+    let mut under: Vec<(f64, &Server)> = Vec::new();
+    for s in servers {
+        let off = f64::from(s.load) - due(s);
+        let slack = (due(s) * TOLERANCE).max(FEW);
+        if off > slack {
+            over.push((off, s));
+        } else if off < -1.0 {
+            under.push((-off, s));
+        }
+    }
+    let order = |a: &(f64, &Server), b: &(f64, &Server)| {
+        b.0.total_cmp(&a.0).then_with(|| a.1.name.cmp(&b.1.name))
+    };
+    over.sort_by(order);
+    under.sort_by(order);
+    let mut left = most;
+    let mut out = Vec::new();
+    for (surplus, from) in over {
+        let mut surplus = surplus as u32;
+        for (room, to) in &mut under {
+            let count = surplus.min(*room as u32).min(left);
+            if count == 0 {
+                continue;
+            }
+            surplus -= count;
+            left -= count;
+            *room -= f64::from(count);
+            out.push(Move {
+                from: from.name.clone(),
+                to: to.name.clone(),
+                count,
+            });
+        }
+    }
+    out
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn servers(loads: &[(u32, f64)]) -> Vec<Server> {
+        let server = |(i, (load, weight)): (usize, &(u32, f64))| Server {
+            name: format!("n{i}"),
+            load: *load,
+            weight: *weight,
+        };
+        loads.iter().enumerate().map(server).collect()
+    }
+
+    fn settle(mut all: Vec<Server>) -> (Vec<Server>, u32) {
+        let mut moved = 0;
+        for _ in 0..200 {
+            for m in moves(&all, 20) {
+                moved += m.count;
+                all.iter_mut().find(|s| s.name == m.from).unwrap().load -= m.count;
+                all.iter_mut().find(|s| s.name == m.to).unwrap().load += m.count;
+            }
+        }
+        (all, moved)
+    }
+
+    #[test]
+    fn loads_come_to_their_shares_and_stay_there() {
+        let (all, moved) = settle(servers(&[(1200, 0.25), (0, 1.0), (0, 1.0)]));
+        assert!(all[0].load <= 160 && all[1].load >= 500 && all[2].load >= 500);
+        assert!(moved <= 1200);
+        // Even enough: nobody is moved, so nothing flaps.
+        assert!(moves(&all, 20).is_empty());
+        let near = servers(&[(110, 1.0), (100, 1.0), (90, 1.0)]);
+        assert!(moves(&near, 20).is_empty());
+        // Nobody to go to, or nobody at all.
+        assert!(moves(&servers(&[(500, 0.25)]), 20).is_empty());
+        assert!(moves(&[], 20).is_empty());
+    }
+
+    #[test]
+    fn few_are_moved_at_a_time_and_none_for_little() {
+        let some = moves(&servers(&[(1000, 1.0), (0, 1.0)]), 20);
+        assert_eq!(some.iter().map(|m| m.count).sum::<u32>(), 20);
+        assert!(moves(&servers(&[(8, 1.0), (0, 1.0)]), 20).is_empty());
+    }
+}
--- /dev/null
+++ b/crates/membership/src/view.rs
@@ -0,0 +1,171 @@
+//! What one controller knows of the others.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+/// What a process can do beyond what all versions can. Versions that never said are without any.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Abilities(pub u32);
+
+impl Abilities {
+    /// Answers workers' reports under a grant.
+    pub const REPORTS: Abilities = Abilities(1);
+
+    pub fn has(self, other: Abilities) -> bool {
+        self.0 & other.0 == other.0
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    /// Never heard: of an older version, or not up.
+    Unknown,
+    Alive,
+    /// Late. Nothing new is given to it, and nothing is taken for lost with it.
+    Suspect,
+    Lost,
+}
+
+#[derive(Clone, Debug)]
+pub struct Member {
+    pub zone: String,
+    pub incarnation: u64,
+    pub abilities: Abilities,
+    /// Workers that it serves.
+    pub load: u32,
+    pub heard: Option<Instant>,
+    /// When another controller heard it last, as far as that was told.
+    pub heard_by_others: Option<Instant>,
+}
+
+/// When silence means what.
+#[derive(Clone, Copy, Debug)]
+pub struct Patience {
+    pub suspect: Duration,
+    pub lost: Duration,
+}
+
+#[derive(Clone, Debug)]
+pub struct View {
+    members: BTreeMap<String, Member>,
+    patience: Patience,
+}
+
+impl View {
+    /// All others by name and zone.
+    pub fn new(others: impl IntoIterator<Item = (String, String)>, patience: Patience) -> View {
+        let member = |zone| Member {
+            zone,
+            incarnation: 0,
+            abilities: Abilities::default(),
+            load: 0,
+            heard: None,
+            heard_by_others: None,
+        };
+        View {
+            members: others
+                .into_iter()
+                .map(|(name, zone)| (name, member(zone)))
+                .collect(),
+            patience,
+        }
+    }
+
+    pub fn members(&self) -> impl Iterator<Item = (&str, &Member)> {
+        self.members.iter().map(|(n, m)| (n.as_str(), m))
+    }
+
+    pub fn get(&self, name: &str) -> Option<&Member> {
+        self.members.get(name)
+    }
+
+    /// Something came from it; false if no member has this name.
+    pub fn heard(
+        &mut self,
+        name: &str,
+        incarnation: u64,
+        abilities: Abilities,
+        load: u32,
+        now: Instant,
+    ) -> bool {
+        let Some(m) = self.members.get_mut(name) else {
+            return false;
+        };
+        (m.incarnation, m.abilities, m.load) = (incarnation, abilities, load);
+        m.heard = Some(now);
+        true
+    }
+
+    /// Another member says when it heard this one, and what it was then. What this node heard
+    /// itself later than that stands.
+    pub fn told(&mut self, name: &str, abilities: Abilities, load: u32, heard: Instant) {
+        let Some(m) = self.members.get_mut(name) else {
+            return;
+        };
+        if m.heard_by_others.is_none_or(|t| t < heard) {
+            m.heard_by_others = Some(heard);
+            if m.heard.is_none_or(|t| t < heard) {
+                (m.abilities, m.load) = (abilities, load);
+            }
+        }
+    }
+
+    pub fn standing(&self, name: &str, now: Instant) -> Standing {
+        let Some(m) = self.members.get(name) else {
+            return Standing::Unknown;
+        };
+        let Some(heard) = m.heard else {
+            return Standing::Unknown;
+        };
+        let silent = now.saturating_duration_since(heard);
+        let others = m
+            .heard_by_others
+            .map(|t| now.saturating_duration_since(t.max(heard)));
+        if silent <= self.patience.suspect {
+            Standing::Alive
+        } else if silent <= self.patience.lost
+            // A cut between the two of us, or a back port that refuses: it is there, and others
+            // reach it.
+            || others.is_some_and(|s| s <= self.patience.suspect)
+        {
+            Standing::Suspect
+        } else {
+            Standing::Lost
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const fn ms(n: u64) -> Duration {
+        Duration::from_millis(n)
+    }
+
+    #[test]
+    fn suspicion_comes_before_loss_and_what_others_hear_holds_it_back() {
+        let patience = Patience {
+            suspect: ms(1200),
+            lost: ms(4000),
+        };
+        let names = ["n1", "n2"].map(|n| (n.to_string(), "a".to_string()));
+        let mut view = View::new(names, patience);
+        let t = Instant::now();
+        assert_eq!(view.standing("n1", t), Standing::Unknown);
+        assert!(!view.heard("n9", 1, Abilities::REPORTS, 0, t));
+        assert!(view.heard("n1", 1, Abilities::REPORTS, 10, t));
+        assert_eq!(view.standing("n1", t + ms(1000)), Standing::Alive);
+        assert_eq!(view.standing("n1", t + ms(2000)), Standing::Suspect);
+        assert_eq!(view.standing("n1", t + ms(5000)), Standing::Lost);
+        // Cut one way: another one still hears it.
+        view.told("n1", Abilities::REPORTS, 12, t + ms(4500));
+        assert_eq!(view.standing("n1", t + ms(5000)), Standing::Suspect);
+        assert_eq!(view.get("n1").unwrap().load, 12);
+        assert_eq!(view.standing("n1", t + ms(9000)), Standing::Lost);
+        assert!(view.heard("n1", 2, Abilities::REPORTS, 0, t + ms(9000)));
+        assert_eq!(view.standing("n1", t + ms(9000)), Standing::Alive);
+        // An old version says nothing of abilities.
+        assert!(!view.get("n2").unwrap().abilities.has(Abilities::REPORTS));
+    }
+}
--- /dev/null
+++ b/src/core/delegation.rs
@@ -0,0 +1,462 @@
+//! What a leader lends to the other controllers, and takes back.
+//!
+//! Each of them may serve workers: it passes their reports on to the leader, many in a frame, and
+//! hands out the leader's answers. A machine to which nothing is to be said is lent to the
+//! controller that it reports to: that one answers reports which say the same as the last one by
+//! itself. What it says under the grant is what the leader would have said, so it can renew a
+//! worker's lease, and nothing else.
+//!
+//! - The grant ends before the leader's own word does, see `membership::grant`.
+//! - A lent machine's lease may have been renewed without the leader knowing. Its session is never
+//!   counted as over before it was taken back: the borrower says so, or its grant has run out.
+//! - Whatever changes on a lent machine takes it back. Until the borrower hears of that it says
+//!   "nothing new" with a token that is still good, which is harmless; the command itself goes to
+//!   the worker directly, or into the next answer that comes by way of the leader.
+
+use super::leadership::Lead;
+use super::machines::{Machine, WORKER_RETRY};
+use super::{Core, Ticket};
+use crate::http::Answer;
+use crate::job::MachineId;
+use crate::link::{self, Heard, MemberTold, Sync, Synced, Told, ToldKind};
+use burlusher_membership::grant::{Issued, Request};
+use burlusher_membership::share::{self, Server};
+use burlusher_membership::view::{Abilities, Patience, Standing};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// A controller that serves workers says something at least every `relay::HEARTBEAT`.
+pub(super) const PATIENCE: Patience = Patience {
+    suspect: Duration::from_millis(1500),
+    lost: Duration::from_millis(6000),
+};
+/// Another controller sees to the machines that it claims for this long; then they are asked from
+/// here.
+const CLAIM: Duration = Duration::from_millis(1500);
+/// How often loads are compared. A worker that is sent elsewhere is back within half a second.
+const SHARE_EVERY: Duration = Duration::from_millis(1000);
+/// The part of all workers that is moved at a time, at most.
+const MOVED: u32 = 20;
+const FEWEST_MOVED: u32 = 4;
+/// The leader's part of an even share, where two others or more serve workers: its processor
+/// is needed for what no other one can do.
+const LEADERS_WEIGHT: f64 = 0.25;
+/// Answers in one frame take this much; a worker whose answer does not fit any more asks again.
+const MOST_ANSWERS: usize = 400 * 1024;
+
+/// One controller that serves workers.
+pub struct Delegate {
+    pub issued: Issued,
+    /// Machines not to be answered from memory, each with the answer that first said so.
+    recalls: BTreeMap<MachineId, Option<u64>>,
+    /// Workers it is to send elsewhere.
+    moves: Vec<(String, u32)>,
+    /// Machines may be lent to it.
+    lends: bool,
+}
+
+#[derive(Default)]
+pub struct Delegates {
+    by_name: BTreeMap<Arc<str>, Delegate>,
+    /// Workers that report here and are to go elsewhere.
+    own_moves: Vec<(String, u32)>,
+    shared: Option<Instant>,
+    /// Reports taken in that came by way of others, for the status view.
+    pub relayed: u64,
+    /// Those answered by others.
+    pub answered: u64,
+}
+
+/// A frame that is answered at the end of the step.
+pub(super) struct SyncWork {
+    pub ticket: Ticket,
+    pub number: u64,
+    from: Arc<str>,
+    reports: Vec<(u64, Result<MachineId, Answer>)>,
+}
+
+impl Lead {
+    /// Takes a machine back from the controller that may answer its reports.
+    pub(super) fn recall(&mut self, id: &MachineId) {
+        let Some(m) = self.machines.get_unnoted(id) else {
+            return;
+        };
+        if m.recalled {
+            return;
+        }
+        if let Some(d) = (m.lent_to.as_ref()).and_then(|to| self.delegates.by_name.get_mut(to)) {
+            m.recalled = true;
+            d.recalls.insert(id.clone(), None);
+        }
+    }
+
+    /// Of machines that changed, those to which there is something to say now.
+    pub(super) fn recall_changed(&mut self, changed: &[MachineId]) {
+        if self.delegates.by_name.is_empty() {
+            return;
+        }
+        for id in changed {
+            let m = self.machines.get(id);
+            if m.is_some_and(|m| m.lent_to.is_some() && !m.calm()) {
+                self.recall(id);
+            }
+        }
+    }
+
+    /// Until when a machine's silence says nothing, as the controller that it reported to is not
+    /// heard either: the worker has yet to find out, and to find another one.
+    pub(super) fn excused(&self, m: &Machine, now: Instant) -> Option<Instant> {
+        let d = self.delegates.by_name.get(m.via.as_ref()?)?;
+        let heard = d.issued.heard;
+        (now.saturating_duration_since(heard) > PATIENCE.suspect).then(|| heard + WORKER_RETRY)
+    }
+
+    /// The controller that a worker reporting here is to go to, if it is to go.
+    pub(super) fn move_one(&mut self, id: &MachineId) -> Option<String> {
+        let (to, left) = self.delegates.own_moves.last_mut()?;
+        *left = left.saturating_sub(1);
+        let (to, over) = (to.clone(), *left == 0);
+        if over {
+            self.delegates.own_moves.pop();
+        }
+        if let Some(m) = self.machines.get_unnoted(id) {
+            m.via = Some(to.as_str().into());
+        }
+        Some(to)
+    }
+
+    /// Nothing that this controller was lent is answered by it after `until`.
+    fn end_lending(&mut self, name: &Arc<str>, until: Instant) {
+        let ids: Vec<MachineId> = (self.machines.values())
+            .filter(|m| m.lent_to.as_ref() == Some(name))
+            .map(|m| m.id.clone())
+            .collect();
+        for id in ids {
+            if let Some(m) = self.machines.get_unnoted(&id) {
+                m.lease_from = m.lease_from.max(until);
+                (m.lent_to, m.recalled) = (None, false);
+            }
+        }
+    }
+}
+
+impl Core {
+    /// Takes in a frame of a controller that serves workers.
+    pub(super) fn sync(&mut self, ticket: Ticket, sync: Sync) -> Option<SyncWork> {
+        let now = self.now.mono;
+        let known = self.view.heard(
+            &sync.from,
+            sync.incarnation,
+            Abilities(sync.abilities),
+            sync.load,
+            now,
+        );
+        if !self.delegating || !known || !self.acting() {
+            self.refuse_sync(ticket, sync.number);
+            return None;
+        }
+        let from: Arc<str> = sync.from.as_str().into();
+        let lead = self.lead.as_mut()?;
+        let term = lead.term;
+        let d = (lead.delegates.by_name)
+            .entry(from.clone())
+            .or_insert_with(|| Delegate {
+                issued: Issued::first(sync.incarnation, 0, now),
+                recalls: BTreeMap::new(),
+                moves: Vec::new(),
+                lends: false,
+            });
+        match d.issued.request(sync.incarnation, sync.number, now) {
+            // Held up on the way: its sender has given it up, and its reports were made long ago.
+            Request::Old => {
+                self.refuse_sync(ticket, sync.number);
+                return None;
+            }
+            // The process that could answer from memory is gone, and this one knows nothing.
+            Request::Fresh => {
+                d.recalls.clear();
+                let until = d.issued.until;
+                lead.end_lending(&from, until);
+            }
+            Request::Next => self.recalls_heard(&from, sync.answered),
+        }
+        let lead = self.lead.as_mut()?;
+        if !sync.heard.is_empty() || !sync.reports.is_empty() {
+            lead.last_report = Some(now);
+        }
+        lead.delegates.relayed += sync.reports.len() as u64;
+        lead.delegates.answered += sync.heard.len() as u64;
+        // What it heard under an earlier term tells nothing in this one.
+        if sync.term == term {
+            for h in &sync.heard {
+                lead.heard_of(h, &from, now);
+            }
+        }
+        for id in &sync.mine {
+            if lead.unresolved.contains(id)
+                && let Some(m) = lead.machines.get_unnoted(id)
+            {
+                m.claimed_until = Some(now + CLAIM);
+                m.via = Some(from.clone());
+            }
+        }
+        let mut reports = Vec::new();
+        for r in sync.reports {
+            if r.name == 0 {
+                let id = r.report.machine.clone();
+                let known = (self.lead.as_ref()).is_some_and(|l| l.machines.get(&id).is_some());
+                if known {
+                    self.absorb(&id, *r.report, false);
+                }
+            } else {
+                reports.push((r.name, self.take_report(*r.report, Some(&from))));
+            }
+        }
+        Some(SyncWork {
+            ticket,
+            number: sync.number,
+            from,
+            reports,
+        })
+    }
+
+    /// The borrower has taken in our answers up to this one, and said so after that.
+    fn recalls_heard(&mut self, from: &Arc<str>, answered: u64) {
+        let Some(lead) = &mut self.lead else { return };
+        let Some(d) = lead.delegates.by_name.get_mut(from) else {
+            return;
+        };
+        let heard = |_: &MachineId, sent: &mut Option<u64>| sent.is_some_and(|n| n <= answered);
+        for (id, _) in d.recalls.extract_if(.., heard) {
+            if let Some(m) = lead.machines.get_unnoted(&id)
+                && m.lent_to.as_ref() == Some(from)
+            {
+                (m.lent_to, m.recalled) = (None, false);
+            }
+        }
+    }
+
+    /// Not the leader, or none that works like this: nothing is granted.
+    pub(super) fn refuse_sync(&mut self, ticket: Ticket, number: u64) {
+        let answer = Synced {
+            number,
+            refused: !self.delegating,
+            ..Synced::default()
+        };
+        self.answer(ticket, Answer::new(200, link::encode_synced(&answer)));
+    }
+
+    pub(super) fn answer_sync(&mut self, work: SyncWork) {
+        let now = self.now.mono;
+        let Some(word) = self.leader_until() else {
+            return self.refuse_sync(work.ticket, work.number);
+        };
+        let mut answers = Vec::new();
+        let mut size = 0;
+        for (name, taken) in work.reports {
+            let refused = |a: &Answer| ToldKind::Refused {
+                status: a.status,
+                retry_after: a.retry_after,
+            };
+            let told = taken.and_then(|id| {
+                if size > MOST_ANSWERS {
+                    return Err(Answer::busy("overloaded", 1));
+                }
+                let gone = || Answer::busy("this machine is gone", 30);
+                let body = self.tell(&id).ok_or_else(gone)?;
+                size += 32 + body.orders.len() * 40;
+                let calm = body.orders.is_empty() && self.lend(&id, &work.from);
+                Ok(ToldKind::Orders {
+                    token: body.token,
+                    orders: body.orders,
+                    calm,
+                })
+            });
+            let kind = told.unwrap_or_else(|a| refused(&a));
+            answers.push(Told { name, kind });
+        }
+        let members = self.tell_members(&work.from);
+        let Some(lead) = &mut self.lead else { return };
+        let term = lead.term;
+        let Some(d) = lead.delegates.by_name.get_mut(&work.from) else {
+            return;
+        };
+        for sent in d.recalls.values_mut() {
+            sent.get_or_insert(work.number);
+        }
+        let answer = Synced {
+            number: work.number,
+            term,
+            grant: d.issued.grant(word, now),
+            refused: false,
+            recalled: d.recalls.keys().cloned().collect(),
+            answers,
+            moves: std::mem::take(&mut d.moves),
+            members,
+        };
+        let frame = link::encode_synced(&answer);
+        self.answer(work.ticket, Answer::new(200, frame).until(Some(word)));
+    }
+
+    fn tell_members(&self, to: &str) -> Vec<MemberTold> {
+        let now = self.now.mono;
+        let others = self.view.members().filter(|(name, _)| *name != to);
+        let told = others.filter_map(|(name, m)| {
+            Some(MemberTold {
+                name: name.to_string(),
+                abilities: m.abilities.0,
+                load: m.load,
+                age: now.saturating_duration_since(m.heard?),
+            })
+        });
+        told.collect()
+    }
+
+    /// Lends a machine to which there is nothing to say.
+    fn lend(&mut self, id: &MachineId, to: &Arc<str>) -> bool {
+        let Some(lead) = &mut self.lead else {
+            return false;
+        };
+        if lead.unresolved.contains(id) {
+            return false;
+        }
+        let Some(m) = lead.machines.get_unnoted(id) else {
+            return false;
+        };
+        let free = m.lent_to.as_ref().is_none_or(|t| t == to) && !m.recalled;
+        if !free || !m.calm() {
+            return false;
+        }
+        m.lent_to = Some(to.clone());
+        if let Some(d) = lead.delegates.by_name.get_mut(to) {
+            d.lends = true;
+        }
+        true
+    }
+
+    /// Grants that have run out, silent machines, and who serves how many.
+    pub(super) fn tend_delegates(&mut self) {
+        let now = self.now.mono;
+        let report = self.settings.report;
+        let Some(lead) = &mut self.lead else { return };
+        if lead.delegates.by_name.is_empty() {
+            return;
+        }
+        let mut ended = Vec::new();
+        for (name, d) in &mut lead.delegates.by_name {
+            if d.lends && now >= d.issued.until {
+                d.lends = false;
+                d.recalls.clear();
+                ended.push((name.clone(), d.issued.until));
+            }
+        }
+        for (name, until) in ended {
+            log::info!("term {}: {name}'s grant has run out", lead.term);
+            lead.end_lending(&name, until);
+        }
+        // Before a silent machine can count as lost, it has to be here again.
+        let silent: Vec<MachineId> = (lead.machines.values())
+            .filter(|m| m.lent_to.is_some() && !m.recalled)
+            .filter(|m| now.saturating_duration_since(m.seen) > report * 7 / 4)
+            .map(|m| m.id.clone())
+            .collect();
+        for id in silent {
+            lead.recall(&id);
+        }
+        if (lead.delegates.shared).is_none_or(|t| now >= t + SHARE_EVERY) {
+            lead.delegates.shared = Some(now);
+            self.share_out();
+        }
+    }
+
+    fn share_out(&mut self) {
+        let now = self.now.mono;
+        let Some(lead) = &mut self.lead else { return };
+        let me = self.settings.name.as_str();
+        let mut loads: BTreeMap<&str, u32> = BTreeMap::new();
+        let fresh = self.settings.report * 2;
+        for m in lead.machines.values() {
+            if m.session > 0 && now.saturating_duration_since(m.seen) < fresh {
+                *loads.entry(m.via.as_deref().unwrap_or(me)).or_default() += 1;
+            }
+        }
+        let able = |name: &&Arc<str>| {
+            self.view.standing(name, now) == Standing::Alive
+                && (self.view.get(name)).is_some_and(|m| m.abilities.has(Abilities::REPORTS))
+        };
+        let others: Vec<&Arc<str>> = lead.delegates.by_name.keys().filter(able).collect();
+        let load = |name: &str| loads.get(name).copied().unwrap_or(0);
+        let leader = Server {
+            name: me.to_string(),
+            load: load(me),
+            weight: if others.len() > 1 {
+                LEADERS_WEIGHT
+            } else {
+                1.0
+            },
+        };
+        let mut servers = vec![leader];
+        servers.extend(others.iter().map(|name| Server {
+            name: name.to_string(),
+            load: load(name),
+            weight: 1.0,
+        }));
+        let total: u32 = servers.iter().map(|s| s.load).sum();
+        let moves = share::moves(&servers, (total / MOVED).max(FEWEST_MOVED));
+        lead.delegates.own_moves.clear();
+        for d in lead.delegates.by_name.values_mut() {
+            d.moves.clear();
+        }
+        for m in moves {
+            log::debug!("{} workers of {} are to go to {}", m.count, m.from, m.to);
+            if m.from == me {
+                lead.delegates.own_moves.push((m.to, m.count));
+            } else if let Some(d) = lead.delegates.by_name.get_mut(m.from.as_str()) {
+                d.moves.push((m.to, m.count));
+            }
+        }
+    }
+
+    /// For the status view: name, how it stands, workers, and whether it holds a grant.
+    pub(super) fn members_view(&self) -> serde_json::Value {
+        let now = self.now.mono;
+        let granted = |name: &str| {
+            let d = self.lead.as_ref()?.delegates.by_name.get(name)?;
+            Some(d.issued.until > now)
+        };
+        let members = self.view.members().map(|(name, m)| {
+            let standing = match self.view.standing(name, now) {
+                Standing::Unknown => "not heard of",
+                Standing::Alive => "alive",
+                Standing::Suspect => "suspect",
+                Standing::Lost => "lost",
+            };
+            serde_json::json!({
+                "node": name, "zone": m.zone, "standing": standing, "workers": m.load,
+                "takes_reports": m.abilities.has(Abilities::REPORTS),
+                "granted": granted(name),
+            })
+        });
+        members.collect()
+    }
+}
+
+impl Lead {
+    /// A report was answered for us: only a machine that was lent can have had one.
+    fn heard_of(&mut self, h: &Heard, from: &Arc<str>, now: Instant) {
+        let Some(m) = self.machines.get_unnoted(&h.machine) else {
+            return;
+        };
+        if m.lent_to.as_ref() != Some(from) || m.session != h.session || m.session_over {
+            return;
+        }
+        let at = now.checked_sub(h.age).unwrap_or(now);
+        m.lease_from = m.lease_from.max(at);
+        if h.seq > m.seq {
+            m.seq = h.seq;
+            m.seen = m.seen.max(at);
+            m.via = Some(from.clone());
+        }
+    }
+}
--- /dev/null
+++ b/src/core/delegation_stories.rs
@@ -0,0 +1,270 @@
+//! Stories of controllers that serve workers for the one that leads: what they may say alone, what
+//! is taken back, and what becomes of it when one of them is cut off, dies, or is an older version.
+//! The world checks at every tick that no task is in two places.
+
+use super::stories::chaos;
+use super::world::World;
+use crate::job::{JobSpec, Kind, MachineId, sample};
+use crate::policy::Policy;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// Of the team without a limit.
+fn job(id: &str, tasks: u32, cpus: f64, seconds: u64) -> JobSpec {
+    let mut spec = sample(id, tasks, cpus, seconds);
+    spec.team = "u".into();
+    spec
+}
+
+fn policy(delegate: bool) -> Policy {
+    Policy::with("story", &format!("delegate = {delegate}")).unwrap()
+}
+
+/// Three controllers with a leader, and so many machines that have reported; none can be rented.
+fn begin(seed: u64, machines: usize) -> (World, usize) {
+    let mut w = World::with_policy(seed, policy(true));
+    w.capacity.clear();
+    for i in 0..machines {
+        w.add_machine("small", ["a", "b"][i % 2]);
+    }
+    w.until(10.0, "a leader", |w| w.leader().is_some());
+    w.run(4.0);
+    let leader = w.leader().unwrap();
+    (w, leader)
+}
+
+/// How many workers report to each node.
+fn loads(w: &World) -> BTreeMap<usize, usize> {
+    let mut out = BTreeMap::new();
+    for m in w.workers.values() {
+        *out.entry(m.node).or_default() += 1;
+    }
+    out
+}
+
+fn all_to(w: &mut World, node: usize) {
+    w.workers.values_mut().for_each(|m| m.node = node);
+}
+
+/// Reports that other controllers answered alone, by the leader's count.
+fn answered(w: &World, leader: usize) -> u64 {
+    (w.nodes[leader].core.lead.as_ref()).map_or(0, |l| l.delegates.answered)
+}
+
+#[test]
+fn followers_answer_what_is_not_new_and_pass_on_what_is() {
+    let (mut w, leader) = begin(501, 60);
+    w.run(5.0);
+    let before = (answered(&w, leader), w.reports);
+    w.run(10.0);
+    let told = answered(&w, leader) - before.0;
+    let all = u64::from(w.reports - before.1);
+    assert!(told * 2 > all, "{told} of {all} were answered by others");
+    // Nobody was lost by it, and work goes through all of them.
+    assert_eq!(w.workers.len(), 60);
+    assert_eq!(w.submit(leader, &job("wk-1", 40, 1.0, 3)), 201);
+    w.until_done("wk-1", 20.0);
+    assert_eq!(w.starts, 40);
+    w.run(5.0);
+    assert_eq!(w.clears, 40);
+}
+
+#[test]
+fn workers_come_to_be_spread_over_all_controllers_and_stay_where_they_are() {
+    let (mut w, leader) = begin(502, 200);
+    all_to(&mut w, leader);
+    w.run(30.0);
+    let even = loads(&w);
+    let (own, others): (Vec<_>, Vec<_>) = even.iter().partition(|(n, _)| **n == leader);
+    assert!(own.iter().all(|(_, n)| **n < 50), "{even:?}");
+    assert!(others.iter().all(|(_, n)| **n > 60), "{even:?}");
+    w.run(20.0);
+    assert_eq!(loads(&w), even, "workers are moved to and fro");
+    assert_eq!(w.workers.len(), 200);
+}
+
+/// A takeover began with every worker looking for the new leader, and every machine asked by it.
+#[test]
+fn after_a_takeover_workers_stay_where_they_are_and_all_are_known_within_a_second() {
+    let (mut w, leader) = begin(503, 300);
+    w.submit(leader, &job("wk-1", 100, 1.0, 300));
+    w.run(12.0);
+    let at = |w: &World, n: usize| -> Vec<MachineId> {
+        let there = w.workers.iter().filter(|(_, m)| m.node == n);
+        there.map(|(id, _)| id.clone()).collect()
+    };
+    let others: Vec<(usize, Vec<MachineId>)> = (0..3)
+        .filter(|n| *n != leader)
+        .map(|n| (n, at(&w, n)))
+        .collect();
+    let starts = w.starts;
+    w.kill(leader, Duration::from_secs(30));
+    w.until(5.0, "another leader", |w| {
+        w.leader().is_some_and(|l| l != leader)
+    });
+    let next = w.leader().unwrap();
+    w.until(1.0, "all machines known", |w| {
+        (w.nodes[next].core.lead.as_ref()).is_some_and(|l| l.unresolved.is_empty())
+    });
+    w.run(5.0);
+    for (n, before) in others {
+        let still = before.iter().filter(|id| w.workers[*id].node == n).count();
+        assert!(
+            still * 10 >= before.len() * 9,
+            "{still} of {} stay with {n}",
+            before.len()
+        );
+    }
+    assert_eq!(w.starts, starts, "nothing is started anew");
+}
+
+/// A follower goes on answering until its grant ends, and the leader, which cannot hear it, counted
+/// the workers' leases from what it had last heard.
+#[test]
+fn a_lease_that_another_controller_may_have_renewed_is_not_counted_as_over() {
+    for silent_after in [0.5, 1.0, 1.5, 2.0, 2.4] {
+        let (mut w, leader) = begin(504, 4);
+        let other = (leader + 1) % 3;
+        let mut service = job("wk-1", 4, 2.0, 0);
+        service.kind = Kind::Service;
+        w.submit(leader, &service);
+        w.until(5.0, "replicas", |w| w.places("wk-1").len() == 4);
+        all_to(&mut w, other);
+        w.run(5.0);
+        assert!(answered(&w, leader) > 0);
+        // The one cannot tell the other any more, and cannot delete the machines either.
+        w.cloud_down = true;
+        w.nodes[other].peers = false;
+        w.run(silent_after);
+        // The machines live, but are heard by nobody; there is room for their tasks elsewhere.
+        for m in w.workers.values_mut() {
+            m.cut.extend(0..3);
+        }
+        w.hold_commands = true;
+        for _ in 0..4 {
+            w.add_machine("small", "a");
+        }
+        w.run(40.0);
+        assert_eq!(w.places("wk-1").len(), 4);
+    }
+}
+
+#[test]
+fn what_there_is_to_say_takes_a_machine_back() {
+    let (mut w, leader) = begin(505, 12);
+    w.run(6.0);
+    let lent = |w: &World| {
+        let lead = w.nodes[leader].core.lead.as_ref().unwrap();
+        lead.machines
+            .values()
+            .filter(|m| m.lent_to.is_some())
+            .count()
+    };
+    assert!(lent(&w) > 4);
+    // Direct commands do not get through: starts go with answers to reports, which only the leader
+    // can give.
+    w.hold_commands = true;
+    w.submit(leader, &job("wk-1", 48, 1.0, 4));
+    w.run(1.2);
+    assert_eq!(lent(&w), 0);
+    w.until_done("wk-1", 30.0);
+    w.hold_commands = false;
+    w.release();
+    w.run(8.0);
+    assert!(lent(&w) > 4);
+    assert_eq!(w.starts, 48);
+}
+
+#[test]
+fn a_leader_that_hears_its_workers_only_through_others_makes_way() {
+    let (mut w, leader) = begin(506, 40);
+    for m in w.workers.values_mut() {
+        m.cut.insert(leader);
+    }
+    w.run(5.0);
+    // Nothing is amiss until it has something to say, and cannot.
+    w.submit(leader, &job("wk-1", 120, 1.0, 3));
+    w.until(12.0, "another leader", |w| {
+        w.leader().is_some_and(|l| l != leader)
+    });
+    w.until_done("wk-1", 30.0);
+    assert_eq!(w.workers.len(), 40);
+}
+
+#[test]
+fn a_controller_that_dies_or_is_cut_off_costs_no_machine() {
+    for cut in [false, true] {
+        let (mut w, leader) = begin(507, 30);
+        let other = (leader + 1) % 3;
+        all_to(&mut w, other);
+        w.submit(leader, &job("wk-1", 30, 2.0, 25));
+        w.run(4.0);
+        if cut {
+            w.nodes[other].peers = false;
+        } else {
+            w.kill(other, Duration::from_secs(20));
+        }
+        w.until_done("wk-1", 60.0);
+        assert_eq!((w.workers.len(), w.starts), (30, 30), "cut: {cut}");
+    }
+}
+
+/// A frame that the network kept would be taken for news.
+#[test]
+fn a_restarted_controller_begins_with_nothing_lent() {
+    let (mut w, leader) = begin(508, 30);
+    let other = (leader + 1) % 3;
+    all_to(&mut w, other);
+    w.submit(leader, &job("wk-1", 30, 2.0, 30));
+    w.run(5.0);
+    w.kill(other, Duration::from_millis(300));
+    w.run(0.6);
+    all_to(&mut w, other);
+    w.run(10.0);
+    w.until_done("wk-1", 60.0);
+    assert_eq!((w.workers.len(), w.starts), (30, 30));
+}
+
+/// Versions and settings without it drop such frames or refuse them; both may lead in turns.
+#[test]
+fn controllers_that_do_and_that_do_not_take_reports_serve_together() {
+    for leads_with in [true, false] {
+        let mut w = World::with_policy(509, policy(leads_with));
+        w.policy = policy(!leads_with).into();
+        for zone in ["a", "b", "a", "b"] {
+            w.add_machine("small", zone);
+        }
+        // All but one are started anew, with the other setting.
+        w.kill(1, Duration::from_millis(200));
+        w.kill(2, Duration::from_millis(200));
+        w.until(10.0, "a leader", |w| w.leader().is_some());
+        w.run(4.0);
+        let first = w.leader().unwrap();
+        w.submit(first, &job("wk-1", 8, 2.0, 5));
+        w.until_done("wk-1", 30.0);
+        for n in 0..3 {
+            w.kill(n, Duration::from_secs(4));
+            w.run(3.0);
+            let id = format!("wk-2{n}");
+            w.until(10.0, "a leader", |w| w.leader().is_some());
+            let leader = w.leader().unwrap();
+            w.submit(leader, &job(&id, 8, 2.0, 5));
+            w.until_done(&id, 40.0);
+        }
+        assert_eq!((w.workers.len(), w.starts), (4, 32));
+    }
+}
+
+/// The mixture of troubles again.
+#[test]
+fn the_rules_hold_for_delegated_reports_under_any_mixture_of_troubles() {
+    for seed in 600..630 {
+        let mut w = World::with_policy(seed, policy(true));
+        for zone in ["a", "b", "a", "b"] {
+            w.add_machine("small", zone);
+        }
+        w.until(10.0, "a leader", |w| w.leader().is_some());
+        w.run(2.0);
+        chaos(w, seed);
+    }
+}
--- a/src/core/leadership.rs
+++ b/src/core/leadership.rs
@@ -15,7 +15,7 @@
 use crate::job::{Final, JobId, JobSpec, MachineId};
 use crate::state::{StateOutcome, StateRequest};
 use crate::wire::{Change, Condition, Event, Item, Txn, to_json};
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
 /// How long leadership outlives its last renewal.
@@ -29,6 +29,9 @@
 const ABSTAIN: Duration = Duration::from_secs(12);
 /// A controller gives leadership up for deafness at most this often.
 const RESIGN_AGAIN: Duration = Duration::from_secs(90);
+/// Direct calls that fail one after another, while no worker is heard here, before that means
+/// something: single machines may be gone.
+const MOST_MISSED: u32 = 8;
 /// A submission takes 5 s at the most; its parts wait this long for their job.
 const UNCLAIMED: Duration = Duration::from_secs(60);
 /// A leader that could not act for longer than this begins to listen anew.
@@ -63,7 +66,7 @@
     /// Those of them that are still to be asked, the next one last.
     pub to_ask: Vec<MachineId>,
     /// Those that did not answer and are asked once more, and when.
-    pub ask_again: VecDeque<(Instant, MachineId)>,
+    pub ask_again: BTreeSet<(Instant, MachineId)>,
     /// Direct calls on their way.
     pub calls_out: usize,
     pub runs: BTreeMap<JobId, super::jobs::Run>,
@@ -82,6 +85,10 @@
     /// When this leader was last able to act.
     pub acted: Instant,
     pub last_report: Option<Instant>,
+    /// When a worker last reported here or answered a direct call, and how many such calls have
+    /// failed since.
+    pub touched: Instant,
+    pub missed: u32,
     /// With as many machines as there are, silence for this long means that this node does not
     /// hear them.
     pub deaf_after: Duration,
@@ -98,6 +105,8 @@
     pub pace: BTreeMap<String, super::scheduling::Pace>,
     pub arrivals: super::scheduling::Arrivals,
     pub bidding: super::expectation::Bidding,
+    /// Controllers that serve workers for this one.
+    pub delegates: super::delegation::Delegates,
 }
 
 impl Lead {
@@ -291,7 +300,11 @@
                 } else {
                     longest
                 };
-                (known || !l.unresolved.is_empty()) && waited > after
+                // Others hear them for this one, but what it has to say to them itself, commands
+                // foremost, does not get through.
+                let unheeded = l.missed >= MOST_MISSED
+                    && now.saturating_duration_since(l.touched.max(l.deaf_until)) > after;
+                (known || !l.unresolved.is_empty()) && (waited > after || unheeded)
             });
             // Where no other controller hears them either, passing leadership around would only
             // keep all of them from finding out that the machines are gone.
@@ -371,7 +384,7 @@
             gone: BTreeSet::new(),
             unresolved: BTreeSet::new(),
             to_ask: Vec::new(),
-            ask_again: VecDeque::new(),
+            ask_again: BTreeSet::new(),
             calls_out: 0,
             runs: BTreeMap::new(),
             in_doubt: BTreeSet::new(),
@@ -383,6 +396,8 @@
             deaf_until: now,
             acted: now,
             last_report: None,
+            touched: now,
+            missed: 0,
             deaf_after: self.settings.report * 2,
             planned: None,
             plan_again: true,
@@ -394,6 +409,7 @@
             pace: BTreeMap::new(),
             arrivals: super::scheduling::Arrivals::new(self.now, self.mirror.jobs.values()),
             bidding: Default::default(),
+            delegates: Default::default(),
         };
         lead.writes.records = Records::new(&self.mirror, self.settings.value_bytes);
         lead.writes.types = !self.types.is_empty() && self.types != self.mirror.types;
@@ -406,6 +422,7 @@
     pub(super) fn step_down(&mut self, why: &str) {
         let Some(lead) = self.lead.take() else { return };
         log::warn!("term {}: no longer leading: {why}", lead.term);
+        self.relay.succeed(&lead);
         self.candidate_after = self.now.mono + Duration::from_millis(200);
         let waiting: Vec<Ticket> = lead
             .runs
@@ -424,6 +441,7 @@
                     | Pending::Barrier(_)
                     | Pending::TakeOver
                     | Pending::Types
+                    | Pending::Show(_)
             )
         });
     }
--- a/src/core/machines.rs
+++ b/src/core/machines.rs
@@ -18,6 +18,7 @@
 use crate::worker::{DirectOutcome, DirectRequest};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddrV4;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 /// A machine that may hold old tasks is asked this often, so far apart, before it counts as dead:
@@ -38,7 +39,7 @@
 const LEASE_MARGIN: Duration = Duration::from_millis(1500);
 /// A worker that gets no answer at one node tries the next one this much later (the protocol's
 /// 4 s and 1 s): after a cut it takes that long until all are heard again.
-const WORKER_RETRY: Duration = Duration::from_secs(5);
+pub(super) const WORKER_RETRY: Duration = Duration::from_secs(5);
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum StopReason {
@@ -146,6 +147,14 @@
     pub faults: Faults,
     /// Whether the board shows it as open for tasks; time alone may change that.
     pub open: bool,
+    /// The controller that its newest report came by; `None`: it reports to this one.
+    pub via: Option<Arc<str>>,
+    /// A controller that may answer its reports from memory.
+    pub lent_to: Option<Arc<str>>,
+    /// That controller is told, or has yet to be told, not to.
+    pub recalled: bool,
+    /// Another controller shows it the token; until then it is not asked from here.
+    pub claimed_until: Option<Instant>,
     /// It is among those whose change has been noted.
     noted: bool,
 }
@@ -171,7 +180,7 @@
     }
 
     /// For what neither the board nor commands depend on: that it was heard, and when.
-    fn get_unnoted(&mut self, id: &MachineId) -> Option<&mut Machine> {
+    pub(super) fn get_unnoted(&mut self, id: &MachineId) -> Option<&mut Machine> {
         self.all.get_mut(id)
     }
 
@@ -295,6 +304,10 @@
             images: Vec::new(),
             faults: Faults::default(),
             open: false,
+            via: None,
+            lent_to: None,
+            recalled: false,
+            claimed_until: None,
             noted: false,
         }
     }
@@ -337,6 +350,21 @@
         })
     }
 
+    /// Nothing is open between it and the leader: a report that says the same as its last one
+    /// would be answered with no orders.
+    pub(super) fn calm(&self) -> bool {
+        self.session > 0
+            && self.recorded
+            && !self.session_over
+            && self.settled()
+            && !self.answered
+            && !self.push
+            && self.notice.is_none()
+            && self.deleting.is_none()
+            && self.exited.is_empty()
+            && (self.tasks.values()).all(|t| t.phase != Phase::Unseen && t.stopping.is_none())
+    }
+
     /// No command that was sent can still arrive.
     fn settled(&self) -> bool {
         self.call.is_none() && self.doubt.is_none()
@@ -405,11 +433,31 @@
 
 impl Core {
     /// Takes in a report; a ticket that comes back is answered at the end of the step.
-    pub(super) fn report(&mut self, ticket: Ticket, report: Report) -> Option<(Ticket, MachineId)> {
+    pub(super) fn report(
+        &mut self,
+        ticket: Ticket,
+        report: Box<Report>,
+    ) -> Option<(Ticket, MachineId)> {
         if !self.acting() {
-            self.redirect(ticket);
+            self.report_to_follower(ticket, report);
             return None;
         }
+        match self.take_report(*report, None) {
+            Ok(machine) => Some((ticket, machine)),
+            Err(answer) => {
+                self.answer(ticket, answer);
+                None
+            }
+        }
+    }
+
+    /// A report that came here, or by way of another controller; what comes back is the machine,
+    /// or why the report is not answered as it would like.
+    pub(super) fn take_report(
+        &mut self,
+        report: Report,
+        via: Option<&Arc<str>>,
+    ) -> Result<MachineId, Answer> {
         let now = self.now.mono;
         let id = report.machine.clone();
         let sane = !id.is_empty()
@@ -418,16 +466,18 @@
             && report.addr.parse::<SocketAddrV4>().is_ok()
             && report.session > 0;
         if !sane {
-            self.answer(ticket, Answer::error(400, "malformed report"));
-            return None;
+            return Err(Answer::error(400, "malformed report"));
         }
-        let lead = self.lead.as_mut()?;
+        let no_leader = || Answer::busy("no leader here", 1);
+        let lead = self.lead.as_mut().ok_or_else(no_leader)?;
         if lead.gone.contains(&id) {
             // Sent before the machine was deleted, and held up on the way.
-            self.answer(ticket, Answer::busy("this machine is gone", 30));
-            return None;
+            return Err(Answer::busy("this machine is gone", 30));
         }
         lead.last_report = Some(now);
+        if via.is_none() {
+            (lead.touched, lead.missed) = (now, 0);
+        }
         let term = lead.term;
         if !lead.unresolved.contains(&id)
             && let Some(m) = lead.machines.get_unnoted(&id)
@@ -436,25 +486,46 @@
             m.seq = report.seq;
             m.seen = now;
             m.lease_from = now;
-            return Some((ticket, id));
+            if m.via.as_ref() != via {
+                m.via = via.cloned();
+            }
+            if m.lent_to.is_some() && m.lent_to.as_ref() != via {
+                lead.recall(&id);
+            }
+            if via.is_none()
+                && let Some(to) = lead.move_one(&id)
+            {
+                return Err(Answer::new(421, to_json(&Redirect { leader: Some(&to) })));
+            }
+            return Ok(id);
         }
         lead.machines.get_or_add(&id, || {
             log::info!("machine {id}: unexpected, taken on");
             Machine::new(id.clone(), &report.kind, &report.zone, report.spot, now)
         });
-        if !self.absorb(&id, report, true) {
-            self.answer(ticket, Answer::busy("an older report", 1));
-            return None;
+        // Passed on once more, as our answer to the other controller was lost: what it says is
+        // known, and nothing newer is.
+        let again = via.is_some()
+            && lead.machines.get(&id).is_some_and(|m| {
+                (m.session, m.seq) == (report.session, report.seq) && !m.session_over
+            });
+        if !again && !self.absorb(&id, report, true) {
+            return Err(Answer::busy("an older report", 1));
         }
-        let lead = self.lead.as_mut()?;
-        let m = lead.machines.get_mut(&id)?;
+        let lead = self.lead.as_mut().ok_or_else(no_leader)?;
+        let m = (lead.machines.get_mut(&id)).ok_or_else(no_leader)?;
         m.lease_from = now;
+        m.via = via.cloned();
+        let moved = m.lent_to.is_some() && m.lent_to.as_ref() != via;
         if !m.recorded {
             // Before its first task: a later leader must know every place a task may be.
             let value = MachineValue::from(&*m);
             lead.writes.records.add(&id, value);
         }
-        Some((ticket, id))
+        if moved {
+            lead.recall(&id);
+        }
+        Ok(id)
     }
 
     pub(super) fn redirect(&mut self, ticket: Ticket) {
@@ -470,7 +541,7 @@
     }
 
     /// Compares a report with what is known; false if it is older than one seen before.
-    fn absorb(&mut self, id: &MachineId, report: Report, answered: bool) -> bool {
+    pub(super) fn absorb(&mut self, id: &MachineId, report: Report, answered: bool) -> bool {
         let now = self.now.mono;
         let Some(lead) = &mut self.lead else {
             return false;
@@ -850,7 +921,7 @@
     }
 
     /// What the machine should be told, given its newest report.
-    fn orders(&self, m: &Machine, in_answer: bool) -> Vec<Order> {
+    pub(super) fn orders(&self, m: &Machine, in_answer: bool) -> Vec<Order> {
         let Some(lead) = &self.lead else {
             return Vec::new();
         };
@@ -921,17 +992,20 @@
 
     pub(super) fn answer_report(&mut self, ticket: Ticket, id: &MachineId) {
         let until = self.leader_until();
-        let Some(lead) = &self.lead else {
-            return self.redirect(ticket);
-        };
-        let term = lead.term;
-        let Some(m) = lead.machines.get(id) else {
-            return self.answer(ticket, Answer::busy("this machine is gone", 30));
+        let answer = match self.tell(id) {
+            Some(body) => Answer::new(200, to_json(&body)).until(until),
+            None => Answer::busy("this machine is gone", 30),
         };
-        let orders = self.orders(m, true);
+        self.answer(ticket, answer);
+    }
+
+    /// What a machine that has reported is told; that it is told is noted.
+    pub(super) fn tell(&mut self, id: &MachineId) -> Option<ReportAnswer> {
+        let lead = self.lead.as_ref()?;
+        let m = lead.machines.get(id)?;
         let body = ReportAnswer {
-            token: m.token(term),
-            orders,
+            token: m.token(lead.term),
+            orders: self.orders(m, true),
         };
         let starts = body.orders.iter().any(|o| matches!(o, Order::Start { .. }));
         if (m.answered, m.push) != (starts, false)
@@ -940,8 +1014,7 @@
             m.answered = starts;
             m.push = false;
         }
-        let answer = Answer::new(200, to_json(&body)).until(until);
-        self.answer(ticket, answer);
+        Some(body)
     }
 
     /// Sends machines what should not wait for their next report.
@@ -1011,8 +1084,10 @@
 
     pub(super) fn direct_outcome(&mut self, call: u64, outcome: DirectOutcome) {
         let now = self.now.mono;
-        let Some(Pending::Direct(id)) = self.pending.remove(&call) else {
-            return;
+        let id = match self.pending.remove(&call) {
+            Some(Pending::Direct(id)) => id,
+            Some(Pending::Show(id)) => return self.shown(&id, outcome),
+            _ => return,
         };
         let Some(lead) = &mut self.lead else { return };
         let term = lead.term;
@@ -1026,8 +1101,13 @@
         m.call = None;
         let answers = matches!(outcome, DirectOutcome::Report { .. });
         m.unanswered = if answers { 0 } else { m.unanswered + 1 };
+        if answers {
+            (lead.touched, lead.missed) = (now, 0);
+        } else {
+            lead.missed += 1;
+        }
         if !answers && lead.unresolved.contains(&id) && m.unanswered < ASKED_IN_VAIN {
-            lead.ask_again.push_back((now + ASK_PAUSE, id.clone()));
+            lead.ask_again.insert((now + ASK_PAUSE, id.clone()));
         }
         match outcome {
             DirectOutcome::Report { report, executed } => {
@@ -1065,6 +1145,8 @@
             return;
         }
         lead.tended = Some(now);
+        self.tend_delegates();
+        let Some(lead) = &mut self.lead else { return };
         let report = self.settings.report;
         let run_out = self.settings.lease + self.settings.lease / 500 + LEASE_MARGIN;
         let fresh =
@@ -1113,10 +1195,15 @@
             if (m.session > 0 || lead.unresolved.contains(&m.id))
                 && !m.session_over
                 && now > m.lease_from + run_out
+                // Who may answer it in our name may have renewed its lease since.
+                && m.lent_to.is_none()
             {
                 over.push(m.id.clone());
             }
-            let quiet = now.saturating_duration_since(m.seen.max(lead.deaf_until).max(lead.since));
+            let since = m.seen.max(lead.deaf_until).max(lead.since);
+            // Its controller is not heard: the worker has to find another one first.
+            let since = lead.excused(m, now).map_or(since, |t| since.max(t));
+            let quiet = now.saturating_duration_since(since);
             let expected = m.session > 0 || lead.unresolved.contains(&m.id);
             let heard = heard_for(&m.zone).min(now.saturating_duration_since(lead.deaf_until));
             let all_heard = heard >= (report * 5 / 4).max(WORKER_RETRY);
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -4,11 +4,13 @@
 //! - `leadership`: the lease, taking over, resigning, and the leader's durable writes.
 //! - `jobs`: what users ask for, and how jobs progress and end.
 //! - `barrier`: questions that take knowing all that was written before they came.
+//! - `delegation`: what a leader lends to the other controllers, and takes back.
 //! - `machines`: reports, commands, losses; renting and returning through the cloud.
 //! - `parts`: jobs that do not fit into one value.
 //! - `pipelines`: who awaits whom, and what follows from the end of a job for those that need it.
 //! - `records`: the machines that a later leader has to know of.
 //! - `recovery`: what a new leader does not know yet, and when it knows it.
+//! - `relay`: what a controller does for the workers that report to it while another one leads.
 //! - `urgency`: what a job owes to those that need it.
 //! - `scheduling`: snapshots for `plan` and `fleet`, and their decisions carried out.
 
@@ -16,6 +18,9 @@
 mod bidding;
 #[cfg(test)]
 mod bidding_stories;
+mod delegation;
+#[cfg(test)]
+mod delegation_stories;
 mod expectation;
 mod jobs;
 mod leadership;
@@ -25,6 +30,7 @@
 mod pipelines;
 mod records;
 mod recovery;
+mod relay;
 mod scheduling;
 #[cfg(test)]
 mod side_by_side;
@@ -42,12 +48,14 @@
 use crate::cloud::{CloudOutcome, CloudRequest};
 use crate::http::Answer;
 use crate::job::{JobId, JobSpec, MachineId};
+use crate::link::{Sync, Synced};
 use crate::peer::{PeerAnswer, PeerRequest};
-use crate::policy::Policy;
+use crate::policy::{Entry, FleetFacts, Policy};
 use crate::settings::Settings;
 use crate::state::{Budget, StateOutcome, StateRequest};
 use crate::wire::{Event, Item, MachineType, Report};
 use crate::worker::{DirectOutcome, DirectRequest};
+use burlusher_membership::view::View;
 use std::collections::BTreeMap;
 use std::net::SocketAddrV4;
 use std::sync::Arc;
@@ -77,6 +85,16 @@
         ticket: Ticket,
         report: Box<Report>,
     },
+    /// A controller that serves workers for the leader.
+    Sync {
+        ticket: Ticket,
+        sync: Box<Sync>,
+    },
+    /// The leader's answer to our frame of this number, or `None` if it gave none.
+    Synced {
+        number: u64,
+        answer: Option<Box<Synced>>,
+    },
     /// A peer's answer to a request passed on to it, or `None` if it gave none.
     Forwarded {
         ticket: Ticket,
@@ -123,6 +141,12 @@
         peer: String,
         request: PeerRequest,
     },
+    /// A frame for the leader, whose answer is wanted.
+    Sync {
+        peer: String,
+        number: u64,
+        frame: Vec<u8>,
+    },
     State {
         call: CallId,
         request: StateRequest,
@@ -172,6 +196,8 @@
     TakeOver,
     Write,
     Direct(MachineId),
+    /// The token shown to a machine for the leader.
+    Show(MachineId),
     Types,
     List {
         sent: Instant,
@@ -202,6 +228,10 @@
     mirror: Mirror,
     lease: Option<leadership::Lease>,
     lead: Option<leadership::Lead>,
+    /// Whether controllers serve workers for the one that leads.
+    delegating: bool,
+    relay: relay::Relay,
+    view: View,
     /// No attempt to lead before this moment.
     candidate_after: Instant,
     /// When this process last gave leadership up.
@@ -264,6 +294,9 @@
         let write_budget = Budget::new(writes, now.mono);
         let share = settings.state_rps / (settings.peers.len() as f64 + 1.0);
         let read_budget = Budget::new(share * QUESTIONS_SHARE, now.mono);
+        let delegating = policy.fleet_truth(Entry::Delegate, &FleetFacts::default());
+        let others = (settings.peers.iter()).map(|p| (p.name.clone(), p.zone.clone()));
+        let view = View::new(others, delegation::PATIENCE);
         Core {
             write_budget,
             read_budget,
@@ -279,6 +312,9 @@
             mirror: Mirror::default(),
             lease: None,
             lead: None,
+            delegating,
+            relay: relay::Relay::new(nonce),
+            view,
             candidate_after: now.mono,
             resigned: None,
             forwards: BTreeMap::new(),
@@ -308,11 +344,14 @@
             }
         }
         let mut reports = Vec::new();
+        let mut syncs = Vec::new();
         for command in commands {
             match command {
                 Command::User(request) => self.user(request),
                 Command::Status(ticket) => self.answer_status(ticket),
-                Command::Report { ticket, report } => reports.extend(self.report(ticket, *report)),
+                Command::Report { ticket, report } => reports.extend(self.report(ticket, report)),
+                Command::Sync { ticket, sync } => syncs.extend(self.sync(ticket, *sync)),
+                Command::Synced { number, answer } => self.synced(number, answer),
                 Command::Forwarded {
                     ticket,
                     peer,
@@ -329,18 +368,26 @@
         }
         self.tend_leadership();
         self.tend_barriers();
+        reports.extend(self.take_over_reports());
         if self.acting() {
             self.tend_machines();
             self.schedule();
             for (ticket, machine) in reports {
                 self.answer_report(ticket, &machine);
             }
+            for work in syncs {
+                self.answer_sync(work);
+            }
             self.push_commands();
             self.flush_writes();
         } else {
             for (ticket, _) in reports {
                 self.redirect(ticket);
             }
+            for work in syncs {
+                self.refuse_sync(work.ticket, work.number);
+            }
+            self.tend_relay();
         }
         self.send_barrier();
         self.tend_types();
@@ -354,7 +401,9 @@
         if self.lead.is_some() {
             Duration::from_millis(100)
         } else {
-            Duration::from_millis(200)
+            self.relay
+                .idle_for(self.now.mono)
+                .min(Duration::from_millis(200))
         }
     }
 
--- a/src/core/recovery.rs
+++ b/src/core/recovery.rs
@@ -10,14 +10,17 @@
 use crate::job::MachineId;
 use crate::worker::DirectRequest;
 use std::collections::BTreeMap;
-use std::time::Instant;
+use std::time::{Duration, Instant};
+
+/// So long a new leader waits for other controllers to say which machines they see to.
+const OTHERS_FIRST: Duration = Duration::from_millis(400);
 
 impl Lead {
     /// Those that were not asked yet come first: one that did not answer takes a call for long.
     fn next_to_ask(&mut self, now: Instant) -> Option<MachineId> {
         self.to_ask.pop().or_else(|| {
-            self.ask_again.front().filter(|(at, _)| *at <= now)?;
-            self.ask_again.pop_front().map(|(_, id)| id)
+            self.ask_again.first().filter(|(at, _)| *at <= now)?;
+            self.ask_again.pop_first().map(|(_, id)| id)
         })
     }
 }
@@ -50,6 +53,14 @@
         if !turns.is_empty() {
             log::info!("term {}: {} machines to hear from", lead.term, turns.len());
         }
+        // Those that report to this controller are asked at once. The others most likely report to
+        // one that will be heard from in a moment and sees to them.
+        let ours = |id: &MachineId| self.relay.serves(id, now);
+        if self.delegating && turns.iter().any(ours) {
+            let others: Vec<MachineId> = turns.extract_if(.., |id| !ours(id)).collect();
+            let later = now + OTHERS_FIRST;
+            lead.ask_again = others.into_iter().map(|id| (later, id)).collect();
+        }
         lead.to_ask = turns;
         self.ask_machines();
     }
@@ -62,7 +73,13 @@
             && lead.calls_out < MOST_DIRECT
             && let Some(id) = lead.next_to_ask(now)
         {
-            let idle = lead.machines.get(&id).is_some_and(|m| m.call.is_none());
+            let m = lead.machines.get(&id);
+            if let Some(later) = m.and_then(|m| m.claimed_until).filter(|t| now < *t) {
+                // Another controller is about it.
+                lead.ask_again.insert((later, id));
+                continue;
+            }
+            let idle = m.is_some_and(|m| m.call.is_none());
             if idle && lead.unresolved.contains(&id) {
                 self.ask_machine(&id);
             }
--- /dev/null
+++ b/src/core/relay.rs
@@ -0,0 +1,564 @@
+//! What a controller does for the workers that report to it while another one leads.
+//!
+//! Their reports wait here until the leader's answer comes, many in a frame; one that says the same
+//! as the last one is answered at once, under the leader's grant and as far as the leader has lent
+//! that machine (`delegation`). While there is no leader, reports wait for the next one, though not
+//! for longer than a worker does: those that are turned away would all connect to somebody else,
+//! at the very moment at which a new leader has most to do. When it comes, the workers need not
+//! look for it, and this controller shows them its token.
+
+use super::leadership::Lead;
+use super::machines::MOST_DIRECT;
+use super::{Core, Effect, Pending, Ticket};
+use crate::http::Answer;
+use crate::job::MachineId;
+use crate::link::{self, Heard, Relayed, Sync, Synced, Told, ToldKind};
+use crate::wire::{DirectBody, Redirect, Report, ReportAnswer, to_json};
+use crate::worker::{DirectOutcome, DirectRequest};
+use burlusher_membership::digest::{Digest, Digester};
+use burlusher_membership::grant::Held;
+use burlusher_membership::view::Abilities;
+use std::collections::{BTreeMap, VecDeque};
+use std::time::{Duration, Instant};
+
+/// A leader that granted in this term may be dead with its key still there, for the lease's time
+/// less what passed before its word was over. Until then reports wait: sent on to it, their workers
+/// would go from node to node.
+const HOPE: Duration = Duration::from_millis(1800);
+/// With nothing to say, a frame goes to the leader this often: it keeps the grant.
+pub(super) const HEARTBEAT: Duration = Duration::from_millis(400);
+/// Reports that come closer together than this go together.
+const GATHER: Duration = Duration::from_millis(50);
+/// A worker waits 4 s for an answer, and its report was under way for a moment.
+const LONGEST_WAIT: Duration = Duration::from_millis(3000);
+const LATEST_ANSWER: Duration = Duration::from_millis(3400);
+/// Reports that wait; beyond that workers are told to come back.
+const MOST_WAITING: usize = 1024;
+/// After failures in a row, the leader is left alone for this long, doubled each time up to the
+/// longest: it may be a version that drops the connection. One that granted just now is asked at
+/// the shortest pace: a lost packet, or a cut that may end.
+const BACK_OFF: Duration = Duration::from_millis(200);
+const HOPEFUL_BACK_OFF: Duration = Duration::from_millis(300);
+const LONGEST_BACK_OFF: Duration = Duration::from_secs(5);
+/// A leader that does not work like this is asked again after this long.
+const REFUSED: Duration = Duration::from_secs(10);
+
+/// A worker that reports here.
+struct Worker {
+    session: u64,
+    seq: u64,
+    addr: String,
+    /// The highest token that it has shown.
+    token: u64,
+    seen: Instant,
+    /// The leader has yet to be told that it was heard.
+    untold: bool,
+    /// What its last report said, and the token to answer the same with.
+    calm: Option<(Digest, u64)>,
+}
+
+struct Waiting {
+    /// `None`: the report came as an answer to a direct command.
+    ticket: Option<Ticket>,
+    report: Box<Report>,
+    received: Instant,
+}
+
+struct Sent {
+    number: u64,
+    at: Instant,
+    to: String,
+    reports: Vec<Waiting>,
+}
+
+#[derive(Default)]
+pub struct Relay {
+    incarnation: u64,
+    grant: Option<Held>,
+    workers: BTreeMap<MachineId, Worker>,
+    untold: Vec<MachineId>,
+    waiting: VecDeque<Waiting>,
+    sent: Option<Sent>,
+    number: u64,
+    answered: u64,
+    last_sent: Option<Instant>,
+    /// The term whose leader has been told which workers report here.
+    introduced: u64,
+    failures: u32,
+    /// The term that failures were counted in.
+    asked_in: u64,
+    not_before: Option<Instant>,
+    moves: Vec<(String, u32)>,
+    to_show: Vec<MachineId>,
+    shows_out: usize,
+    swept: Option<Instant>,
+}
+
+impl Relay {
+    pub fn new(nonce: u64) -> Relay {
+        Relay {
+            incarnation: nonce,
+            ..Relay::default()
+        }
+    }
+
+    /// How long the owner may sleep.
+    pub fn idle_for(&self, now: Instant) -> Duration {
+        match self.last_sent {
+            Some(t) if self.sent.is_none() && !self.waiting.is_empty() => (t + GATHER)
+                .saturating_duration_since(now)
+                .max(Duration::from_millis(5)),
+            _ => Duration::from_secs(1),
+        }
+    }
+
+    /// Whether a worker reported here lately.
+    pub fn serves(&self, id: &MachineId, now: Instant) -> bool {
+        let w = self.workers.get(id);
+        w.is_some_and(|w| now.saturating_duration_since(w.seen) < Duration::from_secs(20))
+    }
+
+    /// This controller led until now: the workers that reported to it stay with it.
+    pub fn succeed(&mut self, lead: &Lead) {
+        self.grant = None;
+        for m in lead.machines.values() {
+            if m.session > 0 && m.via.is_none() && !m.session_over {
+                let w = Worker {
+                    session: m.session,
+                    seq: m.seq,
+                    addr: m.addr.clone(),
+                    token: m.token(lead.term),
+                    seen: m.seen,
+                    untold: false,
+                    calm: None,
+                };
+                self.workers.insert(m.id.clone(), w);
+            }
+        }
+    }
+
+    fn digest(&self, r: &Report) -> Digest {
+        let mut d = Digester::new(self.incarnation);
+        d.text(&r.addr);
+        d.number(u64::from(r.spot) + 2 * u64::from(r.notice.is_some()));
+        for row in &r.rows {
+            d.text(&row.task);
+            d.number(row.attempt);
+            d.number(row.state as u64);
+        }
+        d.finish()
+    }
+
+    /// The token to answer this report with, if it says what the last one said and that was all
+    /// that the leader wanted to hear.
+    fn same_again(&mut self, report: &Report, now: Instant) -> Option<u64> {
+        let digest = self.digest(report);
+        let w = self.workers.get_mut(&report.machine)?;
+        let (said, token) = w.calm?;
+        let same = report.session == w.session
+            && report.seq > w.seq
+            // The worker would drop an answer with a lower token than it has seen, and yet stay
+            // here while its lease runs out.
+            && report.token == token
+            && report.notice.is_none()
+            && digest == said;
+        if !same {
+            return None;
+        }
+        (w.seq, w.seen) = (report.seq, now);
+        if !w.untold {
+            w.untold = true;
+            self.untold.push(report.machine.clone());
+        }
+        Some(token)
+    }
+
+    /// A worker that is to go elsewhere.
+    fn move_one(&mut self, id: &MachineId) -> Option<String> {
+        let (to, left) = self.moves.last_mut()?;
+        *left = left.saturating_sub(1);
+        let (to, over) = (to.clone(), *left == 0);
+        if over {
+            self.moves.pop();
+        }
+        self.workers.remove(id);
+        Some(to)
+    }
+
+    /// The leader's word for an answer: what was lent under an earlier one is void.
+    fn hold(&mut self, held: Held, now: Instant) {
+        let unbroken = self.grant.is_some_and(|g| g.holds(held.term, now));
+        if !unbroken {
+            // The leader has counted everything lent as back when the grant ran out.
+            self.workers.values_mut().for_each(|w| w.calm = None);
+            self.forget_untold();
+        }
+        self.grant = Some(held);
+    }
+
+    fn forget_untold(&mut self) {
+        for id in std::mem::take(&mut self.untold) {
+            if let Some(w) = self.workers.get_mut(&id) {
+                w.untold = false;
+            }
+        }
+    }
+
+    fn sweep(&mut self, now: Instant, lease: Duration) {
+        if self.swept.is_some_and(|t| now < t + Duration::from_secs(5)) {
+            return;
+        }
+        self.swept = Some(now);
+        self.workers
+            .retain(|_, w| now.saturating_duration_since(w.seen) < lease);
+    }
+}
+
+impl Core {
+    /// A worker reports here, and another controller leads, or none.
+    pub(super) fn report_to_follower(&mut self, ticket: Ticket, report: Box<Report>) {
+        let now = self.now.mono;
+        if !self.delegating {
+            return self.redirect(ticket);
+        }
+        if let Some(grant) = self.relay.grant
+            && grant.holds(self.mirror.term, now)
+            && let Some(token) = self.relay.same_again(&report, now)
+        {
+            let answer = match self.relay.move_one(&report.machine) {
+                Some(to) => Answer::new(421, to_json(&Redirect { leader: Some(&to) })),
+                None => {
+                    let orders = Vec::new();
+                    let body = to_json(&ReportAnswer { token, orders });
+                    Answer::new(200, body).until(Some(grant.until))
+                }
+            };
+            return self.answer(ticket, answer);
+        }
+        if self.state_is_stale() || !self.leader_may_answer() {
+            return self.redirect(ticket);
+        }
+        if self.relay.waiting.len() >= MOST_WAITING {
+            return self.answer(ticket, Answer::busy("overloaded", 1));
+        }
+        self.relay.waiting.push_back(Waiting {
+            ticket: Some(ticket),
+            report,
+            received: now,
+        });
+    }
+
+    /// Whether it is of use to let reports wait for the leader's answer: there is none, or one that
+    /// has not failed to answer, or one that granted in this term and may be gone.
+    fn leader_may_answer(&self) -> bool {
+        let now = self.now.mono;
+        let term = self.mirror.term;
+        let hopeful = (self.relay.grant).is_some_and(|g| g.term == term && now < g.until + HOPE);
+        let failing = self.relay.asked_in == term && self.relay.not_before.is_some();
+        self.leader_name().is_none() || hopeful || !failing
+    }
+
+    /// This controller has come to lead: what waited for a leader is answered here.
+    pub(super) fn take_over_reports(&mut self) -> Vec<(Ticket, MachineId)> {
+        if !self.acting() || self.relay.waiting.is_empty() {
+            return Vec::new();
+        }
+        let mut out = Vec::new();
+        for w in std::mem::take(&mut self.relay.waiting) {
+            match w.ticket {
+                Some(ticket) => out.extend(self.report(ticket, w.report)),
+                None => {
+                    let id = w.report.machine.clone();
+                    self.absorb(&id, *w.report, false);
+                }
+            }
+        }
+        out
+    }
+
+    /// Called at the end of each step of a controller that does not lead.
+    pub(super) fn tend_relay(&mut self) {
+        if !self.delegating {
+            return;
+        }
+        let now = self.now.mono;
+        self.relay.sweep(now, self.settings.lease);
+        while (self.relay.waiting.front())
+            .is_some_and(|w| now.saturating_duration_since(w.received) > LONGEST_WAIT)
+        {
+            if let Some(w) = self.relay.waiting.pop_front()
+                && let Some(ticket) = w.ticket
+            {
+                self.answer(ticket, Answer::busy("no leader yet", 1));
+            }
+        }
+        if self.relay.asked_in != self.mirror.term {
+            // Another leader, or another version: it has not failed yet.
+            self.relay.asked_in = self.mirror.term;
+            (self.relay.failures, self.relay.not_before) = (0, None);
+        }
+        self.show_token();
+        let me = self.settings.name.as_str();
+        let leader = self.leader_name().filter(|n| *n != me);
+        let Some(leader) = leader.map(str::to_string) else {
+            return;
+        };
+        let relay = &self.relay;
+        let pause = if relay.waiting.is_empty() {
+            HEARTBEAT
+        } else {
+            GATHER
+        };
+        let early = relay.last_sent.is_some_and(|t| now < t + pause)
+            || relay.not_before.is_some_and(|t| now < t);
+        let known = self.settings.peers.iter().any(|p| p.name == leader);
+        if relay.sent.is_some() || early || !known || self.state_is_stale() {
+            return;
+        }
+        self.send_sync(leader);
+    }
+
+    fn send_sync(&mut self, leader: String) {
+        let now = self.now.mono;
+        let term = self.mirror.term;
+        let recent = self.settings.report * 5 / 2;
+        let relay = &mut self.relay;
+        relay.number += 1;
+        relay.last_sent = Some(now);
+        let mut sync = Sync {
+            from: self.settings.name.clone(),
+            incarnation: relay.incarnation,
+            number: relay.number,
+            answered: relay.answered,
+            abilities: Abilities::REPORTS.0,
+            load: (relay.workers.values())
+                .filter(|w| now.saturating_duration_since(w.seen) < recent)
+                .count() as u32,
+            term: relay.grant.map_or(0, |g| g.term),
+            ..Sync::default()
+        };
+        if relay.introduced != term {
+            let lately = |w: &&Worker| now.saturating_duration_since(w.seen) < recent;
+            let mine = relay.workers.iter().filter(|(_, w)| lately(w));
+            sync.mine = mine.map(|(id, _)| id.clone()).collect();
+        }
+        for id in std::mem::take(&mut relay.untold) {
+            if let Some(w) = relay.workers.get_mut(&id) {
+                w.untold = false;
+                sync.heard.push(Heard {
+                    machine: id,
+                    session: w.session,
+                    seq: w.seq,
+                    age: now.saturating_duration_since(w.seen),
+                });
+            }
+        }
+        let mut reports: Vec<Waiting> = Vec::new();
+        let mut size = 0;
+        while let Some(w) = relay.waiting.front() {
+            size += link::size_of_report(&w.report);
+            if size > link::FULL && !reports.is_empty() {
+                break;
+            }
+            reports.extend(relay.waiting.pop_front());
+        }
+        sync.reports = (reports.iter().enumerate())
+            .map(|(n, w)| Relayed {
+                name: w.ticket.map_or(0, |_| n as u64 + 1),
+                report: w.report.clone(),
+            })
+            .collect();
+        let frame = link::encode_sync(&sync);
+        let number = sync.number;
+        relay.sent = Some(Sent {
+            number,
+            at: now,
+            to: leader.clone(),
+            reports,
+        });
+        self.out.push(Effect::Sync {
+            peer: leader,
+            number,
+            frame,
+        });
+    }
+
+    /// The leader's answer to our frame, or that there is none.
+    pub(super) fn synced(&mut self, number: u64, answer: Option<Box<Synced>>) {
+        let now = self.now.mono;
+        let Some(sent) = self.relay.sent.take_if(|s| s.number == number) else {
+            return;
+        };
+        let Some(answer) = answer.filter(|a| a.number == number) else {
+            self.relay.failures += 1;
+            let wait = BACK_OFF * 2u32.pow(self.relay.failures.min(6));
+            let hopeful = (self.relay.grant).is_some_and(|g| now < g.until + HOPE);
+            if hopeful {
+                self.relay.not_before = Some(now + HOPEFUL_BACK_OFF);
+            } else if self.relay.failures > 1 {
+                self.relay.not_before = Some(now + wait.min(LONGEST_BACK_OFF));
+            }
+            log::debug!("{} gives no answer for our workers", sent.to);
+            return self.wait_again(sent.reports);
+        };
+        self.relay.failures = 0;
+        self.relay.not_before = None;
+        self.peer_heard = now;
+        if answer.refused {
+            self.relay.not_before = Some(now + REFUSED);
+            return self.wait_again(sent.reports);
+        }
+        if answer.grant.is_zero() {
+            // It does not lead, or not yet.
+            return self.wait_again(sent.reports);
+        }
+        let held = Held::new(answer.term, sent.at, answer.grant);
+        if (self.relay.grant).is_some_and(|g| g.term > answer.term) {
+            return self.wait_again(sent.reports);
+        }
+        self.view.heard(&sent.to, 0, Abilities::REPORTS, 0, now);
+        for m in &answer.members {
+            let at = now.checked_sub(m.age).unwrap_or(now);
+            (self.view).told(&m.name, Abilities(m.abilities), m.load, at);
+        }
+        self.relay.hold(held, now);
+        self.relay.answered = number;
+        self.relay.moves = answer.moves;
+        for id in &answer.recalled {
+            if let Some(w) = self.relay.workers.get_mut(id) {
+                w.calm = None;
+            }
+        }
+        if self.relay.introduced != answer.term {
+            self.relay.introduced = answer.term;
+            self.begin_to_show(answer.term);
+        }
+        let mut told: BTreeMap<u64, Told> =
+            answer.answers.into_iter().map(|t| (t.name, t)).collect();
+        for (n, w) in sent.reports.into_iter().enumerate() {
+            let Some(ticket) = w.ticket else { continue };
+            match told.remove(&(n as u64 + 1)) {
+                Some(t) => self.hand_out(ticket, w, t.kind, held),
+                None => self.answer(ticket, Answer::busy("no answer", 1)),
+            }
+        }
+    }
+
+    fn hand_out(&mut self, ticket: Ticket, w: Waiting, told: ToldKind, held: Held) {
+        let r = &w.report;
+        match told {
+            ToldKind::Refused {
+                status,
+                retry_after,
+            } => {
+                self.relay.workers.remove(&r.machine);
+                let mut answer = Answer::error(status, "see the status");
+                answer.retry_after = retry_after;
+                self.answer(ticket, answer);
+            }
+            ToldKind::Orders {
+                token,
+                orders,
+                calm,
+            } => {
+                let digest = self.relay.digest(r);
+                let worker = Worker {
+                    session: r.session,
+                    seq: r.seq,
+                    addr: r.addr.clone(),
+                    token: r.token,
+                    seen: w.received,
+                    untold: false,
+                    calm: calm.then_some((digest, token)),
+                };
+                self.relay.workers.insert(r.machine.clone(), worker);
+                let body = to_json(&ReportAnswer { token, orders });
+                // Before the leader's word is over, and before the worker stops to wait.
+                let until = held.until.min(w.received + LATEST_ANSWER);
+                self.answer(ticket, Answer::new(200, body).until(Some(until)));
+            }
+        }
+    }
+
+    /// Reports whose frame came to nothing wait on, or their workers are led to the leader.
+    fn wait_again(&mut self, reports: Vec<Waiting>) {
+        for w in reports.into_iter().rev() {
+            self.relay.waiting.push_front(w);
+        }
+        if !self.leader_may_answer() {
+            for w in std::mem::take(&mut self.relay.waiting) {
+                if let Some(ticket) = w.ticket {
+                    self.redirect(ticket);
+                }
+            }
+        }
+    }
+
+    /// A new leader's token is shown to the workers that report here, so that whatever an earlier
+    /// one sent is refused by them, and the leader knows what each of them has.
+    fn begin_to_show(&mut self, term: u64) {
+        let now = self.now.mono;
+        let token = term << super::leadership::EPOCH_BITS;
+        let recent = self.settings.report * 5 / 2;
+        let workers = self.relay.workers.iter();
+        let unaware = workers
+            .filter(|(_, w)| w.token < token && now.saturating_duration_since(w.seen) < recent);
+        self.relay.to_show = unaware.map(|(id, _)| id.clone()).collect();
+        log::info!(
+            "term {term}: {} workers report here",
+            self.relay.to_show.len()
+        );
+    }
+
+    fn show_token(&mut self) {
+        let now = self.now.mono;
+        let Some(grant) = self.relay.grant.filter(|g| now < g.until) else {
+            self.relay.to_show.clear();
+            return;
+        };
+        let token = grant.term << super::leadership::EPOCH_BITS;
+        while self.relay.shows_out < MOST_DIRECT
+            && let Some(id) = self.relay.to_show.pop()
+        {
+            let Some(w) = self.relay.workers.get(&id).filter(|w| w.token < token) else {
+                continue;
+            };
+            let Ok(addr) = w.addr.parse() else { continue };
+            let body = DirectBody {
+                token,
+                session: w.session,
+                orders: Vec::new(),
+            };
+            let call = self.call(Pending::Show(id));
+            self.relay.shows_out += 1;
+            self.out.push(Effect::Direct {
+                call,
+                addr,
+                request: DirectRequest::Commands(body),
+                not_after: grant.until,
+            });
+        }
+    }
+
+    /// A worker's answer to the token; without one, the leader asks it.
+    pub(super) fn shown(&mut self, id: &MachineId, outcome: DirectOutcome) {
+        self.relay.shows_out = self.relay.shows_out.saturating_sub(1);
+        let DirectOutcome::Report { report, .. } = outcome else {
+            return;
+        };
+        if report.machine != *id || self.relay.waiting.len() >= MOST_WAITING {
+            return;
+        }
+        if let Some(w) = self.relay.workers.get_mut(id)
+            && report.session == w.session
+        {
+            w.seq = w.seq.max(report.seq);
+            w.token = w.token.max(report.token);
+        }
+        self.relay.waiting.push_back(Waiting {
+            ticket: None,
+            report,
+            received: self.now.mono,
+        });
+    }
+}
--- a/src/core/scheduling.rs
+++ b/src/core/scheduling.rs
@@ -394,6 +394,7 @@
     pub(super) fn refresh_board(&mut self) {
         let Some(lead) = &mut self.lead else { return };
         let changed = lead.machines.take_noted();
+        lead.recall_changed(&changed);
         let mut board = std::mem::take(&mut lead.board);
         let mut opened = Vec::with_capacity(changed.len());
         if let Some(lead) = &self.lead {
--- a/src/core/status.rs
+++ b/src/core/status.rs
@@ -21,6 +21,7 @@
                 "leads": false,
                 "leader": self.leader_name(),
                 "state_service_heard_s": self.since(self.state_ok),
+                "members": self.members_view(),
             })
         };
         let mut body = view;
@@ -66,6 +67,8 @@
             "machines_not_heard_yet": lead.unresolved.len(),
             "refused_offers": refused,
             "bidding": self.markets_view(lead),
+            "members": self.members_view(),
+            "reports_by_others": {"taken_in": lead.delegates.relayed, "answered": lead.delegates.answered},
             "machines": machines,
             "jobs_live": lead.runs.len(),
             "jobs_finished": self.mirror.finished.len(),
@@ -110,7 +113,7 @@
             .collect();
         json!({
             "machine": m.id, "type": m.kind, "zone": m.zone, "spot": m.spot,
-            "state": state, "heard_s": self.since(m.seen), "tasks": tasks,
+            "state": state, "heard_s": self.since(m.seen), "reports_to": m.via, "tasks": tasks,
         })
     }
 
--- a/src/core/world.rs
+++ b/src/core/world.rs
@@ -6,7 +6,8 @@
 use crate::cloud::{CloudOutcome, CloudRequest};
 use crate::http::Answer;
 use crate::job::{JobSpec, Kind, MachineId, TaskKey};
-use crate::peer::{PeerAnswer, PeerRequest};
+use crate::link;
+use crate::peer::{self, PeerAnswer, PeerRequest};
 use crate::policy::Policy;
 use crate::settings::Settings;
 use crate::state::{PREFIX, StateOutcome, StateRequest};
@@ -264,6 +265,8 @@
     next_machine: u32,
     next_ticket: Ticket,
     forwards: BTreeMap<Ticket, (usize, Ticket)>,
+    /// Frames of controllers that serve workers: who sent them, their numbers, and when.
+    syncs: BTreeMap<Ticket, (usize, u64, Instant)>,
     answers: BTreeMap<Ticket, Answer>,
     /// What the network keeps for later delivery.
     pub held_txns: Vec<Txn>,
@@ -342,6 +345,7 @@
             next_machine: 1,
             next_ticket: 1,
             forwards: BTreeMap::new(),
+            syncs: BTreeMap::new(),
             answers: BTreeMap::new(),
             held_txns: Vec::new(),
             held_commands: Vec::new(),
@@ -403,6 +407,7 @@
         self.nodes[i].inbox.clear();
         self.nodes[i].restart_at = Some(self.now + restart_after);
         self.forwards.retain(|_, (asker, _)| *asker != i);
+        self.syncs.retain(|_, (asker, _, _)| *asker != i);
     }
 
     pub fn leader(&self) -> Option<usize> {
@@ -695,6 +700,7 @@
             self.keep_lease(i);
             self.deliver_watch(i);
         }
+        self.give_up_syncs();
         self.tend_workers();
         for i in 0..self.nodes.len() {
             if !self.nodes[i].up {
@@ -710,6 +716,17 @@
         self.check();
     }
 
+    /// Frames that nobody answered within a second.
+    fn give_up_syncs(&mut self) {
+        let late = self.now - Duration::from_secs(1);
+        for (_, (asker, number, _)) in self.syncs.extract_if(.., |_, (_, _, at)| *at < late) {
+            self.nodes[asker].inbox.push(Command::Synced {
+                number,
+                answer: None,
+            });
+        }
+    }
+
     fn keep_lease(&mut self, i: usize) {
         let now = self.now;
         let node = &mut self.nodes[i];
@@ -1083,7 +1100,16 @@
                 if answer.not_after.is_some_and(|t| self.now >= t) {
                     return;
                 }
-                if let Some((asker, original)) = self.forwards.remove(&ticket) {
+                if let Some((asker, number, _)) = self.syncs.remove(&ticket) {
+                    // What cannot get through is as good as lost.
+                    let through = self.nodes[asker].peers && self.nodes[i].peers;
+                    let frame = peer::read_frame(&mut answer.body.as_slice()).ok();
+                    let synced = frame.and_then(|(_, body)| link::decode_synced(&body));
+                    self.nodes[asker].inbox.push(Command::Synced {
+                        number,
+                        answer: synced.filter(|_| through).map(Box::new),
+                    });
+                } else if let Some((asker, original)) = self.forwards.remove(&ticket) {
                     let told: Option<JobAnswer> = serde_json::from_slice(&answer.body).ok();
                     self.nodes[asker].inbox.push(Command::Forwarded {
                         ticket: original,
@@ -1130,6 +1156,26 @@
                     },
                 }));
             }
+            Effect::Sync {
+                peer,
+                number,
+                frame,
+            } => {
+                let to = peer[1..].parse::<usize>().unwrap();
+                if !self.nodes[to].up || !self.nodes[to].peers || !self.nodes[i].peers {
+                    self.nodes[i].inbox.push(Command::Synced {
+                        number,
+                        answer: None,
+                    });
+                    return;
+                }
+                let (_, body) = peer::read_frame(&mut frame.as_slice()).unwrap();
+                let sync = Box::new(link::decode_sync(&body).unwrap());
+                let ticket = self.next_ticket;
+                self.next_ticket += 1;
+                self.syncs.insert(ticket, (i, number, self.now));
+                self.nodes[to].inbox.push(Command::Sync { ticket, sync });
+            }
             Effect::State { call, request } => {
                 let outcome = self.call_state(i, &request);
                 self.nodes[i].inbox.push(Command::State { call, outcome });
@@ -1149,7 +1195,7 @@
             Effect::Direct { call, request, .. } => {
                 // All workers share an address here; the call's machine is the core's own note.
                 let id = match self.nodes[i].core.pending.get(&call) {
-                    Some(super::Pending::Direct(id)) => id.clone(),
+                    Some(super::Pending::Direct(id) | super::Pending::Show(id)) => id.clone(),
                     _ => return,
                 };
                 let outcome = self.call_worker(i, &id, request);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod forecast;
 pub mod http;
 pub mod job;
+pub mod link;
 pub mod peer;
 pub mod plan;
 pub mod policy;
--- /dev/null
+++ b/src/link.rs
@@ -0,0 +1,619 @@
+//! What a controller that serves workers for the leader says to it, and is told: frames of a fixed
+//! layout, read with `zerocopy`, like those of `peer` and on the same port. One is on its way at a
+//! time between two controllers; what comes up meanwhile goes together in the next one.
+//!
+//! A frame is `peer`'s header and a body. In a body, a fixed part is followed by lists, whose
+//! lengths it states; each text in them has its length before it. Versions that do not know these
+//! kinds drop the connection, and are left alone.
+
+use crate::job::MachineId;
+use crate::wire::{Order, Report, RowReport, RowState, Why};
+use std::time::Duration;
+use zerocopy::byteorder::little_endian::{U16, U32, U64};
+use zerocopy::{FromBytes, Immutable, IntoBytes, KnownLayout, Unaligned};
+
+pub const KIND_SYNC: u8 = 6;
+pub const KIND_SYNCED: u8 = 7;
+
+/// A body is filled up to this; the rest goes into the next frame.
+pub const FULL: usize = 56 * 1024;
+/// No notice, and no time to come back after.
+const NONE: u32 = u32::MAX;
+
+/// From a controller that serves workers.
+#[derive(Clone, Debug, Default)]
+pub struct Sync {
+    pub from: String,
+    /// Tells this process from an earlier one of the same name.
+    pub incarnation: u64,
+    /// Rises with each frame of a process.
+    pub number: u64,
+    /// The newest answer that it has taken in: what that took back is taken back.
+    pub answered: u64,
+    pub abilities: u32,
+    /// Workers that it serves.
+    pub load: u32,
+    /// The term in which it last had a grant.
+    pub term: u64,
+    /// Machines that it serves and will show the token to; told when a term begins.
+    pub mine: Vec<MachineId>,
+    /// Machines whose reports it answered itself.
+    pub heard: Vec<Heard>,
+    /// Reports for the leader to take in.
+    pub reports: Vec<Relayed>,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Heard {
+    pub machine: MachineId,
+    pub session: u64,
+    pub seq: u64,
+    /// How long ago the report came.
+    pub age: Duration,
+}
+
+#[derive(Clone, Debug)]
+pub struct Relayed {
+    /// Names the report in the answer; 0: the answer to a direct command, which wants none.
+    pub name: u64,
+    pub report: Box<Report>,
+}
+
+/// The leader's answer.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Synced {
+    /// Of the frame that it answers.
+    pub number: u64,
+    pub term: u64,
+    /// How long the leader's word holds, from when it worked on the frame; zero: no grant.
+    pub grant: Duration,
+    /// The leader does not take part at all: this controller leads its workers to it.
+    pub refused: bool,
+    /// Reports of these machines are not to be answered from memory any more.
+    pub recalled: Vec<MachineId>,
+    pub answers: Vec<Told>,
+    /// So many workers are to be sent to that controller.
+    pub moves: Vec<(String, u32)>,
+    /// What the leader knows of the others: name, abilities, load, and how long ago it heard them.
+    pub members: Vec<MemberTold>,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct MemberTold {
+    pub name: String,
+    pub abilities: u32,
+    pub load: u32,
+    pub age: Duration,
+}
+
+/// The answer to one report.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Told {
+    pub name: u64,
+    pub kind: ToldKind,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum ToldKind {
+    Orders {
+        token: u64,
+        orders: Vec<Order>,
+        /// Until it is recalled, a report that says the same may be answered with this token and
+        /// no orders.
+        calm: bool,
+    },
+    Refused {
+        status: u16,
+        retry_after: Option<u32>,
+    },
+}
+
+#[derive(FromBytes, IntoBytes, Immutable, KnownLayout, Unaligned)]
+#[repr(C)]
+struct SyncFixed {
+    incarnation: U64,
+    number: U64,
+    answered: U64,
+    term: U64,
+    abilities: U32,
+    load: U32,
+    mine: U32,
+    heard: U32,
+    reports: U32,
+}
+
+#[derive(FromBytes, IntoBytes, Immutable, KnownLayout, Unaligned)]
+#[repr(C)]
+struct HeardFixed {
+    session: U64,
+    seq: U64,
+    age_ms: U32,
+}
+
+#[derive(FromBytes, IntoBytes, Immutable, KnownLayout, Unaligned)]
+#[repr(C)]
+struct ReportFixed {
+    name: U64,
+    session: U64,
+    seq: U64,
+    token: U64,
+    notice_ms: U32,
+    rows: U32,
+    spot: u8,
+}
+
+#[derive(FromBytes, IntoBytes, Immutable, KnownLayout, Unaligned)]
+#[repr(C)]
+struct RowFixed {
+    attempt: U64,
+    state: u8,
+    why: u8,
+    saved: u8,
+}
+
+#[derive(FromBytes, IntoBytes, Immutable, KnownLayout, Unaligned)]
+#[repr(C)]
+struct SyncedFixed {
+    number: U64,
+    term: U64,
+    grant_ms: U32,
+    refused: u8,
+    recalled: U32,
+    answers: U32,
+    moves: U32,
+    members: U32,
+}
+
+#[derive(FromBytes, IntoBytes, Immutable, KnownLayout, Unaligned)]
+#[repr(C)]
+struct ToldFixed {
+    name: U64,
+    token: U64,
+    /// 200 and orders, or why not.
+    status: U16,
+    calm: u8,
+    retry_after: U32,
+    orders: U32,
+}
+
+#[derive(FromBytes, IntoBytes, Immutable, KnownLayout, Unaligned)]
+#[repr(C)]
+struct OrderFixed {
+    verb: u8,
+    attempt: U64,
+    grace_ms: U32,
+}
+
+#[derive(FromBytes, IntoBytes, Immutable, KnownLayout, Unaligned)]
+#[repr(C)]
+struct MemberFixed {
+    abilities: U32,
+    load: U32,
+    age_ms: U32,
+}
+
+fn ms(d: Duration) -> U32 {
+    U32::new(u32::try_from(d.as_millis()).unwrap_or(NONE - 1))
+}
+
+fn span(ms: U32) -> Duration {
+    Duration::from_millis(u64::from(ms.get()))
+}
+
+fn count(n: usize) -> U32 {
+    U32::new(n as u32)
+}
+
+#[derive(Default)]
+struct Out(Vec<u8>);
+
+impl Out {
+    fn put(&mut self, fixed: &(impl IntoBytes + Immutable)) {
+        self.0.extend_from_slice(fixed.as_bytes());
+    }
+
+    /// Names are far shorter than the length allows; a longer text is cut, and is then unknown.
+    fn text(&mut self, text: &str) {
+        let bytes = &text.as_bytes()[..text.len().min(usize::from(u16::MAX))];
+        self.put(&U16::new(bytes.len() as u16));
+        self.0.extend_from_slice(bytes);
+    }
+}
+
+struct In<'a>(&'a [u8]);
+
+impl<'a> In<'a> {
+    fn get<T: FromBytes + KnownLayout + Immutable + Unaligned>(&mut self) -> Option<&'a T> {
+        let (fixed, rest) = T::ref_from_prefix(self.0).ok()?;
+        self.0 = rest;
+        Some(fixed)
+    }
+
+    fn text(&mut self) -> Option<&'a str> {
+        let n = self.get::<U16>()?.get();
+        let (head, rest) = self.0.split_at_checked(usize::from(n))?;
+        self.0 = rest;
+        std::str::from_utf8(head).ok()
+    }
+
+    /// A list of as many as stated; what is stated is not believed beyond what is there.
+    fn list<T>(&mut self, n: U32, f: impl Fn(&mut In<'a>) -> Option<T>) -> Option<Vec<T>> {
+        let mut out = Vec::new();
+        for _ in 0..n.get() {
+            out.push(f(self)?);
+        }
+        Some(out)
+    }
+}
+
+const STATES: [RowState; 5] = [
+    RowState::Fetching,
+    RowState::Waiting,
+    RowState::Running,
+    RowState::Saving,
+    RowState::Exited,
+];
+const CAUSES: [Why; 7] = [
+    Why::Done,
+    Why::Stopped,
+    Why::Error,
+    Why::NoRoom,
+    Why::Busy,
+    Why::Unknown,
+    Why::Other,
+];
+
+fn index<T: PartialEq>(all: &[T], x: &T) -> u8 {
+    all.iter().position(|y| y == x).unwrap_or(all.len()) as u8
+}
+
+/// Roughly the bytes that a report takes in a frame.
+pub fn size_of_report(r: &Report) -> usize {
+    let rows: usize = r.rows.iter().map(|row| row.task.len() + 13).sum();
+    64 + r.machine.len() + r.addr.len() + r.kind.len() + r.zone.len() + rows
+}
+
+pub fn encode_sync(s: &Sync) -> Vec<u8> {
+    let mut out = Out::default();
+    out.put(&SyncFixed {
+        incarnation: U64::new(s.incarnation),
+        number: U64::new(s.number),
+        answered: U64::new(s.answered),
+        term: U64::new(s.term),
+        abilities: U32::new(s.abilities),
+        load: U32::new(s.load),
+        mine: count(s.mine.len()),
+        heard: count(s.heard.len()),
+        reports: count(s.reports.len()),
+    });
+    out.text(&s.from);
+    for id in &s.mine {
+        out.text(id);
+    }
+    for h in &s.heard {
+        out.put(&HeardFixed {
+            session: U64::new(h.session),
+            seq: U64::new(h.seq),
+            age_ms: ms(h.age),
+        });
+        out.text(&h.machine);
+    }
+    for Relayed { name, report: r } in &s.reports {
+        let notice = |s: f64| ms(Duration::from_secs_f64(s.clamp(0.0, 1e6)));
+        out.put(&ReportFixed {
+            name: U64::new(*name),
+            session: U64::new(r.session),
+            seq: U64::new(r.seq),
+            token: U64::new(r.token),
+            notice_ms: r
+                .notice
+                .filter(|n| n.is_finite())
+                .map_or(U32::new(NONE), notice),
+            rows: count(r.rows.len()),
+            spot: u8::from(r.spot),
+        });
+        for text in [&*r.machine, &r.addr, &r.kind, &r.zone] {
+            out.text(text);
+        }
+        for row in &r.rows {
+            out.put(&RowFixed {
+                attempt: U64::new(row.attempt),
+                state: index(&STATES, &row.state),
+                why: row.why.map_or(u8::MAX, |w| index(&CAUSES, &w)),
+                saved: row.saved.map_or(2, u8::from),
+            });
+            out.text(&row.task);
+        }
+    }
+    crate::peer::frame(KIND_SYNC, &out.0)
+}
+
+fn decode_report(b: &mut In) -> Option<Relayed> {
+    let f = b.get::<ReportFixed>()?;
+    let mut text = || b.text().map(str::to_string);
+    let (machine, addr, kind, zone) = (text()?, text()?, text()?, text()?);
+    let rows = b.list(f.rows, |b| {
+        let row = b.get::<RowFixed>()?;
+        let why = match row.why {
+            u8::MAX => None,
+            n => Some(*CAUSES.get(usize::from(n))?),
+        };
+        Some(RowReport {
+            attempt: row.attempt.get(),
+            state: *STATES.get(usize::from(row.state))?,
+            why,
+            saved: (row.saved < 2).then_some(row.saved == 1),
+            task: b.text()?.to_string(),
+        })
+    })?;
+    let report = Report {
+        machine: machine.into(),
+        addr,
+        kind,
+        zone,
+        spot: f.spot != 0,
+        session: f.session.get(),
+        seq: f.seq.get(),
+        token: f.token.get(),
+        notice: (f.notice_ms.get() != NONE).then(|| span(f.notice_ms).as_secs_f64()),
+        rows,
+    };
+    Some(Relayed {
+        name: f.name.get(),
+        report: Box::new(report),
+    })
+}
+
+pub fn decode_sync(body: &[u8]) -> Option<Sync> {
+    let mut b = In(body);
+    let f = b.get::<SyncFixed>()?;
+    let sync = Sync {
+        incarnation: f.incarnation.get(),
+        number: f.number.get(),
+        answered: f.answered.get(),
+        term: f.term.get(),
+        abilities: f.abilities.get(),
+        load: f.load.get(),
+        from: b.text()?.to_string(),
+        mine: b.list(f.mine, |b| b.text().map(MachineId::from))?,
+        heard: b.list(f.heard, |b| {
+            let h = b.get::<HeardFixed>()?;
+            Some(Heard {
+                session: h.session.get(),
+                seq: h.seq.get(),
+                age: span(h.age_ms),
+                machine: b.text()?.into(),
+            })
+        })?,
+        reports: b.list(f.reports, decode_report)?,
+    };
+    b.0.is_empty().then_some(sync)
+}
+
+pub fn encode_synced(s: &Synced) -> Vec<u8> {
+    let mut out = Out::default();
+    out.put(&SyncedFixed {
+        number: U64::new(s.number),
+        term: U64::new(s.term),
+        grant_ms: ms(s.grant),
+        refused: u8::from(s.refused),
+        recalled: count(s.recalled.len()),
+        answers: count(s.answers.len()),
+        moves: count(s.moves.len()),
+        members: count(s.members.len()),
+    });
+    for id in &s.recalled {
+        out.text(id);
+    }
+    for told in &s.answers {
+        let (token, status, calm, retry, orders) = match &told.kind {
+            ToldKind::Orders {
+                token,
+                orders,
+                calm,
+            } => (*token, 200, *calm, None, orders.as_slice()),
+            ToldKind::Refused {
+                status,
+                retry_after,
+            } => (0, *status, false, *retry_after, [].as_slice()),
+        };
+        out.put(&ToldFixed {
+            name: U64::new(told.name),
+            token: U64::new(token),
+            status: U16::new(status),
+            calm: u8::from(calm),
+            retry_after: U32::new(retry.unwrap_or(NONE)),
+            orders: count(orders.len()),
+        });
+        for order in orders {
+            let (verb, task, attempt, grace) = match order {
+                Order::Start { task, attempt } => (0, task, *attempt, 0.0),
+                Order::Stop {
+                    task,
+                    attempt,
+                    grace,
+                } => (1, task, *attempt, *grace),
+                Order::Forget { task, attempt } => (2, task, *attempt, 0.0),
+            };
+            out.put(&OrderFixed {
+                verb,
+                attempt: U64::new(attempt),
+                grace_ms: ms(Duration::from_secs_f64(grace.clamp(0.0, 1e6))),
+            });
+            out.text(task);
+        }
+    }
+    for (to, n) in &s.moves {
+        out.put(&U32::new(*n));
+        out.text(to);
+    }
+    for m in &s.members {
+        out.put(&MemberFixed {
+            abilities: U32::new(m.abilities),
+            load: U32::new(m.load),
+            age_ms: ms(m.age),
+        });
+        out.text(&m.name);
+    }
+    crate::peer::frame(KIND_SYNCED, &out.0)
+}
+
+fn decode_told(b: &mut In) -> Option<Told> {
+    let f = b.get::<ToldFixed>()?;
+    let orders = b.list(f.orders, |b| {
+        let o = b.get::<OrderFixed>()?;
+        let (task, attempt) = (b.text()?.to_string(), o.attempt.get());
+        Some(match o.verb {
+            0 => Order::Start { task, attempt },
+            1 => Order::Stop {
+                task,
+                attempt,
+                grace: span(o.grace_ms).as_secs_f64(),
+            },
+            2 => Order::Forget { task, attempt },
+            _ => return None,
+        })
+    })?;
+    let retry = f.retry_after.get();
+    let kind = match f.status.get() {
+        200 => ToldKind::Orders {
+            token: f.token.get(),
+            orders,
+            calm: f.calm != 0,
+        },
+        status => ToldKind::Refused {
+            status,
+            retry_after: (retry != NONE).then_some(retry),
+        },
+    };
+    Some(Told {
+        name: f.name.get(),
+        kind,
+    })
+}
+
+pub fn decode_synced(body: &[u8]) -> Option<Synced> {
+    let mut b = In(body);
+    let f = b.get::<SyncedFixed>()?;
+    let synced = Synced {
+        number: f.number.get(),
+        term: f.term.get(),
+        grant: span(f.grant_ms),
+        refused: f.refused != 0,
+        recalled: b.list(f.recalled, |b| b.text().map(MachineId::from))?,
+        answers: b.list(f.answers, decode_told)?,
+        moves: b.list(f.moves, |b| {
+            let n = b.get::<U32>()?.get();
+            Some((b.text()?.to_string(), n))
+        })?,
+        members: b.list(f.members, |b| {
+            let m = b.get::<MemberFixed>()?;
+            Some(MemberTold {
+                abilities: m.abilities.get(),
+                load: m.load.get(),
+                age: span(m.age_ms),
+                name: b.text()?.to_string(),
+            })
+        })?,
+    };
+    b.0.is_empty().then_some(synced)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn body(frame: &[u8]) -> Vec<u8> {
+        crate::peer::read_frame(&mut &frame[..]).unwrap().1
+    }
+
+    #[test]
+    fn frames_come_back_as_they_went_and_cut_ones_are_refused() {
+        let row = |state, why, saved| RowReport {
+            task: "wk-000001/7".into(),
+            attempt: u64::MAX - 3,
+            state,
+            why,
+            saved,
+        };
+        let report = Report {
+            machine: "i-000001".into(),
+            addr: "10.0.0.1:9000".into(),
+            kind: "g8".into(),
+            zone: "a".into(),
+            spot: true,
+            session: 2,
+            seq: 99,
+            token: 1 << 40,
+            notice: Some(7.5),
+            rows: vec![
+                row(RowState::Running, None, None),
+                row(RowState::Exited, Some(Why::Error), Some(false)),
+            ],
+        };
+        let sync = Sync {
+            from: "n1".into(),
+            incarnation: 5,
+            number: 6,
+            answered: 4,
+            abilities: 1,
+            load: 300,
+            term: 9,
+            mine: vec!["i-000001".into()],
+            heard: vec![Heard {
+                machine: "i-000002".into(),
+                session: 1,
+                seq: 12,
+                age: Duration::from_millis(250),
+            }],
+            reports: vec![Relayed {
+                name: 3,
+                report: Box::new(report),
+            }],
+        };
+        let bytes = body(&encode_sync(&sync));
+        let back = decode_sync(&bytes).unwrap();
+        // `Report` has no equality of its own.
+        assert_eq!(format!("{back:?}"), format!("{sync:?}"));
+        assert!((0..bytes.len()).all(|cut| decode_sync(&bytes[..cut]).is_none()));
+        let order = |grace| Order::Stop {
+            task: "wk-000001/7".into(),
+            attempt: 4,
+            grace,
+        };
+        let synced = Synced {
+            number: 6,
+            term: 9,
+            grant: Duration::from_millis(2400),
+            refused: false,
+            recalled: vec!["i-000002".into()],
+            answers: vec![
+                Told {
+                    name: 3,
+                    kind: ToldKind::Orders {
+                        token: 77,
+                        orders: vec![order(1.5)],
+                        calm: true,
+                    },
+                },
+                Told {
+                    name: 4,
+                    kind: ToldKind::Refused {
+                        status: 503,
+                        retry_after: Some(30),
+                    },
+                },
+            ],
+            moves: vec![("n2".into(), 20)],
+            members: vec![MemberTold {
+                name: "n2".into(),
+                abilities: 1,
+                load: 7,
+                age: Duration::from_millis(300),
+            }],
+        };
+        let bytes = body(&encode_synced(&synced));
+        assert_eq!(decode_synced(&bytes), Some(synced));
+        assert!((0..bytes.len()).all(|cut| decode_synced(&bytes[..cut]).is_none()));
+    }
+}
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -13,8 +13,9 @@
 
 const MAGIC: u32 = 0x6275_726c;
 const VERSION: u8 = 1;
-/// Larger than any submission that the public interface accepts.
-const MAX_FRAME: usize = 80 * 1024;
+/// Larger than any submission that the public interface accepts, and than what a leader tells
+/// another controller at a time (`link`).
+const MAX_FRAME: usize = 640 * 1024;
 
 const KIND_SUBMIT: u8 = 1;
 const KIND_SHOW: u8 = 2;
@@ -101,7 +102,7 @@
     U64::new(u64::try_from(d.as_nanos()).unwrap_or(u64::MAX - 1))
 }
 
-fn frame(kind: u8, body: &[u8]) -> Vec<u8> {
+pub(crate) fn frame(kind: u8, body: &[u8]) -> Vec<u8> {
     let header = Header {
         magic: U32::new(MAGIC),
         version: VERSION,
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -46,9 +46,10 @@
     Bidding,
     Foresight,
     Tolerance,
+    Delegate,
 }
 
-const ENTRIES: [(Entry, &str, Type, About); 12] = [
+const ENTRIES: [(Entry, &str, Type, About); 13] = [
     (Entry::Merit, "merit", Type::Number, About::Job),
     (Entry::Order, "order", Type::Number, About::Job),
     (Entry::Patience, "patience", Type::Number, About::Job),
@@ -66,6 +67,7 @@
     (Entry::Bidding, "bidding", Type::Truth, About::Fleet),
     (Entry::Foresight, "foresight", Type::Number, About::Fleet),
     (Entry::Tolerance, "tolerance", Type::Number, About::Fleet),
+    (Entry::Delegate, "delegate", Type::Truth, About::Fleet),
 ];
 
 const JOB_NAMES: [(&str, Type); 18] = [
@@ -802,11 +804,15 @@
 
     /// What the deploy file starts controllers with must check, or none would start.
     #[test]
-    fn the_policy_that_is_deployed_checks_and_bids() {
-        let text = include_str!("../deploy/bidding.policy");
-        let p = Policy::with("deploy/bidding.policy", text).unwrap();
-        assert!(p.fleet_truth(Entry::Bidding, &FleetFacts::default()));
-        assert!(!Policy::built_in().fleet_truth(Entry::Bidding, &FleetFacts::default()));
+    fn the_policy_that_is_deployed_checks_bids_and_delegates() {
+        let deploy = include_str!("../deploy/service.toml");
+        assert!(deploy.contains("--policy deploy/service.policy "));
+        let text = include_str!("../deploy/service.policy");
+        let p = Policy::with("deploy/service.policy", text).unwrap();
+        for entry in [Entry::Bidding, Entry::Delegate] {
+            assert!(p.fleet_truth(entry, &FleetFacts::default()));
+            assert!(!Policy::built_in().fleet_truth(entry, &FleetFacts::default()));
+        }
     }
 
     #[test]
--- a/src/service.rs
+++ b/src/service.rs
@@ -8,6 +8,7 @@
 use crate::cloud::{CloudClient, CloudOutcome, CloudRequest};
 use crate::core::{Ask, Command, Core, Effect, Now, Ticket, UserRequest, note};
 use crate::http::{self, Answer, Request};
+use crate::link;
 use crate::peer::{self, PeerAnswer, PeerRequest};
 use crate::policy::Policy;
 use crate::settings::Settings;
@@ -34,6 +35,8 @@
 /// Submissions should be accepted well within 300 ms even if the leader has just died.
 const PEER_TIMEOUT: Duration = Duration::from_millis(200);
 const PEER_CONNECT: Duration = Duration::from_millis(100);
+/// Much less than the leader's word holds, so that a grant outlives a frame that comes to nothing.
+const SYNC_TIMEOUT: Duration = Duration::from_millis(1000);
 const WATCH_WAIT: Duration = Duration::from_secs(10);
 const STACK: usize = 192 * 1024;
 /// Sockets for the lease, the watch, the listeners and the process's own files.
@@ -307,12 +310,14 @@
 type CloudCall = (u64, CloudRequest, Option<Instant>);
 type DirectCall = (u64, SocketAddrV4, DirectRequest, Instant);
 type PeerCall = (Ticket, PeerRequest);
+type SyncCall = (String, u64, Vec<u8>);
 
 struct Outbox {
     state: Sender<StateCall>,
     cloud: Sender<CloudCall>,
     direct: Sender<DirectCall>,
     peers: BTreeMap<String, Sender<PeerCall>>,
+    sync: Sender<SyncCall>,
     give_up_lease: Arc<AtomicBool>,
     ready: Arc<AtomicBool>,
 }
@@ -333,6 +338,7 @@
         cloud: cloud_pool(&settings, &inbox_side)?,
         direct: direct_pool(&inbox_side)?,
         peers: peer_pools(&settings, &inbox_side)?,
+        sync: sync_pool(&settings, &inbox_side)?,
         give_up_lease: give_up_lease.clone(),
         ready: ready.clone(),
     };
@@ -441,6 +447,13 @@
                 let _ = tx.send((ticket, request));
             }
         }
+        Effect::Sync {
+            peer,
+            number,
+            frame,
+        } => {
+            let _ = out.sync.send((peer, number, frame));
+        }
         Effect::GiveUpLease => out.give_up_lease.store(true, Ordering::Relaxed),
         Effect::Ready(yes) => out.ready.store(yes, Ordering::Relaxed),
     }
@@ -521,6 +534,41 @@
     Ok(out)
 }
 
+/// Frames for the leader of workers that report here: one is on its way at a time.
+fn sync_pool(settings: &Settings, inbox: &Inbox) -> io::Result<Sender<SyncCall>> {
+    let addrs: BTreeMap<String, SocketAddrV4> = (settings.peers.iter())
+        .map(|p| (p.name.clone(), p.addr))
+        .collect();
+    pool("sync", 1, || {
+        let (inbox, addrs) = (inbox.clone(), addrs.clone());
+        let mut kept: Option<(String, TcpStream)> = None;
+        Box::new(move |(peer, number, frame): SyncCall| {
+            let mut stream = match kept.take() {
+                Some((name, stream)) if name == peer => Some(stream),
+                _ => None,
+            };
+            let answer = match addrs.get(&peer) {
+                Some(addr) => exchange(&mut stream, *addr, &frame, SYNC_TIMEOUT),
+                None => Err(io::ErrorKind::NotFound.into()),
+            };
+            kept = stream.map(|s| (peer.clone(), s));
+            let answer = answer.and_then(|(kind, body)| {
+                let synced = (kind == link::KIND_SYNCED).then(|| link::decode_synced(&body));
+                synced
+                    .flatten()
+                    .ok_or_else(|| io::ErrorKind::InvalidData.into())
+            });
+            if let Err(e) = &answer {
+                log::debug!("peer {peer}: {e}");
+            }
+            inbox.put(Command::Synced {
+                number,
+                answer: answer.ok().map(Box::new),
+            });
+        })
+    })
+}
+
 /// All requests between controllers may be repeated, so a kept connection that turns out to be
 /// closed is replaced once.
 fn ask_peer(
@@ -528,12 +576,26 @@
     addr: SocketAddrV4,
     request: &PeerRequest,
 ) -> io::Result<PeerAnswer> {
-    let exchange = |stream: &mut TcpStream| -> io::Result<PeerAnswer> {
-        stream.set_read_timeout(Some(PEER_TIMEOUT))?;
-        stream.set_write_timeout(Some(PEER_TIMEOUT))?;
-        peer::write_frame(stream, &peer::encode_request(request))?;
-        let (kind, body) = peer::read_frame(stream)?;
-        peer::decode_answer(kind, &body).ok_or_else(|| io::ErrorKind::InvalidData.into())
+    let frame = peer::encode_request(request);
+    let (kind, body) = exchange(kept, addr, &frame, PEER_TIMEOUT)?;
+    let answer = peer::decode_answer(kind, &body);
+    if answer.is_none() {
+        *kept = None;
+    }
+    answer.ok_or_else(|| io::ErrorKind::InvalidData.into())
+}
+
+fn exchange(
+    kept: &mut Option<TcpStream>,
+    addr: SocketAddrV4,
+    frame: &[u8],
+    timeout: Duration,
+) -> io::Result<(u8, Vec<u8>)> {
+    let exchange = |stream: &mut TcpStream| -> io::Result<(u8, Vec<u8>)> {
+        stream.set_read_timeout(Some(timeout))?;
+        stream.set_write_timeout(Some(timeout))?;
+        peer::write_frame(stream, frame)?;
+        peer::read_frame(stream)
     };
     if let Some(mut stream) = kept.take() {
         let begun = Instant::now();
@@ -542,7 +604,7 @@
                 *kept = Some(stream);
                 return Ok(a);
             }
-            Err(e) if begun.elapsed() > PEER_TIMEOUT / 2 => return Err(e),
+            Err(e) if begun.elapsed() > timeout / 2 => return Err(e),
             Err(_) => {}
         }
     }
@@ -695,6 +757,17 @@
     stream.set_write_timeout(Some(Duration::from_secs(2)))?;
     loop {
         let (kind, body) = peer::read_frame(&mut stream)?;
+        if kind == link::KIND_SYNC {
+            let sync = link::decode_sync(&body).ok_or(io::ErrorKind::InvalidData)?;
+            let sync = Box::new(sync);
+            let answer = inbox.ask(|ticket| Command::Sync { ticket, sync });
+            // Too late, or no frame at all: the asker counts it as no answer.
+            if answer.expired() || answer.status != 200 {
+                return Ok(());
+            }
+            peer::write_frame(&mut stream, &answer.body)?;
+            continue;
+        }
         let Some(request) = peer::decode_request(kind, &body) else {
             return Err(io::ErrorKind::InvalidData.into());
         };
