--- a/src/core/delegation.rs
+++ b/src/core/delegation.rs
@@ -14,7 +14,8 @@
 //!   the worker directly, or into the next answer that comes by way of the leader.
 
 use super::leadership::Lead;
-use super::machines::{Machine, WORKER_RETRY};
+use super::machines::{MOST_DIRECT, Machine, WORKER_RETRY};
+use super::relay::HEARTBEAT;
 use super::{Core, Ticket};
 use crate::http::Answer;
 use crate::job::MachineId;
@@ -34,6 +35,9 @@
 /// Another controller sees to the machines that it claims for this long; then they are asked from
 /// here.
 const CLAIM: Duration = Duration::from_millis(1500);
+/// Machines that another controller is given to ask at a time: as many as it asks at once, and some
+/// to go on with until its next frame.
+const ASKED_BY_ANOTHER: usize = 3 * MOST_DIRECT / 2;
 /// How often loads are compared. A worker that is sent elsewhere is back within half a second.
 const SHARE_EVERY: Duration = Duration::from_millis(1000);
 /// The part of all workers that is moved at a time, at most.
@@ -73,9 +77,22 @@
     pub ticket: Ticket,
     pub number: u64,
     from: Arc<str>,
+    /// Workers that the sender has still to ask.
+    asking: usize,
     reports: Vec<(u64, Result<MachineId, Answer>)>,
 }
 
+impl Delegates {
+    /// How long after a report the leader may hear of it, where another controller answered it.
+    pub(super) fn told_late(&self) -> Duration {
+        if self.by_name.is_empty() {
+            Duration::ZERO
+        } else {
+            HEARTBEAT * 3 / 2
+        }
+    }
+}
+
 impl Lead {
     /// Takes a machine back from the controller that may answer its reports.
     pub(super) fn recall(&mut self, id: &MachineId) {
@@ -112,6 +129,34 @@
         (now.saturating_duration_since(heard) > PATIENCE.suspect).then(|| heard + WORKER_RETRY)
     }
 
+    /// Machines for another controller to show the token to, so that all controllers that live
+    /// share the work of a takeover, whoever the workers reported to.
+    fn hand_out_asks(&mut self, asking: usize, now: Instant) -> Vec<(MachineId, String)> {
+        let mut out = Vec::new();
+        while asking + out.len() < ASKED_BY_ANOTHER
+            && let Some(id) = self.next_to_ask(now)
+        {
+            if !self.unresolved.contains(&id) {
+                continue;
+            }
+            let Some(m) = self.machines.get_unnoted(&id) else {
+                continue;
+            };
+            if let Some(later) = m.claimed_until.filter(|t| now < *t) {
+                self.ask_again.insert((later, id));
+                continue;
+            }
+            if m.call.is_some() {
+                continue;
+            }
+            m.claimed_until = Some(now + CLAIM);
+            // If nothing comes of it, it is asked from here.
+            self.ask_again.insert((now + CLAIM, id.clone()));
+            out.push((id, m.addr.clone()));
+        }
+        out
+    }
+
     /// The controller that a worker reporting here is to go to, if it is to go.
     pub(super) fn move_one(&mut self, id: &MachineId) -> Option<String> {
         let (to, left) = self.delegates.own_moves.last_mut()?;
@@ -201,6 +246,15 @@
                 m.via = Some(from.clone());
             }
         }
+        for id in &sync.failed {
+            if lead.unresolved.contains(id)
+                && let Some(m) = lead.machines.get_unnoted(id)
+            {
+                m.unanswered += 1;
+                m.claimed_until = None;
+                lead.ask_again.insert((now, id.clone()));
+            }
+        }
         let mut reports = Vec::new();
         for r in sync.reports {
             if r.name == 0 {
@@ -217,6 +271,7 @@
             ticket,
             number: sync.number,
             from,
+            asking: sync.to_show as usize + sync.mine.len(),
             reports,
         })
     }
@@ -278,6 +333,7 @@
         }
         let members = self.tell_members(&work.from);
         let Some(lead) = &mut self.lead else { return };
+        let asks = lead.hand_out_asks(work.asking, now);
         let term = lead.term;
         let Some(d) = lead.delegates.by_name.get_mut(&work.from) else {
             return;
@@ -292,6 +348,7 @@
             refused: false,
             recalled: d.recalls.keys().cloned().collect(),
             answers,
+            asks,
             moves: std::mem::take(&mut d.moves),
             members,
         };
--- a/src/core/jobs.rs
+++ b/src/core/jobs.rs
@@ -214,12 +214,15 @@
         let stale = self.state_is_stale();
         let leader = self.leader_name();
         let reachable = |name: &str| self.peers_down.get(name).is_none_or(|t| now >= *t);
+        // A submission needs no leader, and cannot wait to find out that there is none.
+        let submission = matches!(request.what, Ask::Submit(_));
+        let late = submission && !stale && self.relay.leader_is_late(self.mirror.term, now);
         let peer = self
             .settings
             .peers
             .iter()
             .map(|p| p.name.as_str())
-            .filter(|p| (stale || leader == Some(*p)) && reachable(p))
+            .filter(|p| (stale || leader == Some(*p)) && reachable(p) && !late)
             .filter(|p| !request.tried.iter().any(|t| t == p))
             // The one that leads, as far as known, comes first.
             .min_by_key(|p| leader != Some(*p))
--- a/src/core/leadership.rs
+++ b/src/core/leadership.rs
@@ -67,6 +67,8 @@
     pub to_ask: Vec<MachineId>,
     /// Those that did not answer and are asked once more, and when.
     pub ask_again: BTreeSet<(Instant, MachineId)>,
+    /// How many there were when this leader began, until nearly all are known.
+    pub to_hear: usize,
     /// Direct calls on their way.
     pub calls_out: usize,
     pub runs: BTreeMap<JobId, super::jobs::Run>,
@@ -385,6 +387,7 @@
             unresolved: BTreeSet::new(),
             to_ask: Vec::new(),
             ask_again: BTreeSet::new(),
+            to_hear: 0,
             calls_out: 0,
             runs: BTreeMap::new(),
             in_doubt: BTreeSet::new(),
--- a/src/core/machines.rs
+++ b/src/core/machines.rs
@@ -35,6 +35,8 @@
 /// Direct calls on their way at a time: what the threads that make them finish well within the
 /// leader's word, so that none is given up unsent for having queued too long.
 pub(super) const MOST_DIRECT: usize = 2 * crate::service::DIRECT_THREADS;
+/// After an answer with a new token, a worker's next report has come.
+const TOKEN_SEEN: Duration = Duration::from_millis(900);
 /// Added to a worker's lease before its tasks count as gone: for drift, and for slow timers.
 const LEASE_MARGIN: Duration = Duration::from_millis(1500);
 /// A worker that gets no answer at one node tries the next one this much later (the protocol's
@@ -1007,6 +1009,7 @@
             token: m.token(lead.term),
             orders: self.orders(m, true),
         };
+        let unaware = lead.unresolved.contains(id);
         let starts = body.orders.iter().any(|o| matches!(o, Order::Start { .. }));
         if (m.answered, m.push) != (starts, false)
             && let Some(m) = self.lead.as_mut().and_then(|l| l.machines.get_mut(id))
@@ -1014,6 +1017,11 @@
             m.answered = starts;
             m.push = false;
         }
+        // A worker that sees a new token reports it within half a second, on the connection that it
+        // has: that costs less than asking it.
+        if unaware && let Some(m) = (self.lead.as_mut()).and_then(|l| l.machines.get_unnoted(id)) {
+            m.claimed_until = Some(self.now.mono + TOKEN_SEEN);
+        }
         Some(body)
     }
 
@@ -1164,13 +1172,15 @@
                 z.2 = z.2.max(m.seen);
             }
         }
+        // What others hear is told a little later.
+        let told_late = lead.delegates.told_late();
         // A zone from which next to nothing comes is cut off; its machines work on and their
         // leases protect them, so they are not given up for their silence. The first sign is
         // that nobody is heard at all for longer than so many machines ever keep silent together:
         // half of them are still fresh when the first ones are silent for too long.
         let reachable = |zone: &str| {
             zones.get(zone).is_some_and(|(all, up, newest)| {
-                let pause = hush(report, *up).max(report / 3);
+                let pause = hush(report, *up).max(report / 3) + told_late;
                 up * 2 >= *all && *up > 0 && now.saturating_duration_since(*newest) <= pause
             })
         };
--- a/src/core/recovery.rs
+++ b/src/core/recovery.rs
@@ -17,7 +17,7 @@
 
 impl Lead {
     /// Those that were not asked yet come first: one that did not answer takes a call for long.
-    fn next_to_ask(&mut self, now: Instant) -> Option<MachineId> {
+    pub(super) fn next_to_ask(&mut self, now: Instant) -> Option<MachineId> {
         self.to_ask.pop().or_else(|| {
             self.ask_again.first().filter(|(at, _)| *at <= now)?;
             self.ask_again.pop_first().map(|(_, id)| id)
@@ -61,6 +61,7 @@
             let later = now + OTHERS_FIRST;
             lead.ask_again = others.into_iter().map(|id| (later, id)).collect();
         }
+        lead.to_hear = lead.unresolved.len();
         lead.to_ask = turns;
         self.ask_machines();
     }
@@ -119,11 +120,20 @@
         if lead.unresolved.remove(id) {
             lead.plan_again = true;
             log::debug!("term {}: machine {id} is known: {how}", lead.term);
+            let took = (self.now.mono - lead.since).as_millis();
+            // What is left then are machines that died with the last leader.
+            if lead.to_hear > 0 && lead.unresolved.len() * 100 <= lead.to_hear {
+                let all = std::mem::take(&mut lead.to_hear);
+                log::info!(
+                    "term {}: 99 % of {all} machines known after {took} ms",
+                    lead.term
+                );
+            }
             if lead.unresolved.is_empty() {
                 log::info!(
                     "term {}: all machines are known after {} ms",
                     lead.term,
-                    (self.now.mono - lead.since).as_millis()
+                    took
                 );
             }
         }
--- a/src/core/relay.rs
+++ b/src/core/relay.rs
@@ -18,13 +18,15 @@
 use burlusher_membership::digest::{Digest, Digester};
 use burlusher_membership::grant::Held;
 use burlusher_membership::view::Abilities;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::{Duration, Instant};
 
 /// A leader that granted in this term may be dead with its key still there, for the lease's time
 /// less what passed before its word was over. Until then reports wait: sent on to it, their workers
 /// would go from node to node.
 const HOPE: Duration = Duration::from_millis(1800);
+/// A leader at work answers a frame in a small part of this.
+const LATE: Duration = Duration::from_millis(350);
 /// With nothing to say, a frame goes to the leader this often: it keeps the grant.
 pub(super) const HEARTBEAT: Duration = Duration::from_millis(400);
 /// Reports that come closer together than this go together.
@@ -74,7 +76,7 @@
 #[derive(Default)]
 pub struct Relay {
     incarnation: u64,
-    grant: Option<Held>,
+    pub(super) grant: Option<Held>,
     workers: BTreeMap<MachineId, Worker>,
     untold: Vec<MachineId>,
     waiting: VecDeque<Waiting>,
@@ -89,8 +91,11 @@
     asked_in: u64,
     not_before: Option<Instant>,
     moves: Vec<(String, u32)>,
-    to_show: Vec<MachineId>,
+    /// Workers that a new token is to be shown to: their sessions, 0 if not known, and addresses.
+    to_show: Vec<(MachineId, u64, String)>,
     shows_out: usize,
+    /// Workers that gave no answer to it; the leader has yet to be told.
+    failed: Vec<MachineId>,
     swept: Option<Instant>,
 }
 
@@ -118,6 +123,13 @@
         w.is_some_and(|w| now.saturating_duration_since(w.seen) < Duration::from_secs(20))
     }
 
+    /// The leader, which answers several times a second, owes an answer for so long, or gave none.
+    pub fn leader_is_late(&self, term: u64, now: Instant) -> bool {
+        let granted = self.grant.is_some_and(|g| g.term == term);
+        let owed = (self.sent.as_ref()).is_some_and(|s| now > s.at + LATE);
+        granted && (owed || self.failures > 0)
+    }
+
     /// This controller led until now: the workers that reported to it stay with it.
     pub fn succeed(&mut self, lead: &Lead) {
         self.grant = None;
@@ -334,7 +346,9 @@
             load: (relay.workers.values())
                 .filter(|w| now.saturating_duration_since(w.seen) < recent)
                 .count() as u32,
+            to_show: (relay.to_show.len() + relay.shows_out) as u32,
             term: relay.grant.map_or(0, |g| g.term),
+            failed: std::mem::take(&mut relay.failed),
             ..Sync::default()
         };
         if relay.introduced != term {
@@ -431,7 +445,11 @@
         }
         if self.relay.introduced != answer.term {
             self.relay.introduced = answer.term;
-            self.begin_to_show(answer.term);
+            self.begin_to_show(answer.term, &sent.reports);
+        }
+        for (id, addr) in answer.asks {
+            let session = self.relay.workers.get(&id).map_or(0, |w| w.session);
+            self.relay.to_show.push((id, session, addr));
         }
         let mut told: BTreeMap<u64, Told> =
             answer.answers.into_iter().map(|t| (t.name, t)).collect();
@@ -495,18 +513,27 @@
     }
 
     /// A new leader's token is shown to the workers that report here, so that whatever an earlier
-    /// one sent is refused by them, and the leader knows what each of them has.
-    fn begin_to_show(&mut self, term: u64) {
+    /// one sent is refused by them, and the leader knows what each of them has. Those whose reports
+    /// wait here see it in the answers to these.
+    fn begin_to_show(&mut self, term: u64, answered: &[Waiting]) {
         let now = self.now.mono;
         let token = term << super::leadership::EPOCH_BITS;
         let recent = self.settings.report * 5 / 2;
-        let workers = self.relay.workers.iter();
-        let unaware = workers
-            .filter(|(_, w)| w.token < token && now.saturating_duration_since(w.seen) < recent);
-        self.relay.to_show = unaware.map(|(id, _)| id.clone()).collect();
+        let relay = &mut self.relay;
+        let waiting = relay.waiting.iter().chain(answered);
+        let waiting: BTreeSet<&MachineId> = waiting.map(|w| &w.report.machine).collect();
+        let workers = relay.workers.iter();
+        let unaware = workers.filter(|(id, w)| {
+            w.token < token
+                && now.saturating_duration_since(w.seen) < recent
+                && !waiting.contains(id)
+        });
+        let all = unaware.map(|(id, w)| (id.clone(), w.session, w.addr.clone()));
+        relay.to_show = all.collect();
         log::info!(
-            "term {term}: {} workers report here",
-            self.relay.to_show.len()
+            "term {term}: of {} workers here, {} are to see its token",
+            relay.workers.len(),
+            relay.to_show.len()
         );
     }
 
@@ -514,36 +541,44 @@
         let now = self.now.mono;
         let Some(grant) = self.relay.grant.filter(|g| now < g.until) else {
             self.relay.to_show.clear();
+            self.relay.failed.clear();
             return;
         };
         let token = grant.term << super::leadership::EPOCH_BITS;
         while self.relay.shows_out < MOST_DIRECT
-            && let Some(id) = self.relay.to_show.pop()
+            && let Some((id, session, addr)) = self.relay.to_show.pop()
         {
-            let Some(w) = self.relay.workers.get(&id).filter(|w| w.token < token) else {
+            let seen = |w: &Worker| w.token >= token;
+            if self.relay.workers.get(&id).is_some_and(seen) {
                 continue;
-            };
-            let Ok(addr) = w.addr.parse() else { continue };
-            let body = DirectBody {
-                token,
-                session: w.session,
-                orders: Vec::new(),
+            }
+            let Ok(addr) = addr.parse() else { continue };
+            // Of a worker that never reported here, the session is not known.
+            let request = if session == 0 {
+                DirectRequest::Status { token }
+            } else {
+                DirectRequest::Commands(DirectBody {
+                    token,
+                    session,
+                    orders: Vec::new(),
+                })
             };
             let call = self.call(Pending::Show(id));
             self.relay.shows_out += 1;
             self.out.push(Effect::Direct {
                 call,
                 addr,
-                request: DirectRequest::Commands(body),
+                request,
                 not_after: grant.until,
             });
         }
     }
 
-    /// A worker's answer to the token; without one, the leader asks it.
+    /// A worker's answer to the token; without one, the leader is told, and asks it once more.
     pub(super) fn shown(&mut self, id: &MachineId, outcome: DirectOutcome) {
         self.relay.shows_out = self.relay.shows_out.saturating_sub(1);
         let DirectOutcome::Report { report, .. } = outcome else {
+            self.relay.failed.push(id.clone());
             return;
         };
         if report.machine != *id || self.relay.waiting.len() >= MOST_WAITING {
--- a/src/link.rs
+++ b/src/link.rs
@@ -33,10 +33,14 @@
     pub abilities: u32,
     /// Workers that it serves.
     pub load: u32,
+    /// Workers that it has yet to show the token to.
+    pub to_show: u32,
     /// The term in which it last had a grant.
     pub term: u64,
     /// Machines that it serves and will show the token to; told when a term begins.
     pub mine: Vec<MachineId>,
+    /// Machines that gave no answer when they were shown the token.
+    pub failed: Vec<MachineId>,
     /// Machines whose reports it answered itself.
     pub heard: Vec<Heard>,
     /// Reports for the leader to take in.
@@ -72,6 +76,8 @@
     /// Reports of these machines are not to be answered from memory any more.
     pub recalled: Vec<MachineId>,
     pub answers: Vec<Told>,
+    /// Workers to show the token to, and their addresses.
+    pub asks: Vec<(MachineId, String)>,
     /// So many workers are to be sent to that controller.
     pub moves: Vec<(String, u32)>,
     /// What the leader knows of the others: name, abilities, load, and how long ago it heard them.
@@ -117,7 +123,9 @@
     term: U64,
     abilities: U32,
     load: U32,
+    to_show: U32,
     mine: U32,
+    failed: U32,
     heard: U32,
     reports: U32,
 }
@@ -160,6 +168,7 @@
     refused: u8,
     recalled: U32,
     answers: U32,
+    asks: U32,
     moves: U32,
     members: U32,
 }
@@ -282,12 +291,14 @@
         term: U64::new(s.term),
         abilities: U32::new(s.abilities),
         load: U32::new(s.load),
+        to_show: U32::new(s.to_show),
         mine: count(s.mine.len()),
+        failed: count(s.failed.len()),
         heard: count(s.heard.len()),
         reports: count(s.reports.len()),
     });
     out.text(&s.from);
-    for id in &s.mine {
+    for id in s.mine.iter().chain(&s.failed) {
         out.text(id);
     }
     for h in &s.heard {
@@ -374,8 +385,10 @@
         term: f.term.get(),
         abilities: f.abilities.get(),
         load: f.load.get(),
+        to_show: f.to_show.get(),
         from: b.text()?.to_string(),
         mine: b.list(f.mine, |b| b.text().map(MachineId::from))?,
+        failed: b.list(f.failed, |b| b.text().map(MachineId::from))?,
         heard: b.list(f.heard, |b| {
             let h = b.get::<HeardFixed>()?;
             Some(Heard {
@@ -399,6 +412,7 @@
         refused: u8::from(s.refused),
         recalled: count(s.recalled.len()),
         answers: count(s.answers.len()),
+        asks: count(s.asks.len()),
         moves: count(s.moves.len()),
         members: count(s.members.len()),
     });
@@ -443,6 +457,10 @@
             out.text(task);
         }
     }
+    for (id, addr) in &s.asks {
+        out.text(id);
+        out.text(addr);
+    }
     for (to, n) in &s.moves {
         out.put(&U32::new(*n));
         out.text(to);
@@ -502,6 +520,7 @@
         refused: f.refused != 0,
         recalled: b.list(f.recalled, |b| b.text().map(MachineId::from))?,
         answers: b.list(f.answers, decode_told)?,
+        asks: b.list(f.asks, |b| Some((b.text()?.into(), b.text()?.to_string())))?,
         moves: b.list(f.moves, |b| {
             let n = b.get::<U32>()?.get();
             Some((b.text()?.to_string(), n))
@@ -558,8 +577,10 @@
             answered: 4,
             abilities: 1,
             load: 300,
+            to_show: 12,
             term: 9,
             mine: vec!["i-000001".into()],
+            failed: vec!["i-000003".into()],
             heard: vec![Heard {
                 machine: "i-000002".into(),
                 session: 1,
@@ -604,6 +625,7 @@
                     },
                 },
             ],
+            asks: vec![("i-000009".into(), "10.0.0.9:9000".into())],
             moves: vec![("n2".into(), 20)],
             members: vec![MemberTold {
                 name: "n2".into(),
