Structured logs with tracing, and figures for monitoring at /metrics

Whoever runs this had one kind of log line and a status page, and nothing for monitoring.

Logs go through tracing: text as before (times to the microsecond), or JSON with term, job, task and machine as fields. /metrics has queues, steps, budgets, members, grants, reports by node and recovery, put together only when asked.

--- a/src/core/barrier.rs
+++ b/src/core/barrier.rs
@@ -46,7 +46,7 @@
 
     pub(super) fn barrier_read(&mut self, questions: Vec<Question>, outcome: StateOutcome) {
         let StateOutcome::Missing { revision } = outcome else {
-            log::debug!("no revision: {outcome:?}");
+            tracing::debug!("no revision: {outcome:?}");
             return self.put_off(questions);
         };
         let until = self.now.mono + PATIENCE;
--- a/src/core/bidding.rs
+++ b/src/core/bidding.rs
@@ -175,7 +175,7 @@
         let lots = bids::lots(&self.types, &lead.bidding.beliefs, now);
         let (more, cleared) = bids::rent(&lead.board, coming, &asked, &market, &lots, now);
         if !cleared.awards.is_empty() {
-            log::debug!(
+            tracing::debug!(
                 "cleared {:?}: saves {:.0}, costs {:.0}, {:.0} tasks not worth a machine",
                 cleared.method,
                 cleared.saved,
--- a/src/core/commands.rs
+++ b/src/core/commands.rs
@@ -222,7 +222,7 @@
         match outcome {
             DirectOutcome::Report { report, executed } => {
                 if !executed {
-                    log::debug!("machine {id}: direct commands refused");
+                    tracing::debug!(machine = %id, "machine {id}: direct commands refused");
                     m.push_after = now + Duration::from_millis(500);
                 }
                 if report.machine == id {
@@ -230,11 +230,11 @@
                 }
             }
             DirectOutcome::NotSent(e) => {
-                log::debug!("machine {id}: direct commands not sent: {e}");
+                tracing::debug!(machine = %id, "machine {id}: direct commands not sent: {e}");
                 m.push_after = now + Duration::from_secs(3);
             }
             DirectOutcome::Unknown(e) => {
-                log::info!("machine {id}: direct commands without an answer: {e}");
+                tracing::info!(machine = %id, "machine {id}: direct commands without an answer: {e}");
                 // They may be executed at any later time, until the worker has seen a higher
                 // token; the next answer to a report carries one.
                 m.epoch += 1;
--- a/src/core/delegation.rs
+++ b/src/core/delegation.rs
@@ -370,7 +370,11 @@
             }
         }
         for (name, until) in ended {
-            log::info!("term {}: {name}'s grant has run out", lead.term);
+            tracing::info!(
+                term = lead.term,
+                "term {}: {name}'s grant has run out",
+                lead.term
+            );
             lead.end_lending(&name, until);
         }
         // Before a silent machine can count as lost, it has to be here again.
@@ -427,7 +431,7 @@
             d.moves.clear();
         }
         for m in moves {
-            log::debug!("{} workers of {} are to go to {}", m.count, m.from, m.to);
+            tracing::debug!("{} workers of {} are to go to {}", m.count, m.from, m.to);
             if m.from == me {
                 lead.delegates.own_moves.push((m.to, m.count));
             } else if let Some(d) = lead.delegates.by_name.get_mut(m.from.as_str()) {
--- a/src/core/delegation_stories.rs
+++ b/src/core/delegation_stories.rs
@@ -4,6 +4,7 @@
 
 use super::stories::chaos;
 use super::world::World;
+use super::{Command, Effect, Now};
 use crate::job::{JobSpec, Kind, MachineId, sample};
 use crate::policy::Policy;
 use std::collections::BTreeMap;
@@ -352,6 +353,53 @@
     }
 }
 
+#[test]
+fn monitoring_sees_who_serves_how_many() {
+    let (mut w, leader) = begin(515, 90);
+    w.run(20.0);
+    for node in 0..3 {
+        let now = Now {
+            mono: w.now,
+            wall: std::time::SystemTime::UNIX_EPOCH + Duration::from_secs(1_700_000_000),
+        };
+        let ask = Command::Figures {
+            ticket: u64::MAX,
+            lanes: [1, 2, 3],
+        };
+        let effects = w.nodes[node].core.step(now, vec![ask]);
+        let body = effects.into_iter().find_map(|e| match e {
+            Effect::Answer { ticket, answer } if ticket == u64::MAX => Some(answer.body),
+            _ => None,
+        });
+        let text = String::from_utf8(body.unwrap()).unwrap();
+        let value = |name: &str| -> f64 {
+            let line = text.lines().find_map(|l| l.strip_prefix(name));
+            let line = line.unwrap_or_else(|| panic!("{name} is not in\n{text}"));
+            line.trim().parse().unwrap()
+        };
+        let leads = f64::from(u8::from(node == leader));
+        assert_eq!(value("burlusher_leads "), leads);
+        assert_eq!(value("burlusher_queue{lane=\"reports\"} "), 3.0);
+        assert!(text.ends_with("# EOF\n"));
+        if node == leader {
+            let served: f64 = (0..3)
+                .map(|n| value(&format!("burlusher_workers{{node=\"n{n}\"}} ")))
+                .sum();
+            assert_eq!(served, 90.0);
+            assert!(value("burlusher_reports_answered_by_others_total ") > 100.0);
+            assert_eq!(
+                value(&format!(
+                    "burlusher_members{{node=\"n{}\"}} ",
+                    (leader + 1) % 3
+                )),
+                2.0
+            );
+        } else {
+            assert!(value("burlusher_grant_seconds ") > 1.0);
+        }
+    }
+}
+
 /// The mixture of troubles again.
 #[test]
 fn the_rules_hold_for_delegated_reports_under_any_mixture_of_troubles() {
--- a/src/core/jobs.rs
+++ b/src/core/jobs.rs
@@ -364,8 +364,8 @@
                 return self.ask_all(Question::Submit(ticket, spec, received));
             }
             let answer = self.refusal_of(&spec);
-            log::info!(
-                "job {} refused: {}",
+            tracing::info!(
+                job = %spec.id, "job {} refused: {}",
                 spec.id,
                 String::from_utf8_lossy(&answer.body)
             );
@@ -465,7 +465,7 @@
             }
             // What was written is cleared when nobody has referred to it for long.
             other => {
-                log::info!("job {}: its parts are not kept: {other:?}", spec.id);
+                tracing::info!(job = %spec.id, "job {}: its parts are not kept: {other:?}", spec.id);
                 self.answer(ticket, Answer::busy("the job cannot be kept now", 1));
             }
         }
@@ -517,8 +517,8 @@
                     .unwrap_or_default()
                     .saturating_sub(waited)
                     .as_millis() as u64;
-                log::info!(
-                    "job {id} accepted: class {} team {} tasks {}",
+                tracing::info!(
+                    job = %id, "job {id} accepted: class {} team {} tasks {}",
                     spec.class,
                     spec.team,
                     spec.tasks
@@ -548,15 +548,15 @@
                 self.reread(spec.id.to_string(), ReadPurpose::Show(ticket));
             }
             StateOutcome::Unknown(e) if tries < 2 && waited < Duration::from_secs(3) => {
-                log::info!("job {}: no answer to its creation: {e}", spec.id);
+                tracing::info!(job = %spec.id, "job {}: no answer to its creation: {e}", spec.id);
                 self.create(ticket, spec, since, tries + 1, parts);
             }
             StateOutcome::Refused(e) if tries < 1 => {
-                log::debug!("job {}: creation refused: {e}", spec.id);
+                tracing::debug!(job = %spec.id, "job {}: creation refused: {e}", spec.id);
                 self.create(ticket, spec, since, tries + 1, parts);
             }
             StateOutcome::Invalid(e) => {
-                log::error!("job {}: the state service refuses it: {e}", spec.id);
+                tracing::error!(job = %spec.id, "job {}: the state service refuses it: {e}", spec.id);
                 self.answer(ticket, Answer::error(422, "too large to be kept"));
             }
             _ => self.answer(ticket, Answer::busy("the job cannot be kept now", 1)),
@@ -592,7 +592,7 @@
                 let value: JobValue = match serde_json::from_value(item.value) {
                     Ok(v) => v,
                     Err(e) => {
-                        log::error!("job {id}: unreadable: {e}");
+                        tracing::error!(job = %id, "job {id}: unreadable: {e}");
                         return self.answer(ticket, Answer::busy("unreadable", 5));
                     }
                 };
@@ -612,7 +612,7 @@
                 }
             }
             other => {
-                log::debug!("job {id}: not read: {other:?}");
+                tracing::debug!(job = %id, "job {id}: not read: {other:?}");
                 self.answer(ticket, Answer::busy("the state cannot be read now", 1));
             }
         }
@@ -650,7 +650,7 @@
         };
         run.cancel_waiters.push(ticket);
         if run.ending.is_none() {
-            log::info!("job {id}: cancelled by its user");
+            tracing::info!(job = %id, "job {id}: cancelled by its user");
             run.ending = Some(Final::Cancelled);
             lead.writes.ends.insert(id.into(), Final::Cancelled);
             let with_it = self.mirror.pipelines.downstream(&Self::job_id(id));
@@ -674,7 +674,7 @@
         if let Some(root) = self.mirror.pipelines.doomed(id) {
             // Nothing of it can have started, as not all that it needs is done.
             if lead.writes.followers.insert(id.clone()) {
-                log::info!("job {id}: cancelled with {root}, which it needs");
+                tracing::info!(job = %id, "job {id}: cancelled with {root}, which it needs");
             }
         }
         if !lead.runs.contains_key(id) {
@@ -710,7 +710,7 @@
             if run.ready.is_none() {
                 run.ready = Some(self.now);
                 lead.plan_again = true;
-                log::info!("job {id}: all that it awaits is done");
+                tracing::info!(job = %id, "job {id}: all that it awaits is done");
             }
         }
         let before = job.spec.awaits.clone();
@@ -734,7 +734,7 @@
         lead.urgency.remove(id);
         lead.plan_again = true;
         if let Some(end) = self.mirror.finished.get(id) {
-            log::info!("job {id} is over: {end:?}");
+            tracing::info!(job = %id, "job {id} is over: {end:?}");
         }
         run.stop_placed(id, &mut lead.machines, StopReason::Over, now);
         if let Some(answer) = self.final_answer(id) {
--- a/src/core/leadership.rs
+++ b/src/core/leadership.rs
@@ -122,7 +122,7 @@
     pub(super) fn listed(&mut self, items: Vec<Item>, revision: u64) {
         self.state_ok = self.now.mono;
         self.mirror.reset(items, revision);
-        log::info!(
+        tracing::info!(
             "state: read afresh at revision {revision}: {} jobs, {} finished, {} machines",
             self.mirror.jobs.len(),
             self.mirror.finished.len(),
@@ -173,7 +173,11 @@
                     // The state service was away, and reports were answered with 503 meanwhile: the
                     // workers went from node to node, and their silence proves nothing.
                     let paused = now.saturating_duration_since(lead.acted);
-                    log::info!("term {}: acts again after {paused:?}", lead.term);
+                    tracing::info!(
+                        term = lead.term,
+                        "term {}: acts again after {paused:?}",
+                        lead.term
+                    );
                     lead.deaf_until = lead.deaf_until.max(now + back_after);
                 }
                 lead.acted = now;
@@ -254,7 +258,7 @@
             StateOutcome::Committed { .. } => Duration::from_millis(1500),
             StateOutcome::Conflict { .. } => Duration::from_millis(300),
             StateOutcome::Invalid(e) => {
-                log::info!("taking over: {e}");
+                tracing::info!("taking over: {e}");
                 Duration::from_millis(500)
             }
             StateOutcome::Refused(_) | StateOutcome::Unknown(_) => Duration::from_millis(400),
@@ -266,7 +270,7 @@
     fn take_office(&mut self, key_version: u64) {
         let now = self.now.mono;
         let term = self.mirror.term;
-        log::info!("leading from term {term} on");
+        tracing::info!(term = term, "leading from term {term} on");
         let mut lead = Lead {
             key_version,
             term,
@@ -314,7 +318,11 @@
 
     pub(super) fn step_down(&mut self, why: &str) {
         let Some(lead) = self.lead.take() else { return };
-        log::warn!("term {}: no longer leading: {why}", lead.term);
+        tracing::warn!(
+            term = lead.term,
+            "term {}: no longer leading: {why}",
+            lead.term
+        );
         self.relay.succeed(&lead);
         self.candidate_after = self.now.mono + Duration::from_millis(200);
         let waiting: Vec<Ticket> = lead
@@ -539,12 +547,12 @@
                 };
                 let keys: Vec<&str> = txn.changes.iter().map(Change::key).collect();
                 if w.most.is_none() {
-                    log::error!("state service refuses {} changes: {e}", keys.len());
+                    tracing::error!("state service refuses {} changes: {e}", keys.len());
                 }
                 let alone = ops.len() == 1;
                 w.most = Some((keys.len() / 2).max(1));
                 if let [key] = keys[..] {
-                    log::error!("state service refuses {key}, set aside: {e}");
+                    tracing::error!("state service refuses {key}, set aside: {e}");
                     w.aside.insert(key.to_string(), now + ASIDE);
                 }
                 for op in ops {
@@ -557,11 +565,11 @@
                 }
             }
             StateOutcome::Refused(e) => {
-                log::debug!("write refused: {e}");
+                tracing::debug!("write refused: {e}");
                 retry(lead, Duration::from_millis(250));
             }
             StateOutcome::Unknown(e) => {
-                log::info!("write without an answer: {e}");
+                tracing::info!("write without an answer: {e}");
                 retry(lead, Duration::from_millis(50));
             }
             StateOutcome::Found(_) | StateOutcome::Missing { .. } => {
--- a/src/core/losses.rs
+++ b/src/core/losses.rs
@@ -161,8 +161,8 @@
         };
         m.session_over = true;
         let tasks: Vec<TaskKey> = m.tasks.keys().cloned().collect();
-        log::warn!(
-            "machine {id}: its lease has run out, {} tasks lost",
+        tracing::warn!(
+            machine = %id, "machine {id}: its lease has run out, {} tasks lost",
             tasks.len()
         );
         self.lose(id, tasks, "the lease ran out");
@@ -177,8 +177,8 @@
             return;
         };
         if m.deleting.is_none() {
-            log::info!(
-                "machine {id} ({} in {}, {}): given up: {why}",
+            tracing::info!(
+                machine = %id, "machine {id} ({} in {}, {}): given up: {why}",
                 m.kind,
                 m.zone,
                 if m.spot { "spot" } else { "ordinary" }
@@ -196,7 +196,7 @@
         let Some(m) = lead.machines.get(id) else {
             return;
         };
-        log::info!("machine {id} is gone: {how}");
+        tracing::info!(machine = %id, "machine {id} is gone: {how}");
         let tasks: Vec<TaskKey> = m.tasks.keys().cloned().collect();
         self.lose(id, tasks, "its machine is gone");
         self.resolve(id, how);
--- a/src/core/mirror.rs
+++ b/src/core/mirror.rs
@@ -283,7 +283,7 @@
             Some(_) => Ok(()),
         };
         if let Err(e) = read {
-            log::error!("state service: unreadable value of {key}: {e}");
+            tracing::error!("state service: unreadable value of {key}: {e}");
         }
     }
 
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -27,6 +27,7 @@
 #[cfg(test)]
 mod delegation_stories;
 mod expectation;
+mod figures;
 mod jobs;
 mod keys;
 mod lead;
@@ -92,6 +93,11 @@
 pub enum Command {
     User(UserRequest),
     Status(Ticket),
+    /// Figures for monitoring; with what waits in each lane of the owner's queue.
+    Figures {
+        ticket: Ticket,
+        lanes: [usize; 3],
+    },
     Report {
         ticket: Ticket,
         report: Box<Report>,
@@ -348,7 +354,7 @@
         let late = now.mono.saturating_duration_since(self.now.mono);
         self.now = now;
         if late > Duration::from_millis(1500) {
-            log::warn!("this process stood still for {} ms", late.as_millis());
+            tracing::warn!("this process stood still for {} ms", late.as_millis());
             if let Some(lead) = &mut self.lead {
                 // The machines' silence proves nothing.
                 lead.deaf_until = now.mono + self.settings.report * 2;
@@ -360,6 +366,7 @@
             match command {
                 Command::User(request) => self.user(request),
                 Command::Status(ticket) => self.answer_status(ticket),
+                Command::Figures { ticket, lanes } => self.answer_figures(ticket, lanes),
                 Command::Report { ticket, report } => reports.extend(self.report(ticket, report)),
                 Command::Sync { ticket, sync } => syncs.extend(self.sync(ticket, *sync)),
                 Command::Synced { number, answer } => self.synced(number, answer),
@@ -476,7 +483,7 @@
         let ready = self.mirror.loaded && (!alone || self.settings.peers.is_empty());
         if self.ready != Some(ready) {
             self.ready = Some(ready);
-            log::info!("ready: {ready}");
+            tracing::info!("ready: {ready}");
             self.out.push(Effect::Ready(ready));
         }
     }
--- a/src/core/parts.rs
+++ b/src/core/parts.rs
@@ -99,7 +99,7 @@
         match serde_json::from_str(&text) {
             Ok(spec) => Some((head, spec)),
             Err(e) => {
-                log::error!("job {id}: its parts are unreadable: {e}");
+                tracing::error!(job = %id, "job {id}: its parts are unreadable: {e}");
                 None
             }
         }
--- a/src/core/recovery.rs
+++ b/src/core/recovery.rs
@@ -52,7 +52,12 @@
         }
         turns.reverse();
         if !turns.is_empty() {
-            log::info!("term {}: {} machines to hear from", lead.term, turns.len());
+            tracing::info!(
+                term = lead.term,
+                "term {}: {} machines to hear from",
+                lead.term,
+                turns.len()
+            );
         }
         // Those that report to this controller are asked at once. The others most likely report to
         // one that will be heard from in a moment and sees to them.
@@ -120,18 +125,20 @@
         let Some(lead) = &mut self.lead else { return };
         if lead.unresolved.remove(id) {
             lead.plan_again = true;
-            log::debug!("term {}: machine {id} is known: {how}", lead.term);
+            tracing::debug!(term = lead.term, machine = %id, "term {}: machine {id} is known: {how}", lead.term);
             let took = (self.now.mono - lead.since).as_millis();
             // What is left then are machines that died with the last leader.
             if lead.to_hear > 0 && lead.unresolved.len() * 100 <= lead.to_hear {
                 let all = std::mem::take(&mut lead.to_hear);
-                log::info!(
+                tracing::info!(
+                    term = lead.term,
                     "term {}: 99 % of {all} machines known after {took} ms",
                     lead.term
                 );
             }
             if lead.unresolved.is_empty() {
-                log::info!(
+                tracing::info!(
+                    term = lead.term,
                     "term {}: all machines are known after {} ms",
                     lead.term,
                     took
--- a/src/core/relay.rs
+++ b/src/core/relay.rs
@@ -115,6 +115,12 @@
         }
     }
 
+    /// Reports that wait for the leader's answer.
+    pub fn waiting(&self) -> usize {
+        let sent = self.sent.as_ref().map_or(0, |s| s.reports.len());
+        self.waiting.len() + sent
+    }
+
     /// Whether a worker reported here lately.
     pub fn serves(&self, id: &MachineId, now: Instant) -> bool {
         let w = self.workers.get(id);
@@ -410,7 +416,7 @@
             } else if self.relay.failures > 1 {
                 self.relay.not_before = Some(now + wait.min(LONGEST_BACK_OFF));
             }
-            log::debug!("{} gives no answer for our workers", sent.to);
+            tracing::debug!("{} gives no answer for our workers", sent.to);
             return self.wait_again(sent.reports);
         };
         self.relay.failures = 0;
@@ -528,7 +534,8 @@
         });
         let all = unaware.map(|(id, w)| (id.clone(), w.session, w.addr.clone()));
         relay.to_show = all.collect();
-        log::info!(
+        tracing::info!(
+            term = term,
             "term {term}: of {} workers here, {} are to see its token",
             relay.workers.len(),
             relay.to_show.len()
--- a/src/core/renting.rs
+++ b/src/core/renting.rs
@@ -90,7 +90,7 @@
         lead.market.next_rent += 1;
         // Terms are unique for ever, and so is the number within one.
         let name = format!("burlusher-{}-{}", lead.term, lead.market.next_rent);
-        log::info!(
+        tracing::info!(
             "renting {count} of {} in {}, {}: {name}",
             offer.0,
             offer.1,
@@ -121,7 +121,7 @@
             return self.learn_types(types.clone());
         }
         if let CloudOutcome::Trouble(e) | CloudOutcome::Invalid(e) = &outcome {
-            log::info!("cloud: {e}");
+            tracing::info!("cloud: {e}");
         }
         let Some(lead) = &mut self.lead else { return };
         match pending {
@@ -218,7 +218,7 @@
                 continue;
             }
             let m = lead.machines.get_or_add(&l.id, || {
-                log::info!("machine {}: found in the cloud's list, taken on", l.id);
+                tracing::info!(machine = %l.id, "machine {}: found in the cloud's list, taken on", l.id);
                 Machine::new(l.id.clone(), &l.kind, &l.zone, l.spot, now)
             });
             m.listed.get_or_insert(now);
--- a/src/core/reports.rs
+++ b/src/core/reports.rs
@@ -81,7 +81,7 @@
             return Ok(id);
         }
         lead.machines.get_or_add(&id, || {
-            log::info!("machine {id}: unexpected, taken on");
+            tracing::info!(machine = %id, "machine {id}: unexpected, taken on");
             Machine::new(id.clone(), &report.kind, &report.zone, report.spot, now)
         });
         // Passed on once more, as our answer to the other controller was lost: what it says is
@@ -143,7 +143,7 @@
         if report.session > m.session {
             if m.session > 0 {
                 // The earlier session's tasks were killed, and its commands are refused.
-                log::info!("machine {id}: session {} begins", report.session);
+                tracing::info!(machine = %id, "machine {id}: session {} begins", report.session);
                 lost = m.tasks.keys().cloned().collect();
             }
             m.session_over = false;
@@ -192,7 +192,7 @@
         let mut exited = Vec::new();
         for row in report.rows {
             let Some(key) = parse_task(&row.task) else {
-                log::warn!("machine {id}: unreadable task {:?}", row.task);
+                tracing::warn!(machine = %id, "machine {id}: unreadable task {:?}", row.task);
                 continue;
             };
             if row.state == RowState::Exited {
@@ -271,12 +271,12 @@
             {
                 let elsewhere = run.placed.get(&key.row).filter(|m| *m != id);
                 if let Some(other) = elsewhere {
-                    log::error!("task {key} is on {id} and was placed on {other}");
+                    tracing::error!(task = %key, machine = %id, "task {key} is on {id} and was placed on {other}");
                 } else if run.ending.is_none() && !job.done.contains(key.row) {
                     wanted = true;
                     run.queued.remove(&key.row);
                     run.placed.insert(key.row, id.clone());
-                    log::debug!("task {key} attempt {} found on {id}", row.attempt);
+                    tracing::debug!(task = %key, machine = %id, "task {key} attempt {} found on {id}", row.attempt);
                 }
             }
             if !wanted {
@@ -290,8 +290,8 @@
         };
         if t.attempt != row.attempt {
             // Not expected: a worker refuses a second attempt of a task it has.
-            log::error!(
-                "task {key} on {id}: attempt {} instead of {}",
+            tracing::error!(
+                task = %key, machine = %id, "task {key} on {id}: attempt {} instead of {}",
                 row.attempt,
                 t.attempt
             );
@@ -299,7 +299,7 @@
         }
         if phase == Phase::Running && t.running_since.is_none() {
             t.running_since = Some(now);
-            log::debug!("task {key} attempt {} runs on {id}", t.attempt);
+            tracing::debug!(task = %key, machine = %id, "task {key} attempt {} runs on {id}", t.attempt);
             if let Some(run) = lead.runs.get_mut(&key.job)
                 && run.started.is_none()
             {
@@ -334,7 +334,7 @@
             m.idle_since = now;
         }
         lead.plan_again = true;
-        log::debug!("task {key} attempt {} on {id} ended: {why:?}", t.attempt);
+        tracing::debug!(task = %key, machine = %id, "task {key} attempt {} on {id} ended: {why:?}", t.attempt);
         let ran = t.running_since.map(|s| now.saturating_duration_since(s));
         if why == Why::Done {
             m.faults.failed_jobs.clear();
@@ -397,7 +397,7 @@
         };
         *run.failures.entry(id.clone()).or_default() += 1;
         // A job that has failed on several machines and succeeded on none speaks against itself.
-        log::warn!("task {key} failed on {id}");
+        tracing::warn!(task = %key, machine = %id, "task {key} failed on {id}");
         run.failed_again(now);
         if run.suspect() {
             // The machines it was tried on are cleared of its failures.
@@ -496,7 +496,7 @@
             {
                 run.placed.remove(&key.row);
                 run.queued.insert(key.row);
-                log::debug!("task {key} attempt {} lost on {id}: {why}", t.attempt);
+                tracing::debug!(task = %key, machine = %id, "task {key} attempt {} lost on {id}: {why}", t.attempt);
             }
         }
     }
--- a/src/core/scheduling.rs
+++ b/src/core/scheduling.rs
@@ -522,7 +522,7 @@
             }
             // Unique for ever, as terms are: an attempt is never used twice.
             let attempt = (lead.term << 32) | lead.attempts;
-            log::debug!("task {key} attempt {attempt} placed on {id}");
+            tracing::debug!(task = %key, machine = %id, "task {key} attempt {attempt} placed on {id}");
             let t = self.types.iter().find(|t| t.name == m.kind);
             let cache = t.map_or(0.0, |t| t.cache_gb);
             m.use_image(image_tag(&spec.image), spec.image_gb, cache);
@@ -545,7 +545,7 @@
             if let Some(m) = lead.machines.get_mut(&id)
                 && let Some(t) = m.tasks.get_mut(&key)
             {
-                log::info!("task {key} on {id} makes room");
+                tracing::info!(task = %key, machine = %id, "task {key} on {id} makes room");
                 t.stop(StopReason::Preempted, now);
                 m.push = true;
             }
@@ -651,7 +651,7 @@
             }
         }
         let waiting: usize = lead.runs.values().map(|r| r.queued.len()).sum();
-        log::info!(
+        tracing::info!(
             "standing: machines {} up ({} spot, {} idle) {} booting; cpus {:.0} of {:.0}; tasks {} running {} starting {waiting} waiting; jobs {}",
             count(&|m| m.session > 0),
             count(&|m| m.session > 0 && m.spot),
--- a/src/http.rs
+++ b/src/http.rs
@@ -36,6 +36,7 @@
     pub retry_after: Option<u32>,
     /// An answer that only a leader may give is worthless after this moment and is not sent.
     pub not_after: Option<Instant>,
+    pub content_type: &'static str,
 }
 
 impl Answer {
@@ -45,6 +46,7 @@
             body,
             retry_after: None,
             not_after: None,
+            content_type: "application/json",
         }
     }
 
@@ -64,6 +66,14 @@
         self
     }
 
+    pub fn of_type(mut self, content_type: &'static str) -> Answer {
+        // An error stays what it is.
+        if self.status == 200 {
+            self.content_type = content_type;
+        }
+        self
+    }
+
     pub fn expired(&self) -> bool {
         self.not_after.is_some_and(|t| Instant::now() >= t)
     }
@@ -89,9 +99,10 @@
 
 fn write_answer(stream: &mut TcpStream, answer: &Answer, close: bool) -> io::Result<()> {
     let mut head = format!(
-        "HTTP/1.1 {} {}\r\nContent-Type: application/json\r\nContent-Length: {}\r\n",
+        "HTTP/1.1 {} {}\r\nContent-Type: {}\r\nContent-Length: {}\r\n",
         answer.status,
         reason(answer.status),
+        answer.content_type,
         answer.body.len()
     );
     if let Some(s) = answer.retry_after {
@@ -294,7 +305,7 @@
             Ok((stream, _)) => stream,
             Err(e) => {
                 // Out of sockets, say: wait for some to close instead of spinning.
-                log::debug!("accept: {e}");
+                tracing::debug!("accept: {e}");
                 std::thread::sleep(Duration::from_millis(50));
                 continue;
             }
@@ -314,7 +325,7 @@
                 count.fetch_sub(1, Ordering::Relaxed);
             });
         if let Err(e) = spawned {
-            log::warn!("no thread for a connection: {e}");
+            tracing::warn!("no thread for a connection: {e}");
             open.fetch_sub(1, Ordering::Relaxed);
         }
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,6 +12,8 @@
 pub mod http;
 pub mod job;
 pub mod link;
+pub mod logging;
+pub mod metrics;
 pub mod peer;
 pub mod plan;
 pub mod policy;
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,5 +1,6 @@
 //! The command line; everything else is in the library.
 
+use burlusher::logging::LogFormat;
 use burlusher::{http, policy::Policy, service, settings::Settings, wire};
 use clap::{Args, Parser, Subcommand};
 use std::net::SocketAddrV4;
@@ -14,7 +15,7 @@
 #[derive(Parser)]
 #[command(
     version,
-    after_help = "LOG_LEVEL (error, info, debug) sets how much `serve` logs to standard error."
+    after_help = "LOG_LEVEL (error, warn, info, debug, trace, off) sets how much `serve` logs to standard error."
 )]
 struct Cli {
     #[command(subcommand)]
@@ -24,7 +25,13 @@
 #[derive(Subcommand)]
 enum Command {
     /// Run a controller until it is killed.
-    Serve(Files),
+    Serve {
+        #[command(flatten)]
+        files: Files,
+        /// How the log is written.
+        #[arg(long, value_enum, default_value_t = LogFormat::Text)]
+        log_format: LogFormat,
+    },
     /// Check the settings and the policy, and show the policy in force.
     Check(Files),
     /// Submit a job described by a JSON file ("-" for standard input).
@@ -99,7 +106,8 @@
 fn run(cli: Cli) -> Result<(), String> {
     let job = |id: &str, action: &str| format!("{}/{id}{action}", wire::PATH_JOBS);
     match cli.command {
-        Command::Serve(files) => {
+        Command::Serve { files, log_format } => {
+            burlusher::logging::start(log_format, std::env::var("LOG_LEVEL").ok().as_deref())?;
             let (settings, policy) = files.load()?;
             service::run(settings, policy).map_err(|e| e.to_string())
         }
@@ -147,9 +155,6 @@
 }
 
 fn main() -> ExitCode {
-    env_logger::Builder::from_env(env_logger::Env::new().filter_or("LOG_LEVEL", "info"))
-        .format_target(false)
-        .init();
     burlusher::service::limit_memory_pools();
     match run(Cli::parse()) {
         Ok(()) => ExitCode::SUCCESS,
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -733,7 +733,7 @@
                 return x;
             }
             if !rule.failed.swap(true, Ordering::Relaxed) {
-                log::warn!(
+                tracing::warn!(
                     "policy: `{}` gave {x}; the built-in expression is used instead",
                     rule.text
                 );
--- a/src/service.rs
+++ b/src/service.rs
@@ -13,7 +13,9 @@
 use crate::policy::Policy;
 use crate::settings::Settings;
 use crate::state::{Budget, StateClient, StateOutcome, StateRequest};
-use crate::wire::{self, JobAnswer, PATH_CANCEL, PATH_JOBS, PATH_READY, PATH_REPORT, PATH_STATUS};
+use crate::wire::{
+    self, JobAnswer, PATH_CANCEL, PATH_JOBS, PATH_METRICS, PATH_READY, PATH_REPORT, PATH_STATUS,
+};
 use crate::worker::{self, DirectOutcome, DirectRequest};
 use std::collections::{BTreeMap, VecDeque};
 use std::io;
@@ -71,7 +73,7 @@
     fn of(command: &Command) -> usize {
         match command {
             Command::Report { .. } | Command::Direct { .. } => 2,
-            Command::Status(_) => 1,
+            Command::Status(_) | Command::Figures { .. } => 1,
             Command::User(r) if matches!(r.what, Ask::Show(_)) => 1,
             _ => 0,
         }
@@ -234,6 +236,13 @@
             .unwrap_or_else(|_| Answer::busy("no answer in time", 1))
     }
 
+    /// What waits in each lane.
+    fn waiting(&self) -> [usize; 3] {
+        let (lanes, _) = &*self.lanes;
+        let lanes = lock(lanes);
+        std::array::from_fn(|n| lanes.queues[n].len())
+    }
+
     /// What the owner works through next; empty when nothing came for so long.
     fn next(&self, wait: Duration) -> Vec<Envelope> {
         let (lanes, filled) = &*self.lanes;
@@ -351,7 +360,7 @@
         let handle = move |r: Request| route(&handler_inbox, &ready, r);
         http::serve(public, most, Arc::new(handle));
     })?;
-    log::info!(
+    tracing::info!(
         "{} in {} listens on {} and {}",
         settings.name,
         settings.zone,
@@ -394,7 +403,7 @@
         if told.elapsed() > Duration::from_secs(60) {
             told = Instant::now();
             let s = &core.stats;
-            log::info!(
+            tracing::info!(
                 "leads {}; accepted {} (p95 {} ms), started {} (p95 {} ms), steps {} (p99 {} us)",
                 core.leads(),
                 s.accept.len(),
@@ -520,7 +529,7 @@
             Box::new(move |(ticket, request): PeerCall| {
                 let answer = ask_peer(&mut kept, addr, &request);
                 if let Err(e) = &answer {
-                    log::debug!("peer {name}: {e}");
+                    tracing::debug!("peer {name}: {e}");
                 }
                 inbox.put(Command::Forwarded {
                     ticket,
@@ -559,7 +568,7 @@
                     .ok_or_else(|| io::ErrorKind::InvalidData.into())
             });
             if let Err(e) = &answer {
-                log::debug!("peer {peer}: {e}");
+                tracing::debug!("peer {peer}: {e}");
             }
             inbox.put(Command::Synced {
                 number,
@@ -628,7 +637,7 @@
             // The process stood still or had no processor; the log shows it beside what it led to.
             let late = sent.saturating_duration_since(due);
             if late > ttl / 4 {
-                log::warn!("the lease's renewal comes {} ms late", late.as_millis());
+                tracing::warn!("the lease's renewal comes {} ms late", late.as_millis());
             }
             if give_up.swap(false, Ordering::Relaxed)
                 && let Some(id) = lease.take()
@@ -643,7 +652,7 @@
                         inbox.put(Command::LeaseKept { lease: id, sent });
                     }
                     Err(e) => {
-                        log::debug!("no lease: {e:?}");
+                        tracing::debug!("no lease: {e:?}");
                         pause = Duration::from_millis(300);
                     }
                 },
@@ -655,7 +664,7 @@
                         pause = Duration::from_millis(50);
                     }
                     Err(e) => {
-                        log::debug!("lease not renewed: {e:?}");
+                        tracing::debug!("lease not renewed: {e:?}");
                         pause = Duration::from_millis(150);
                     }
                 },
@@ -666,7 +675,7 @@
             due = until;
             let took = sent.elapsed().saturating_sub(pause);
             if took > ttl / 4 {
-                log::warn!("the lease's renewal took {} ms", took.as_millis());
+                tracing::warn!("the lease's renewal took {} ms", took.as_millis());
             }
             while Instant::now() < until && !give_up.load(Ordering::Relaxed) {
                 let left = until.saturating_duration_since(Instant::now());
@@ -708,7 +717,7 @@
                 },
             };
             if let Some(e) = trouble {
-                log::debug!("watch: {e:?}");
+                tracing::debug!("watch: {e:?}");
                 let pause = match e {
                     StateOutcome::Refused(_) => 250,
                     _ => 100,
@@ -726,7 +735,7 @@
             let stream = match listener.accept() {
                 Ok((s, _)) => s,
                 Err(e) => {
-                    log::debug!("accept: {e}");
+                    tracing::debug!("accept: {e}");
                     std::thread::sleep(Duration::from_millis(50));
                     continue;
                 }
@@ -740,7 +749,7 @@
                 if let Err(e) = serve_peer(stream, &inbox)
                     && e.kind() != io::ErrorKind::UnexpectedEof
                 {
-                    log::debug!("a controller's connection: {e}");
+                    tracing::debug!("a controller's connection: {e}");
                 }
                 count.fetch_sub(1, Ordering::Relaxed);
             });
@@ -800,6 +809,15 @@
     }
 }
 
+const OTHER_PATHS: [&str; 5] = [
+    PATH_READY,
+    PATH_REPORT,
+    PATH_JOBS,
+    PATH_STATUS,
+    PATH_METRICS,
+];
+const METRICS_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+
 /// The public interface.
 fn route(inbox: &Inbox, ready: &AtomicBool, r: Request) -> Option<Answer> {
     let received = Instant::now();
@@ -846,6 +864,11 @@
             }
         },
         ("GET", PATH_STATUS) => inbox.ask(Command::Status),
+        ("GET", PATH_METRICS) => {
+            let lanes = inbox.waiting();
+            let answer = inbox.ask(|ticket| Command::Figures { ticket, lanes });
+            answer.of_type(METRICS_TYPE)
+        }
         (method, path) => match path
             .strip_prefix(PATH_JOBS)
             .and_then(|p| p.strip_prefix('/'))
@@ -862,9 +885,7 @@
                     _ => Answer::error(405, "wrong method"),
                 }
             }
-            None if [PATH_READY, PATH_REPORT, PATH_JOBS, PATH_STATUS].contains(&path) => {
-                Answer::error(405, "wrong method")
-            }
+            None if OTHER_PATHS.contains(&path) => Answer::error(405, "wrong method"),
             None => Answer::error(404, "no such path"),
         },
     };
--- a/src/state.rs
+++ b/src/state.rs
@@ -141,7 +141,7 @@
     pub fn revoke(&mut self, lease: u64) {
         let path = format!("/leases/{lease}");
         if let Err(e) = self.http.call("DELETE", &path, b"", TIMEOUT, true) {
-            log::info!("state service: ending lease {lease}: {e}");
+            tracing::info!("state service: ending lease {lease}: {e}");
         }
     }
 
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -10,6 +10,8 @@
 pub const PATH_JOBS: &str = "/api/jobs";
 pub const PATH_CANCEL: &str = "withdraw";
 pub const PATH_STATUS: &str = "/api/status";
+/// Our own, like the status: figures for monitoring.
+pub const PATH_METRICS: &str = "/metrics";
 pub const PATH_READY: &str = "/ready";
 pub const PATH_REPORT: &str = "/hello";
 pub const PATH_COMMANDS: &str = "/do";
