--- a/src/core/commands.rs
+++ b/src/core/commands.rs
@@ -213,6 +213,9 @@
         m.unanswered = if answers { 0 } else { m.unanswered + 1 };
         if answers {
             (lead.touched, lead.missed) = (now, 0);
+            if !lead.answering.contains(&m.zone) {
+                lead.answering.insert(m.zone.clone());
+            }
         } else {
             lead.missed += 1;
         }
--- a/src/core/delegation.rs
+++ b/src/core/delegation.rs
@@ -222,6 +222,11 @@
                 let id = r.report.machine.clone();
                 let known = (self.lead.as_ref()).is_some_and(|l| l.machines.get(&id).is_some());
                 if known {
+                    if let Some(lead) = &mut self.lead
+                        && !lead.answering.contains(&r.report.zone)
+                    {
+                        lead.answering.insert(r.report.zone.clone());
+                    }
                     self.absorb(&id, *r.report, false);
                 }
             } else {
--- a/src/core/lead.rs
+++ b/src/core/lead.rs
@@ -48,6 +48,9 @@
     pub ask_again: BTreeSet<(Instant, MachineId)>,
     /// How many there were when this leader began, until nearly all are known.
     pub to_hear: usize,
+    /// Zones in which a machine has answered a call: elsewhere, a call without an answer says nothing of
+    /// the machine.
+    pub answering: BTreeSet<String>,
     /// Direct calls on their way.
     pub calls_out: usize,
     pub runs: BTreeMap<JobId, Run>,
--- a/src/core/leadership.rs
+++ b/src/core/leadership.rs
@@ -282,6 +282,7 @@
             to_ask: Vec::new(),
             ask_again: BTreeSet::new(),
             to_hear: 0,
+            answering: BTreeSet::new(),
             calls_out: 0,
             runs: BTreeMap::new(),
             in_doubt: BTreeSet::new(),
--- a/src/core/losses.rs
+++ b/src/core/losses.rs
@@ -101,7 +101,12 @@
             }
             // All old tasks that nobody has shown wait for each machine not heard of, one that
             // died with the old leader, say. Its neighbours answer, and it did not, twice.
-            let in_vain = lead.unresolved.contains(&m.id) && m.unanswered >= ASKED_IN_VAIN;
+            // One that has reported is not dead, whatever becomes of calls to it; nor are those to which
+            // no call gets through, cut off one way.
+            let in_vain = lead.unresolved.contains(&m.id)
+                && m.session == 0
+                && m.unanswered >= ASKED_IN_VAIN
+                && lead.answering.contains(&m.zone);
             if in_vain && m.deleting.is_none() && reachable(&m.zone) {
                 silent.push((m.id.clone(), "it does not answer"));
             }
--- a/src/core/stories.rs
+++ b/src/core/stories.rs
@@ -369,6 +369,25 @@
     w.until_done("wk-1", 40.0);
 }
 
+/// Cut off one way: a new leader's calls come to nothing, while the workers' reports arrive. Machines
+/// that had reported, and were only yet to show its token, were deleted as dead.
+#[test]
+fn machines_that_report_are_not_dead_though_no_call_reaches_them() {
+    let (mut w, leader) = begin(29);
+    w.submit(leader, &job("wk-1", 8, 2.0, 20));
+    w.run(3.0);
+    w.hold_commands = true;
+    w.kill(leader, Duration::from_secs(30));
+    w.until(10.0, "another leader", |w| {
+        w.leader().is_some_and(|l| l != leader)
+    });
+    w.run(6.0);
+    assert_eq!(w.workers.len(), 4);
+    w.hold_commands = false;
+    w.until_done("wk-1", 40.0);
+    assert_eq!(w.starts, 8);
+}
+
 /// A leader that lost its workers deleted a third of them for their silence, one by one, before it
 /// saw that all were silent, and resigned much later still.
 #[test]
