One piece of code for moves, asks, who a report came by, and exchanges between controllers

Read once more, delegation had written some things twice: who the next worker is sent to, which machine is still to be asked, via and recall of a report, the answer that leads a worker elsewhere, and the zone in which calls are answered. Frames are decoded inside the exchange, as they were before, so that a connection with an unreadable answer is replaced in one place. Workers not told of are a set instead of a list and a flag.

--- a/crates/membership/src/share.rs
+++ b/crates/membership/src/share.rs
@@ -21,6 +21,16 @@
     pub count: u32,
 }
 
+/// Whom the next worker is sent to, of so many that are to go to each; it counts as sent.
+pub fn take_one(moves: &mut Vec<(String, u32)>) -> Option<String> {
+    let (to, left) = moves.last_mut()?;
+    *left = left.saturating_sub(1);
+    if *left > 0 {
+        return Some(to.clone());
+    }
+    moves.pop().map(|(to, _)| to)
+}
+
 /// Loads within this part of the even share are even.
 const TOLERANCE: f64 = 0.15;
 /// Nobody is moved for fewer workers than this.
--- a/src/core/commands.rs
+++ b/src/core/commands.rs
@@ -213,9 +213,6 @@
         m.unanswered = if answers { 0 } else { m.unanswered + 1 };
         if answers {
             (lead.touched, lead.missed) = (now, 0);
-            if !lead.answering.contains(&m.zone) {
-                lead.answering.insert(m.zone.clone());
-            }
         } else {
             lead.missed += 1;
         }
@@ -228,6 +225,8 @@
                     tracing::debug!(machine = %id, "machine {id}: direct commands refused");
                     m.push_after = now + Duration::from_millis(500);
                 }
+                let zone = m.zone.clone();
+                lead.calls_reach(&zone);
                 if report.machine == id {
                     self.absorb(&id, *report, false);
                 }
--- a/src/core/delegation.rs
+++ b/src/core/delegation.rs
@@ -69,6 +69,20 @@
         }
     }
 
+    /// A report came by way of this controller, or to this one itself: no other may answer the
+    /// machine from memory any more.
+    pub(super) fn came_by(&mut self, id: &MachineId, via: Option<&Arc<str>>) {
+        let Some(m) = self.machines.get_unnoted(id) else {
+            return;
+        };
+        if m.via.as_ref() != via {
+            m.via = via.cloned();
+        }
+        if m.lent_to.is_some() && m.lent_to.as_ref() != via {
+            self.recall(id);
+        }
+    }
+
     /// Of machines that changed, those to which there is something to say now.
     pub(super) fn recall_changed(&mut self, changed: &[MachineId]) {
         if self.delegates.by_name.is_empty() {
@@ -97,19 +111,9 @@
         while asking + out.len() < ASKED_BY_ANOTHER
             && let Some(id) = self.next_to_ask(now)
         {
-            if !self.unresolved.contains(&id) {
-                continue;
-            }
             let Some(m) = self.machines.get_unnoted(&id) else {
                 continue;
             };
-            if let Some(later) = m.claimed_until.filter(|t| now < *t) {
-                self.ask_again.insert((later, id));
-                continue;
-            }
-            if m.call.is_some() {
-                continue;
-            }
             m.claimed_until = Some(now + CLAIM);
             // If nothing comes of it, it is asked from here.
             self.ask_again.insert((now + CLAIM, id.clone()));
@@ -120,12 +124,7 @@
 
     /// The controller that a worker reporting here is to go to, if it is to go.
     pub(super) fn move_one(&mut self, id: &MachineId) -> Option<String> {
-        let (to, left) = self.delegates.own_moves.last_mut()?;
-        *left = left.saturating_sub(1);
-        let (to, over) = (to.clone(), *left == 0);
-        if over {
-            self.delegates.own_moves.pop();
-        }
+        let to = share::take_one(&mut self.delegates.own_moves)?;
         if let Some(m) = self.machines.get_unnoted(id) {
             m.via = Some(to.as_str().into());
         }
@@ -222,10 +221,8 @@
                 let id = r.report.machine.clone();
                 let known = (self.lead.as_ref()).is_some_and(|l| l.machines.get(&id).is_some());
                 if known {
-                    if let Some(lead) = &mut self.lead
-                        && !lead.answering.contains(&r.report.zone)
-                    {
-                        lead.answering.insert(r.report.zone.clone());
+                    if let Some(lead) = &mut self.lead {
+                        lead.calls_reach(&r.report.zone);
                     }
                     self.absorb(&id, *r.report, false);
                 }
--- a/src/core/lead.rs
+++ b/src/core/lead.rs
@@ -23,6 +23,7 @@
 };
 /// With nothing to say, a frame goes to the leader this often: it keeps the grant.
 pub(super) const HEARTBEAT: Duration = Duration::from_millis(400);
+
 #[derive(Clone, Copy, Debug)]
 pub struct Lease {
     pub id: u64,
@@ -153,6 +154,7 @@
     pub call: Option<u64>,
     pub again_at: Instant,
 }
+
 /// One controller that serves workers.
 pub struct Delegate {
     pub issued: Issued,
--- a/src/core/recovery.rs
+++ b/src/core/recovery.rs
@@ -17,12 +17,32 @@
 const OTHERS_FIRST: Duration = Duration::from_millis(400);
 
 impl Lead {
-    /// Those that were not asked yet come first: one that did not answer takes a call for long.
+    /// A machine that has yet to show the token and that nobody is about. Those that were not asked
+    /// yet come first: one that did not answer takes a call for long.
     pub(super) fn next_to_ask(&mut self, now: Instant) -> Option<MachineId> {
-        self.to_ask.pop().or_else(|| {
-            self.ask_again.first().filter(|(at, _)| *at <= now)?;
-            self.ask_again.pop_first().map(|(_, id)| id)
-        })
+        loop {
+            let id = self.to_ask.pop().or_else(|| {
+                self.ask_again.first().filter(|(at, _)| *at <= now)?;
+                self.ask_again.pop_first().map(|(_, id)| id)
+            })?;
+            let m = self.machines.get(&id);
+            let Some(m) = m.filter(|_| self.unresolved.contains(&id)) else {
+                continue;
+            };
+            if let Some(later) = m.claimed_until.filter(|t| now < *t) {
+                // Another controller is about it.
+                self.ask_again.insert((later, id));
+            } else if m.call.is_none() {
+                return Some(id);
+            }
+        }
+    }
+
+    /// A machine in this zone has answered a call.
+    pub(super) fn calls_reach(&mut self, zone: &str) {
+        if !self.answering.contains(zone) {
+            self.answering.insert(zone.to_string());
+        }
     }
 }
 
@@ -80,16 +100,7 @@
             && lead.calls_out < MOST_DIRECT
             && let Some(id) = lead.next_to_ask(now)
         {
-            let m = lead.machines.get(&id);
-            if let Some(later) = m.and_then(|m| m.claimed_until).filter(|t| now < *t) {
-                // Another controller is about it.
-                lead.ask_again.insert((later, id));
-                continue;
-            }
-            let idle = m.is_some_and(|m| m.call.is_none());
-            if idle && lead.unresolved.contains(&id) {
-                self.ask_machine(&id);
-            }
+            self.ask_machine(&id);
         }
     }
 
--- a/src/core/relay.rs
+++ b/src/core/relay.rs
@@ -9,14 +9,16 @@
 
 use super::commands::MOST_DIRECT;
 use super::lead::{HEARTBEAT, Lead};
+use super::reports::led_to;
 use super::{Core, Effect, Pending, Ticket};
 use crate::http::Answer;
 use crate::job::MachineId;
 use crate::link::{self, Heard, Relayed, Sync, Synced, Told, ToldKind};
-use crate::wire::{DirectBody, Redirect, Report, ReportAnswer, to_json};
+use crate::wire::{DirectBody, Report, ReportAnswer, to_json};
 use crate::worker::{DirectOutcome, DirectRequest};
 use burlusher_membership::digest::{Digest, Digester};
 use burlusher_membership::grant::Held;
+use burlusher_membership::share;
 use burlusher_membership::view::Abilities;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::{Duration, Instant};
@@ -51,8 +53,6 @@
     /// The highest token that it has shown.
     token: u64,
     seen: Instant,
-    /// The leader has yet to be told that it was heard.
-    untold: bool,
     /// What its last report said, and the token to answer the same with.
     calm: Option<(Digest, u64)>,
 }
@@ -76,7 +76,8 @@
     incarnation: u64,
     pub(super) grant: Option<Held>,
     workers: BTreeMap<MachineId, Worker>,
-    untold: Vec<MachineId>,
+    /// Workers that were answered here, of which the leader has yet to be told.
+    untold: BTreeSet<MachineId>,
     waiting: VecDeque<Waiting>,
     sent: Option<Sent>,
     number: u64,
@@ -145,7 +146,6 @@
                     addr: m.addr.clone(),
                     token: m.token(lead.term),
                     seen: m.seen,
-                    untold: false,
                     calm: None,
                 };
                 self.workers.insert(m.id.clone(), w);
@@ -182,21 +182,15 @@
             return None;
         }
         (w.seq, w.seen) = (report.seq, now);
-        if !w.untold {
-            w.untold = true;
-            self.untold.push(report.machine.clone());
+        if !self.untold.contains(&report.machine) {
+            self.untold.insert(report.machine.clone());
         }
         Some(token)
     }
 
     /// A worker that is to go elsewhere.
     fn move_one(&mut self, id: &MachineId) -> Option<String> {
-        let (to, left) = self.moves.last_mut()?;
-        *left = left.saturating_sub(1);
-        let (to, over) = (to.clone(), *left == 0);
-        if over {
-            self.moves.pop();
-        }
+        let to = share::take_one(&mut self.moves)?;
         self.workers.remove(id);
         Some(to)
     }
@@ -207,19 +201,11 @@
         if !unbroken {
             // The leader has counted everything lent as back when the grant ran out.
             self.workers.values_mut().for_each(|w| w.calm = None);
-            self.forget_untold();
+            self.untold.clear();
         }
         self.grant = Some(held);
     }
 
-    fn forget_untold(&mut self) {
-        for id in std::mem::take(&mut self.untold) {
-            if let Some(w) = self.workers.get_mut(&id) {
-                w.untold = false;
-            }
-        }
-    }
-
     fn sweep(&mut self, now: Instant, lease: Duration) {
         if self.swept.is_some_and(|t| now < t + Duration::from_secs(5)) {
             return;
@@ -242,7 +228,7 @@
             && let Some(token) = self.relay.same_again(&report, now)
         {
             let answer = match self.relay.move_one(&report.machine) {
-                Some(to) => Answer::new(421, to_json(&Redirect { leader: Some(&to) })),
+                Some(to) => led_to(&to),
                 None => {
                     let orders = Vec::new();
                     let body = to_json(&ReportAnswer { token, orders });
@@ -361,8 +347,7 @@
             sync.mine = mine.map(|(id, _)| id.clone()).collect();
         }
         for id in std::mem::take(&mut relay.untold) {
-            if let Some(w) = relay.workers.get_mut(&id) {
-                w.untold = false;
+            if let Some(w) = relay.workers.get(&id) {
                 sync.heard.push(Heard {
                     machine: id,
                     session: w.session,
@@ -426,14 +411,12 @@
             self.relay.not_before = Some(now + REFUSED);
             return self.wait_again(sent.reports);
         }
-        if answer.grant.is_zero() {
-            // It does not lead, or not yet.
+        // It does not lead, or not yet, or not any more.
+        let succeeded = (self.relay.grant).is_some_and(|g| g.term > answer.term);
+        if answer.grant.is_zero() || succeeded {
             return self.wait_again(sent.reports);
         }
         let held = Held::new(answer.term, sent.at, answer.grant);
-        if (self.relay.grant).is_some_and(|g| g.term > answer.term) {
-            return self.wait_again(sent.reports);
-        }
         self.view.heard(&sent.to, 0, Abilities::REPORTS, 0, now);
         for m in &answer.members {
             let at = now.checked_sub(m.age).unwrap_or(now);
@@ -490,7 +473,6 @@
                     addr: r.addr.clone(),
                     token: r.token,
                     seen: w.received,
-                    untold: false,
                     calm: calm.then_some((digest, token)),
                 };
                 self.relay.workers.insert(r.machine.clone(), worker);
--- a/src/core/reports.rs
+++ b/src/core/reports.rs
@@ -12,6 +12,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+/// The worker is to report to that controller.
+pub(super) fn led_to(controller: &str) -> Answer {
+    let leader = Some(controller);
+    Answer::new(421, to_json(&Redirect { leader }))
+}
+
 impl Core {
     /// Takes in a report; a ticket that comes back is answered at the end of the step.
     pub(super) fn report(
@@ -67,16 +73,11 @@
             m.seq = report.seq;
             m.seen = now;
             m.lease_from = now;
-            if m.via.as_ref() != via {
-                m.via = via.cloned();
-            }
-            if m.lent_to.is_some() && m.lent_to.as_ref() != via {
-                lead.recall(&id);
-            }
+            lead.came_by(&id, via);
             if via.is_none()
                 && let Some(to) = lead.move_one(&id)
             {
-                return Err(Answer::new(421, to_json(&Redirect { leader: Some(&to) })));
+                return Err(led_to(&to));
             }
             return Ok(id);
         }
@@ -96,16 +97,12 @@
         let lead = self.lead.as_mut().ok_or_else(no_leader)?;
         let m = (lead.machines.get_mut(&id)).ok_or_else(no_leader)?;
         m.lease_from = now;
-        m.via = via.cloned();
-        let moved = m.lent_to.is_some() && m.lent_to.as_ref() != via;
         if !m.recorded {
             // Before its first task: a later leader must know every place a task may be.
             let value = MachineValue::from(&*m);
             lead.writes.records.add(&id, value);
         }
-        if moved {
-            lead.recall(&id);
-        }
+        lead.came_by(&id, via);
         Ok(id)
     }
 
@@ -115,7 +112,7 @@
         let stale = self.state_is_stale();
         let leader = self.leader_name().filter(|n| *n != me && !stale);
         let answer = match leader {
-            Some(_) => Answer::new(421, to_json(&Redirect { leader })),
+            Some(leader) => led_to(leader),
             None => Answer::busy("no leader here", 1),
         };
         self.answer(ticket, answer);
--- a/src/core/side_by_side.rs
+++ b/src/core/side_by_side.rs
@@ -310,8 +310,14 @@
     }
 }
 
-/// A job that awaits hundreds of others, all done but `wk-1`, and so fits into no value.
-fn large_job(w: &mut World) -> crate::job::JobSpec {
+/// A world with its leader, and a job that awaits hundreds of others, all done but `wk-1`, and so
+/// fits into no value.
+fn with_large_job(seed: u64) -> (World, usize, crate::job::JobSpec) {
+    let mut w = taken_over(seed, 4, None);
+    w.limit(NEXT_LIMITS);
+    w.run(4.0);
+    let leader = w.leader().unwrap();
+    assert_eq!(w.submit(leader, &sample("wk-1", 1, 1.0, 20)), 201);
     let mut large = sample("wk-2", 2, 1.0, 3);
     large.awaits = vec!["wk-1".into()];
     for n in 0..900 {
@@ -325,20 +331,15 @@
         large.awaits.push(id.into());
     }
     large.awaits.sort();
-    large
+    w.run(1.0);
+    (w, leader, large)
 }
 
 /// A job that awaits hundreds of others fits into no value: it is accepted with its last write and
 /// not before, whoever dies meanwhile, and nothing is left of it in the end.
 #[test]
 fn a_job_larger_than_a_value_is_kept_whole_or_not_at_all() {
-    let mut w = taken_over(64, 4, None);
-    w.limit(NEXT_LIMITS);
-    w.run(4.0);
-    let leader = w.leader().unwrap();
-    assert_eq!(w.submit(leader, &sample("wk-1", 1, 1.0, 20)), 201);
-    let large = large_job(&mut w);
-    w.run(1.0);
+    let (mut w, leader, large) = with_large_job(64);
     // A node dies between the parts and the job's key: nothing was accepted.
     let other = (leader + 1) % 3;
     w.nodes.iter_mut().for_each(|n| n.peers = false);
@@ -371,21 +372,11 @@
 /// cleared: applied then, it would have accepted a job that nobody can read any more.
 #[test]
 fn a_large_job_is_not_accepted_late_without_its_parts() {
-    let begin = || {
-        let mut w = taken_over(65, 4, None);
-        w.limit(NEXT_LIMITS);
-        w.run(4.0);
-        let leader = w.leader().unwrap();
-        assert_eq!(w.submit(leader, &sample("wk-1", 1, 1.0, 20)), 201);
-        let large = large_job(&mut w);
-        w.run(1.0);
-        (w, leader, large)
-    };
-    let (mut whole, leader, large) = begin();
+    let (mut whole, leader, large) = with_large_job(65);
     assert_eq!(whole.submit(leader, &large), 201);
     let parts = whole.stored("burlusher/s/wk-2/").len();
     assert!(parts > 2);
-    let (mut w, leader, large) = begin();
+    let (mut w, leader, large) = with_large_job(65);
     let other = (leader + 1) % 3;
     w.nodes.iter_mut().for_each(|n| n.peers = false);
     w.knows(&large);
--- a/src/service.rs
+++ b/src/service.rs
@@ -527,7 +527,8 @@
             let (inbox, name) = (inbox.clone(), name.clone());
             let mut kept: Option<TcpStream> = None;
             Box::new(move |(ticket, request): PeerCall| {
-                let answer = ask_peer(&mut kept, addr, &request);
+                let frame = peer::encode_request(&request);
+                let answer = exchange(&mut kept, addr, &frame, PEER_TIMEOUT, peer::decode_answer);
                 if let Err(e) = &answer {
                     tracing::debug!("peer {name}: {e}");
                 }
@@ -556,17 +557,14 @@
                 Some((name, stream)) if name == peer => Some(stream),
                 _ => None,
             };
+            let decode = |kind, body: &[u8]| {
+                (kind == link::KIND_SYNCED).then(|| link::decode_synced(body))?
+            };
             let answer = match addrs.get(&peer) {
-                Some(addr) => exchange(&mut stream, *addr, &frame, SYNC_TIMEOUT),
+                Some(addr) => exchange(&mut stream, *addr, &frame, SYNC_TIMEOUT, decode),
                 None => Err(io::ErrorKind::NotFound.into()),
             };
             kept = stream.map(|s| (peer.clone(), s));
-            let answer = answer.and_then(|(kind, body)| {
-                let synced = (kind == link::KIND_SYNCED).then(|| link::decode_synced(&body));
-                synced
-                    .flatten()
-                    .ok_or_else(|| io::ErrorKind::InvalidData.into())
-            });
             if let Err(e) = &answer {
                 tracing::debug!("peer {peer}: {e}");
             }
@@ -580,31 +578,19 @@
 
 /// All requests between controllers may be repeated, so a kept connection that turns out to be
 /// closed is replaced once.
-fn ask_peer(
-    kept: &mut Option<TcpStream>,
-    addr: SocketAddrV4,
-    request: &PeerRequest,
-) -> io::Result<PeerAnswer> {
-    let frame = peer::encode_request(request);
-    let (kind, body) = exchange(kept, addr, &frame, PEER_TIMEOUT)?;
-    let answer = peer::decode_answer(kind, &body);
-    if answer.is_none() {
-        *kept = None;
-    }
-    answer.ok_or_else(|| io::ErrorKind::InvalidData.into())
-}
-
-fn exchange(
+fn exchange<T>(
     kept: &mut Option<TcpStream>,
     addr: SocketAddrV4,
     frame: &[u8],
     timeout: Duration,
-) -> io::Result<(u8, Vec<u8>)> {
-    let exchange = |stream: &mut TcpStream| -> io::Result<(u8, Vec<u8>)> {
+    decode: impl Fn(u8, &[u8]) -> Option<T>,
+) -> io::Result<T> {
+    let exchange = |stream: &mut TcpStream| -> io::Result<T> {
         stream.set_read_timeout(Some(timeout))?;
         stream.set_write_timeout(Some(timeout))?;
         peer::write_frame(stream, frame)?;
-        peer::read_frame(stream)
+        let (kind, body) = peer::read_frame(stream)?;
+        decode(kind, &body).ok_or_else(|| io::ErrorKind::InvalidData.into())
     };
     if let Some(mut stream) = kept.take() {
         let begun = Instant::now();
