--- a/src/view.rs
+++ b/src/view.rs
@@ -71,13 +71,15 @@
         line("\nMACHINES".into());
         for m in list(view, "machines") {
             let spot = m["spot"] == Value::Bool(true);
+            let by = m["reports_to"].as_str();
             line(format!(
-                "{:<12} {:<12} {:<12} {:<9} {}",
+                "{:<12} {:<12} {:<12} {:<9} {}{}",
                 text(&m["machine"]),
                 text(&m["type"]),
                 text(&m["zone"]),
                 if spot { "spot" } else { "ordinary" },
-                text(&m["state"])
+                text(&m["state"]),
+                by.map_or(String::new(), |node| format!(", reports to {node}"))
             ));
             for t in list(m, "tasks") {
                 line(format!("    {}", text(t)));
@@ -107,6 +109,26 @@
             ));
         }
     }
+    line("\nMEMBERS".into());
+    for m in list(view, "members") {
+        line(format!(
+            "{:<14} {:<12} {}, {} workers{}{}",
+            text(&m["node"]),
+            text(&m["zone"]),
+            text(&m["standing"]),
+            text(&m["workers"]),
+            if m["takes_reports"] == Value::Bool(true) {
+                ", takes reports"
+            } else {
+                ""
+            },
+            if m["granted"] == Value::Bool(true) {
+                ", has a grant"
+            } else {
+                ""
+            }
+        ));
+    }
     for name in ["accept_ms", "start_ms", "step_us"] {
         let h = &view[name];
         line(format!(
@@ -116,3 +138,34 @@
     }
     out
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use serde_json::json;
+
+    /// The operators' page promised these lines, and only the JSON had them.
+    #[test]
+    fn members_and_whom_a_machine_reports_to_are_shown() {
+        let member = json!({"node": "n1", "zone": "a", "standing": "suspect", "workers": 7,
+            "takes_reports": true, "granted": true});
+        let view = json!({
+            "node": "n0", "leads": true, "term": 3, "members": [member],
+            "machines": [
+                {"machine": "i-1", "type": "g8", "zone": "a", "state": "up", "reports_to": "n1"},
+                {"machine": "i-2", "type": "g8", "zone": "a", "state": "up", "reports_to": null},
+            ],
+        });
+        let page = render(&view);
+        assert!(
+            page.contains("suspect, 7 workers, takes reports, has a grant\n"),
+            "{page}"
+        );
+        assert!(
+            page.contains("up, reports to n1\n") && page.contains(" up\n"),
+            "{page}"
+        );
+        let follower = render(&json!({"node": "n1", "leads": false, "members": [member]}));
+        assert!(follower.contains("suspect, 7 workers"), "{follower}");
+    }
+}
