--- a/src/core/commands.rs
+++ b/src/core/commands.rs
@@ -56,7 +56,12 @@
                     .runs
                     .get(&key.job)
                     .is_some_and(|r| r.unwritten.contains(&key.row));
-                if !unwritten && m.tasks.get(key).is_none_or(|t| t.attempt != *attempt) {
+                // Nor is the result of a job that may be known again.
+                let forgotten = lead.may_be_forgotten(self.mirror.knows(&key.job));
+                if !unwritten
+                    && !forgotten
+                    && m.tasks.get(key).is_none_or(|t| t.attempt != *attempt)
+                {
                     orders.push(Order::Forget {
                         task: key.to_string(),
                         attempt: *attempt,
--- /dev/null
+++ b/src/core/custody.rs
@@ -0,0 +1,532 @@
+//! Whether the state service still holds what it was given.
+//!
+//! A store has an identity, a random name that its first leader gives it. Each controller remembers
+//! that, the newest revision it has seen, and all that it read. Signs of a loss (a revision that went
+//! back, an identity that is gone, a lease unknown that should still run, a worker that has seen a
+//! newer term than ours) only make it read the store afresh: the verdict is by what is stored, compared
+//! with the copy. An outage, a watch that is too old, a restart, an older version at the lead are none.
+//!
+//! Having lost data, the store gets another identity with its next leader, on which all its writes
+//! depend: what was meant for the old one can't be applied to the new, whatever its revisions. And
+//! nobody leads it before the word of any earlier leader has run out: that one's last renewal came
+//! before the loss, and the loss before it was noticed.
+
+use super::keys::{REBUILDING, identity_key, key};
+use super::leadership::{LEASE_TTL, json};
+use super::machine::EPOCH_BITS;
+use super::mirror::{IdentityValue, RebuildingValue};
+use super::{CallId, Core, Effect, Pending, Ticket};
+use crate::http::Answer;
+use crate::recall::{PAGE_BYTES, Recall, Recalled, encode_recalled};
+use crate::state::{StateOutcome, StateRequest};
+use crate::wire::{Change, Condition, Item, Txn};
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, Instant, SystemTime};
+
+/// How the keys and values are written.
+const FORMAT: u32 = 1;
+/// The beginning of 2020, in seconds since 1970.
+const EPOCH_S: u64 = 1_577_836_800;
+/// An attempt has the term above 32 bits of its own.
+const MOST_TERM: u64 = u32::MAX as u64;
+/// Between two looks at whether the store is still the one it was.
+const LOOK_EVERY: Duration = Duration::from_secs(3);
+/// Between two full reads for a suspicion.
+const AFRESH_EVERY: Duration = Duration::from_secs(1);
+/// Between two questions to a controller of what it knows of an empty store.
+const WORD_EVERY: Duration = Duration::from_millis(200);
+/// A key that nobody writes: its absence comes with the revision.
+const NOTHING: &str = "nothing";
+
+/// A loss of data that this process has noticed, until the store is named anew.
+#[derive(Clone, Debug)]
+pub struct Loss {
+    pub since: Instant,
+    pub wall: SystemTime,
+    pub why: String,
+    /// What the store was called when it was noticed, and whether it was marked as incomplete then.
+    named: Option<String>,
+    marked: bool,
+}
+
+#[derive(Default)]
+pub struct Custody {
+    /// The newest revision that an answer told, and what it was when each call on its way was made.
+    newest: u64,
+    asked: BTreeMap<CallId, u64>,
+    pub lost: Option<Loss>,
+    /// The store of which this process remembers something: the last one that lost data, or none.
+    pub of: Option<String>,
+    /// Names that the store has had as long as this process has known it: restored to one of them, it
+    /// has lost data once more.
+    names: BTreeSet<String>,
+    /// This process itself held a copy when data were lost.
+    pub had_copy: bool,
+    /// Losses noticed by this process.
+    pub losses: u64,
+    /// Read empty, with nothing remembered here, since then.
+    empty_since: Option<Instant>,
+    /// When this process saw it empty for the first time.
+    seen_empty: Option<Instant>,
+    /// What the others know of it, and when they were asked last.
+    words: BTreeMap<String, Recalled>,
+    words_asked: Option<Instant>,
+    /// The newest term that a worker has shown, or another controller knows, and since when.
+    token_term: u64,
+    token_since: Option<Instant>,
+    /// The oldest one that a worker has shown.
+    oldest_token: Option<u64>,
+    /// When a full read was begun for a suspicion, and whether it has come.
+    afresh: Option<Instant>,
+    read: bool,
+    /// The mark of an incomplete store was there when the copy changed last.
+    seen_mark: bool,
+    looked: Option<Instant>,
+    look_at_name: bool,
+}
+
+impl Custody {
+    /// Somebody knows of this term.
+    pub(super) fn heed_term(&mut self, term: u64, now: Instant) {
+        if term > self.token_term {
+            self.token_term = term;
+            self.token_since = Some(now);
+        }
+    }
+
+    pub(super) fn call(&mut self, call: CallId) {
+        self.asked.insert(call, self.newest);
+    }
+}
+
+impl Core {
+    /// Nothing may be said of what is not in the store, or not final.
+    pub(super) fn incomplete(&self) -> bool {
+        self.custody.lost.is_some() || self.mirror.rebuilding.is_some()
+    }
+
+    /// A sign that the store is not what it was: it is read as a whole.
+    pub(super) fn doubt(&mut self, why: &str) {
+        let now = self.now.mono;
+        let lately = |t: Instant| now < t + AFRESH_EVERY;
+        if self.custody.afresh.is_some_and(lately) || !self.mirror.loaded {
+            return;
+        }
+        tracing::warn!("state service: {why}; reading it afresh");
+        (self.custody.afresh, self.custody.read) = (Some(now), false);
+        self.out.push(Effect::ReadAfresh);
+    }
+
+    /// Answers tell the revision; it never falls while the service keeps its data.
+    pub(super) fn heed_revision(&mut self, call: CallId, outcome: &StateOutcome) {
+        let asked = self.custody.asked.remove(&call);
+        let (StateOutcome::Committed { revision } | StateOutcome::Missing { revision }) = outcome
+        else {
+            return;
+        };
+        if asked.is_some_and(|newest| *revision < newest) {
+            self.doubt("its revision went back");
+        }
+        self.custody.newest = self.custody.newest.max(*revision);
+    }
+
+    /// What was read as a whole is compared with what is remembered.
+    pub(super) fn take_list(&mut self, items: Vec<Item>, revision: u64) {
+        let now = self.now.mono;
+        self.custody.read = true;
+        match self.mirror.contradicted(&items, revision) {
+            None => self.mirror.reset(items, revision),
+            Some(why) => {
+                tracing::error!("the state service has lost data: {why}");
+                if self.lead.is_some() {
+                    self.resign_to_rebuild();
+                }
+                let before = self.mirror.identity.as_ref().map(|(id, _)| id.clone());
+                self.mirror.rejoin(items, revision);
+                let c = &mut self.custody;
+                c.asked.clear();
+                c.newest = revision;
+                c.losses += 1;
+                c.had_copy = true;
+                if before.is_some() {
+                    c.of = before;
+                }
+                let named = self.mirror.identity.as_ref().map(|(id, _)| id.clone());
+                let marked = self.mirror.rebuilding.is_some();
+                // Others may have noticed before, and have begun anew.
+                let begun = marked && named.as_ref().is_some_and(|n| !c.names.contains(n));
+                c.lost = (!begun).then_some(Loss {
+                    since: now,
+                    wall: self.now.wall,
+                    why,
+                    named,
+                    marked,
+                });
+                if c.lost.is_some() {
+                    self.mirror.expect_name();
+                }
+                // A restored leader key may name this process.
+                if self.leads_by_key() {
+                    self.resign_to_rebuild();
+                }
+                tracing::error!(
+                    "remembered here: {} live jobs, {} ended, {} machines, term {}; {} jobs are not in the store any more",
+                    self.mirror.jobs.len(),
+                    self.mirror.finished.len(),
+                    self.mirror.machines.len(),
+                    self.mirror.term,
+                    self.mirror.owed.len()
+                );
+            }
+        }
+        self.custody.newest = self.custody.newest.max(revision);
+        let empty = self.nameless() && self.mirror.term == 0 && self.mirror.jobs.is_empty();
+        let since = self.custody.empty_since;
+        self.custody.empty_since = empty.then(|| since.unwrap_or(now));
+        if empty {
+            self.custody.seen_empty.get_or_insert(now);
+        }
+    }
+
+    /// Neither an identity nor a term: a new store, or one that has lost both.
+    fn nameless(&self) -> bool {
+        self.mirror.loaded && self.mirror.identity.is_none() && self.mirror.term_version == 0
+    }
+
+    /// The store has been read, and may have a new name.
+    pub(super) fn heed_name(&mut self) {
+        // Somebody noticed a loss that this process may have as well.
+        if self.mirror.rebuilding.is_some()
+            && !self.custody.seen_mark
+            && self.custody.lost.is_none()
+        {
+            self.doubt("it is marked as incomplete");
+        }
+        self.custody.seen_mark = self.mirror.rebuilding.is_some();
+        if self.mirror.renamed {
+            self.doubt("it has been given another identity");
+        }
+        let marked = self.mirror.rebuilding.is_some();
+        if let (Some((name, _)), Some(loss)) = (&self.mirror.identity, &self.custody.lost)
+            && (Some(name) != loss.named.as_ref() || (marked && !loss.marked))
+        {
+            tracing::warn!("the state service goes on as {name}");
+            self.custody.lost = None;
+        }
+        if !self.nameless() {
+            self.custody.empty_since = None;
+        }
+        if let Some((name, _)) = &self.mirror.identity
+            && !self.custody.names.contains(name)
+        {
+            self.custody.names.insert(name.clone());
+        }
+        self.heed_older_term();
+        // The rebuilding that was under way when the loss was noticed here is over.
+        if !marked
+            && let Some(loss) = &mut self.custody.lost
+            && std::mem::take(&mut loss.marked)
+            && self.mirror.owed.is_empty()
+        {
+            self.custody.lost = None;
+        }
+    }
+
+    /// Every report shows the newest token that its worker has seen; a term newer than the store's
+    /// was given by a store that is no more.
+    pub(super) fn heed_token(&mut self, token: u64) {
+        let term = token >> EPOCH_BITS;
+        if term > 0 {
+            let oldest = self.custody.oldest_token;
+            self.custody.oldest_token = Some(oldest.map_or(term, |t| t.min(term)));
+        }
+        self.custody.heed_term(term, self.now.mono);
+        self.heed_newer_term();
+        self.heed_older_term();
+    }
+
+    /// Whoever leads next can have done so only after our word: a term newer than a leader's own was
+    /// given by a store that is no more.
+    pub(super) fn heed_newer_term(&mut self) {
+        let Some(lead) = &self.lead else { return };
+        let (ours, newest) = (lead.term, self.newest_term());
+        if newest > ours && self.acting() {
+            self.lose_without_copy(format!(
+                "term {newest} was there before, and this is term {ours}"
+            ));
+            self.resign_to_rebuild();
+        }
+    }
+
+    /// In a store that was taken for new, no worker can have seen a term before its first.
+    fn heed_older_term(&mut self) {
+        let (Some(first), Some(oldest)) = (self.mirror.first, self.custody.oldest_token) else {
+            return;
+        };
+        if oldest >= first || self.incomplete() {
+            return;
+        }
+        let led = self.lead.is_some();
+        self.lose_without_copy(format!(
+            "it began with term {first}, and a worker has seen {oldest}"
+        ));
+        if led {
+            self.resign_to_rebuild();
+        }
+    }
+
+    /// While a new store may yet prove to be an old one that was wiped, an unknown job is not called
+    /// so: each worker reports within this time, and shows the term that it has seen.
+    pub(super) fn unproven(&self) -> bool {
+        let window = self.settings.report * 5 / 2;
+        let seen = self.custody.seen_empty;
+        seen.is_some_and(|t| self.now.mono < t + window) || self.incomplete()
+    }
+
+    /// A loss that shows in something else than the copy, which is as new as the loss.
+    fn lose_without_copy(&mut self, why: String) {
+        tracing::error!("the state service has lost data: {why}");
+        self.custody.losses += 1;
+        let mark = self.mirror.rebuilding.as_ref();
+        self.custody.of = mark.and_then(|(m, _)| m.of.clone());
+        self.custody.lost = Some(Loss {
+            since: self.now.mono,
+            wall: self.now.wall,
+            why,
+            named: self.mirror.identity.as_ref().map(|(id, _)| id.clone()),
+            marked: self.mirror.rebuilding.is_some(),
+        });
+        self.custody.oldest_token = None;
+        self.mirror.expect_name();
+    }
+
+    /// Gives the lease back, but stands again: the next leader begins to rebuild.
+    pub(super) fn resign_to_rebuild(&mut self) {
+        self.step_down("the state service has lost data");
+        self.lease = None;
+        self.out.push(Effect::GiveUpLease);
+    }
+
+    /// Whether this process may try to lead, as far as the store is concerned.
+    pub(super) fn may_stand(&mut self) -> bool {
+        let now = self.now.mono;
+        if let Some(loss) = &self.custody.lost {
+            return now >= loss.since + LEASE_TTL;
+        }
+        // A term is in the store before any worker can have seen it.
+        if self.mirror.term_version > 0 && self.custody.token_term > self.mirror.term {
+            let c = &self.custody;
+            if c.read && c.afresh > c.token_since {
+                let term = c.token_term;
+                self.lose_without_copy(format!("term {term} was there before"));
+            } else {
+                self.doubt("a worker has seen a newer term");
+            }
+            return false;
+        }
+        let Some(since) = self.custody.empty_since else {
+            return true;
+        };
+        // New, or wiped while nobody here could see it.
+        let words = &self.custody.words;
+        if let Some((name, word)) = words.iter().find(|(_, w)| w.remembers) {
+            let (why, term) = (format!("it is empty, and {name} remembers it"), word.term);
+            let of = Some(word.store.clone()).filter(|s| !s.is_empty());
+            self.custody.heed_term(term, now);
+            self.lose_without_copy(why);
+            self.custody.of = of;
+            return false;
+        }
+        if self.custody.token_term > 0 {
+            let term = self.custody.token_term;
+            self.lose_without_copy(format!("it is empty, and a worker has seen term {term}"));
+            return false;
+        }
+        let all = (self.settings.peers.iter())
+            .all(|p| self.custody.words.get(&p.name).is_some_and(|w| w.loaded));
+        all || now >= since + LEASE_TTL
+    }
+
+    /// Names of terms and the store in the transaction that begins a leadership.
+    pub(super) fn naming(&self) -> Vec<Change> {
+        let known = self.mirror.identity.as_ref();
+        if known.is_some() && self.custody.lost.is_none() {
+            return Vec::new();
+        }
+        let put = |key: String, value| Change::Put {
+            key,
+            value,
+            lease: None,
+        };
+        let id = format!("{:016x}{:x}", self.nonce, self.next_call);
+        let value = IdentityValue {
+            format: FORMAT,
+            of: self.custody.lost.as_ref().and(self.custody.of.clone()),
+            first: (self.nameless() && self.custody.lost.is_none()).then_some(self.next_term()),
+        };
+        let mut out = vec![put(identity_key(&id), json(&value))];
+        if let Some((old, _)) = known {
+            let key = identity_key(old);
+            out.push(Change::Delete { key });
+        }
+        if let Some(loss) = &self.custody.lost {
+            out.push(self.mark_of(loss));
+        }
+        out
+    }
+
+    /// The newest term that is known of.
+    fn newest_term(&self) -> u64 {
+        self.mirror.term.max(self.custody.token_term)
+    }
+
+    /// The term of the next leadership. Where the store does not tell, it begins with the seconds since
+    /// 2020: leaders follow one another less often, so no term is used again, however much is lost.
+    pub(super) fn next_term(&self) -> u64 {
+        let next = self.newest_term() + 1;
+        if self.mirror.term_version > 0 && self.custody.lost.is_none() {
+            return next;
+        }
+        let since = (self.now.wall.duration_since(SystemTime::UNIX_EPOCH)).unwrap_or_default();
+        next.max(since.as_secs().saturating_sub(EPOCH_S))
+            .min(MOST_TERM)
+    }
+
+    /// Looks now and then whether the store is the one it was, and asks the others about an empty one.
+    pub(super) fn tend_custody(&mut self) {
+        let now = self.now.mono;
+        let due = |at: Option<Instant>, every| at.is_none_or(|t| now >= t + every);
+        if self.custody.empty_since.is_some()
+            && self.custody.lost.is_none()
+            && due(self.custody.words_asked, WORD_EVERY)
+        {
+            self.custody.words_asked = Some(now);
+            let answered = |name: &str| self.custody.words.get(name).is_some_and(|w| w.loaded);
+            let peers = self.settings.peers.iter().map(|p| p.name.clone());
+            let silent: Vec<String> = peers.filter(|name| !answered(name)).collect();
+            for peer in silent {
+                let recall = Recall {
+                    word_only: true,
+                    after: String::new(),
+                };
+                self.out.push(Effect::Recall { peer, recall });
+            }
+        }
+        self.mark();
+        if !self.mirror.loaded || self.state_is_stale() || !due(self.custody.looked, LOOK_EVERY) {
+            return;
+        }
+        // The first look comes after a while: what was just read is what there is.
+        let first = self.custody.looked.replace(now).is_none();
+        self.custody.look_at_name = !self.custody.look_at_name;
+        if first {
+            return;
+        }
+        let name = self
+            .mirror
+            .identity
+            .as_ref()
+            .map(|(id, _)| identity_key(id));
+        match name.filter(|_| self.custody.look_at_name) {
+            Some(name) => {
+                let version = self.mirror.identity.as_ref().map_or(0, |(_, v)| *v);
+                self.ask_state(Pending::LookAtName(version), StateRequest::Get(name));
+            }
+            None => {
+                self.ask_state(Pending::LookAtRevision, StateRequest::Get(key(NOTHING)));
+            }
+        }
+    }
+
+    /// Another controller leads and knows nothing of the loss: it sees by this mark that it has to
+    /// rebuild.
+    fn mark(&mut self) {
+        let now = self.now.mono;
+        let led = self.mirror.leader.is_some() && self.lead.is_none();
+        let waited = |loss: &Loss| now >= loss.since + LEASE_TTL;
+        let (Some(loss), Some((name, version))) = (&self.custody.lost, &self.mirror.identity)
+        else {
+            return;
+        };
+        let under_way = self.pending.values().any(|p| matches!(p, Pending::Mark));
+        if !led || !waited(loss) || self.mirror.rebuilding.is_some() || under_way {
+            return;
+        }
+        let condition = |key: String, version| Condition { key, version };
+        let conditions = vec![
+            condition(identity_key(name), *version),
+            condition(key(REBUILDING), 0),
+        ];
+        let changes = vec![self.mark_of(loss)];
+        let txn = Txn {
+            conditions,
+            changes,
+        };
+        self.ask_state(Pending::Mark, StateRequest::Txn(txn));
+    }
+
+    fn mark_of(&self, loss: &Loss) -> Change {
+        let since = loss.wall.duration_since(SystemTime::UNIX_EPOCH);
+        let value = RebuildingValue {
+            of: self.custody.of.clone(),
+            since_ms: since.unwrap_or_default().as_millis() as u64,
+            why: loss.why.clone(),
+        };
+        Change::Put {
+            key: key(REBUILDING),
+            value: json(&value),
+            lease: None,
+        }
+    }
+
+    pub(super) fn looked_at_name(&mut self, version: u64, outcome: StateOutcome) {
+        let current = self.mirror.identity.as_ref().map(|(_, v)| *v);
+        if current != Some(version) {
+            return;
+        }
+        match outcome {
+            StateOutcome::Missing { .. } => self.doubt("its identity is gone"),
+            StateOutcome::Found(item) if item.version != version => {
+                self.doubt("its identity was written again");
+            }
+            _ => {}
+        }
+    }
+
+    /// Another controller asks what is remembered here.
+    pub(super) fn recall(&mut self, ticket: Ticket, recall: Recall) {
+        let remembers = self.mirror.term > 0
+            || !self.mirror.jobs.is_empty()
+            || !self.mirror.finished.is_empty();
+        let name = self.mirror.identity.as_ref().map(|(id, _)| id.clone());
+        let (items, more) = if recall.word_only {
+            (Vec::new(), false)
+        } else {
+            self.mirror.memory(&recall.after, PAGE_BYTES)
+        };
+        let items = items.into_iter().map(|(k, v)| (k, v.to_string()));
+        let told = Recalled {
+            loaded: self.mirror.loaded,
+            store: self.custody.of.clone().or(name).unwrap_or_default(),
+            remembers,
+            term: self.newest_term(),
+            more,
+            items: items.collect(),
+        };
+        let body = encode_recalled(&told);
+        self.answer(ticket, Answer::new(200, body));
+    }
+
+    pub(super) fn recalled(&mut self, peer: String, asked: Recall, answer: Option<Box<Recalled>>) {
+        if answer.is_some() {
+            self.peer_heard = self.now.mono;
+        }
+        match answer {
+            Some(word) if asked.word_only => {
+                self.custody.words.insert(peer, *word);
+            }
+            None if asked.word_only => {}
+            answer => self.memory_handed_over(&peer, &asked, answer),
+        }
+    }
+}
--- a/src/core/figures.rs
+++ b/src/core/figures.rs
@@ -52,6 +52,27 @@
                 QUANTILES.map(|(l, q)| (l, value(q))),
             );
         }
+        let [losses, incomplete, owed, held] = self.rebuild_figures();
+        page.gauge(
+            "state_losses",
+            "Losses of data of the state service that this process has noticed",
+            losses,
+        );
+        page.gauge(
+            "state_incomplete",
+            "1 while the state service is rebuilt after a loss of data",
+            incomplete,
+        );
+        page.gauge(
+            "state_jobs_owed",
+            "Jobs remembered here that the state service has lost",
+            owed,
+        );
+        page.gauge(
+            "tasks_held",
+            "Tasks on machines whose jobs nobody remembers",
+            held,
+        );
         page.gauge(
             "state_changes_left",
             "Changes that the state service's limit leaves the leader now",
--- a/src/core/jobs.rs
+++ b/src/core/jobs.rs
@@ -67,11 +67,17 @@
         Some(Answer::new(200, body))
     }
 
+    /// The store has lost data, and somebody may remember more than is known here: what is not final
+    /// can't be told.
+    fn unsaid(&self) -> bool {
+        self.incomplete() && !self.knows_enough()
+    }
+
     /// The state of a live job, which only an acting leader may tell from memory, and only while
     /// no end of it, or cancellation of one that it needs, is being written: that write may be
     /// committed already, and another node may have told the user.
     fn live_answer(&self, id: &str) -> Option<Answer> {
-        if !self.acting() {
+        if !self.acting() || self.unsaid() {
             return None;
         }
         let job = self.mirror.jobs.get(id)?;
@@ -349,6 +355,11 @@
         received: Instant,
         informed: bool,
     ) {
+        // It may be over, and somebody remember that: accepted anew, it would be said to wait.
+        if self.unsaid() {
+            let answer = Answer::busy("the state service has lost data and is being rebuilt", 1);
+            return self.answer(ticket, answer);
+        }
         let judged = self.judge(&spec).and_then(|()| self.judge_awaits(&spec));
         if let Err(answer) = judged {
             if answer.status == 503 {
@@ -584,6 +595,28 @@
             ReadPurpose::Show(t) | ReadPurpose::Cancel(t) | ReadPurpose::Reject(t, _) => *t,
         };
         match outcome {
+            StateOutcome::Missing { .. }
+                if self.mirror.jobs.contains_key(id.as_str()) && !self.incomplete() =>
+            {
+                self.doubt("it has forgotten a job");
+                let answer = Answer::busy("the state service may have lost data", 1);
+                self.answer(ticket, answer);
+            }
+            StateOutcome::Missing { .. } if self.mirror.jobs.contains_key(id.as_str()) => {
+                // Remembered, and not written back yet.
+                match purpose {
+                    ReadPurpose::Cancel(_) if self.acting() => self.cancel(ticket, &id),
+                    ReadPurpose::Cancel(_) => {
+                        self.answer(ticket, Answer::busy("the leader changed", 1));
+                    }
+                    _ => self.show_fresh(ticket, &id),
+                }
+            }
+            StateOutcome::Missing { .. } if self.unproven() => {
+                // It may have been accepted all the same.
+                let answer = Answer::busy("whether it was accepted cannot be told yet", 3);
+                self.answer(ticket, answer);
+            }
             StateOutcome::Missing { .. } => match purpose {
                 ReadPurpose::Reject(_, answer) => self.answer(ticket, answer),
                 _ => self.answer(ticket, Answer::error(404, "no such job")),
@@ -629,6 +662,9 @@
         let known = self.final_answer(id).or_else(|| self.live_answer(id));
         let answer = known.unwrap_or_else(|| match self.mirror.jobs.get(id) {
             None => Answer::busy("the state cannot be read now", 1),
+            Some(_) if self.unsaid() => {
+                Answer::busy("the state service has lost data and is being rebuilt", 1)
+            }
             Some(job) => {
                 let done = job.done.len();
                 let state = if done > 0 {
@@ -644,6 +680,10 @@
 
     /// Cancels a live job. Its end is durable before anybody is told.
     fn cancel(&mut self, ticket: Ticket, id: &str) {
+        if self.unsaid() {
+            let answer = Answer::busy("the state service has lost data and is being rebuilt", 1);
+            return self.answer(ticket, answer);
+        }
         let Some(lead) = &mut self.lead else { return };
         let Some(run) = lead.runs.get_mut(id) else {
             return self.answer(ticket, Answer::busy("not ready", 1));
@@ -713,6 +753,10 @@
                 tracing::info!(job = %id, "job {id}: all that it awaits is done");
             }
         }
+        self.adopt(id);
+        let Some(job) = self.mirror.jobs.get(id) else {
+            return;
+        };
         let before = job.spec.awaits.clone();
         for a in before.iter().chain([id]) {
             self.flow_back(a);
@@ -723,6 +767,7 @@
     /// A job's end is durable: its user may know, and whatever is left of it is stopped.
     fn wind_up(&mut self, id: &JobId) {
         let now = self.now.mono;
+        self.adopt(id);
         let Some(lead) = &mut self.lead else { return };
         let Some(run) = lead.runs.remove(id) else {
             return;
--- a/src/core/keys.rs
+++ b/src/core/keys.rs
@@ -5,6 +5,8 @@
 pub const LEADER: &str = "leader";
 pub const TERM: &str = "term";
 pub const TYPES: &str = "types";
+/// The store is incomplete: what it lost is being brought back.
+pub const REBUILDING: &str = "rebuilding";
 
 pub fn key(name: &str) -> String {
     format!("{PREFIX}{name}")
@@ -18,6 +20,12 @@
     format!("{PREFIX}d/{id}/{base}")
 }
 
+/// The store's identity is in the key's name, so that a condition on it cannot hold by chance in a
+/// store that began again at revision 0.
+pub fn identity_key(id: &str) -> String {
+    format!("{PREFIX}i/{id}")
+}
+
 pub fn page_key(n: usize) -> String {
     format!("{PREFIX}p/{n}")
 }
--- a/src/core/lead.rs
+++ b/src/core/lead.rs
@@ -5,6 +5,7 @@
 use super::expectation::Bidding;
 use super::keys::Stem;
 use super::machine::{Machine, Machines};
+use super::rebuild::Rebuild;
 use super::records::Records;
 use super::run::{Arrivals, Pace, Run, Urgency};
 use crate::board::Board;
@@ -92,6 +93,10 @@
     pub bidding: Bidding,
     /// Controllers that serve workers for this one.
     pub delegates: Delegates,
+    /// The store's identity, on which all writes depend as on the leader key.
+    pub identity: Option<(String, u64)>,
+    /// While the store is incomplete.
+    pub rebuild: Option<Rebuild>,
 }
 
 impl Lead {
@@ -109,6 +114,11 @@
     /// Pages of machines, and who is on them.
     Pages(Vec<usize>, Vec<MachineId>),
     Types,
+    /// A job that the store had lost, or so many parts of it.
+    Owed(JobId),
+    OwedParts(JobId, usize),
+    /// The store is whole again.
+    Rebuilt,
 }
 
 /// Changes that wait for the next transaction, and the one that is on its way.
@@ -121,6 +131,10 @@
     pub progress: BTreeMap<JobId, Instant>,
     pub records: Records,
     pub types: bool,
+    /// The mark of an incomplete store is to be taken off.
+    pub rebuilt: bool,
+    /// How many parts are written of large jobs that are owed.
+    pub owed_parts: BTreeMap<JobId, usize>,
     pub sent: Option<Sent>,
     /// Changes that a transaction may have, if the service refused one of those allowed.
     pub most: Option<usize>,
--- a/src/core/leadership.rs
+++ b/src/core/leadership.rs
@@ -3,7 +3,9 @@
 //! Leadership is a key attached to this process's lease. The transaction that creates it raises
 //! a persistent term, which the workers see as the upper part of their token.
 
-use super::keys::{LEADER, TERM, TYPES, done_key, job_key, key, part_key};
+use super::keys::{
+    LEADER, REBUILDING, TERM, TYPES, done_key, identity_key, job_key, key, part_key,
+};
 use super::lead::{Lead, Lease, Sent, WriteOp, Writes};
 use super::machine::Machines;
 use super::mirror::{DoneValue, JobValue, LeaderValue, TermValue};
@@ -115,13 +117,17 @@
     }
 
     pub(super) fn lease_lost(&mut self) {
-        self.lease = None;
+        let kept = self.lease.take().map(|l| l.kept);
         self.step_down("the lease has ended");
+        // It was to run for longer.
+        if kept.is_some_and(|t| self.now.mono < t + LEASE_TTL * 9 / 10) {
+            self.doubt("it does not know a lease that should still run");
+        }
     }
 
     pub(super) fn listed(&mut self, items: Vec<Item>, revision: u64) {
         self.state_ok = self.now.mono;
-        self.mirror.reset(items, revision);
+        self.take_list(items, revision);
         tracing::info!(
             "state: read afresh at revision {revision}: {} jobs, {} finished, {} machines",
             self.mirror.jobs.len(),
@@ -133,6 +139,9 @@
 
     pub(super) fn changed(&mut self, events: Vec<Event>, revision: u64) {
         self.state_ok = self.now.mono;
+        if revision < self.mirror.revision {
+            return self.doubt("its revision went back");
+        }
         if events.is_empty() {
             self.mirror.revision = self.mirror.revision.max(revision);
             return;
@@ -142,6 +151,7 @@
     }
 
     fn mirror_changed(&mut self) {
+        self.heed_name();
         if !self.mirror.types.is_empty() && self.types.is_empty() {
             self.types = self.mirror.types.clone();
             if let Some(lead) = &mut self.lead {
@@ -155,6 +165,8 @@
         });
         let version = self.mirror.leader.as_ref().map(|(_, v)| *v);
         match (&self.lead, mine) {
+            // Restored together with what else a store held long ago.
+            (None, true) if self.custody.lost.is_some() => self.resign_to_rebuild(),
             (None, true) => self.take_office(version.unwrap_or_default()),
             (Some(l), true) if Some(l.key_version) == version => self.take_in_jobs(),
             (Some(_), _) => self.step_down("the leader key is not ours any more"),
@@ -217,7 +229,7 @@
             .pending
             .values()
             .any(|p| matches!(p, Pending::TakeOver));
-        if !free || !lease_fresh || trying || now < self.candidate_after {
+        if !free || !lease_fresh || trying || now < self.candidate_after || !self.may_stand() {
             return;
         }
         let Some(lease) = self.lease else { return };
@@ -227,27 +239,22 @@
             lease: lease.id,
         };
         let put = |key: String, value: serde_json::Value, lease| Change::Put { key, value, lease };
+        let condition = |key: String, version| Condition { key, version };
+        let mut conditions = vec![
+            condition(key(LEADER), 0),
+            condition(key(TERM), self.mirror.term_version),
+        ];
+        let name = self.mirror.identity.as_ref();
+        conditions.extend(name.map(|(id, version)| condition(identity_key(id), *version)));
+        let term = self.next_term();
+        let mut changes = vec![
+            put(key(LEADER), json(&value), Some(lease.id)),
+            put(key(TERM), json(&TermValue { term }), None),
+        ];
+        changes.extend(self.naming());
         let txn = Txn {
-            conditions: vec![
-                Condition {
-                    key: key(LEADER),
-                    version: 0,
-                },
-                Condition {
-                    key: key(TERM),
-                    version: self.mirror.term_version,
-                },
-            ],
-            changes: vec![
-                put(key(LEADER), json(&value), Some(lease.id)),
-                put(
-                    key(TERM),
-                    json(&TermValue {
-                        term: self.mirror.term + 1,
-                    }),
-                    None,
-                ),
-            ],
+            conditions,
+            changes,
         };
         self.ask_state(Pending::TakeOver, StateRequest::Txn(txn));
     }
@@ -256,7 +263,12 @@
     pub(super) fn took_over(&mut self, outcome: StateOutcome) {
         let pause = match outcome {
             StateOutcome::Committed { .. } => Duration::from_millis(1500),
-            StateOutcome::Conflict { .. } => Duration::from_millis(300),
+            StateOutcome::Conflict { failed } => {
+                if self.names_store(&failed) {
+                    self.doubt("its identity is gone");
+                }
+                Duration::from_millis(300)
+            }
             StateOutcome::Invalid(e) => {
                 tracing::info!("taking over: {e}");
                 Duration::from_millis(500)
@@ -308,13 +320,22 @@
             arrivals: super::run::Arrivals::new(self.now, self.mirror.jobs.values()),
             bidding: Default::default(),
             delegates: Default::default(),
+            identity: self.mirror.identity.clone(),
+            rebuild: None,
         };
-        lead.writes.records = Records::new(&self.mirror, self.settings.value_bytes);
+        let records = &mut lead.writes.records;
+        *records = Records::new(&self.mirror, self.settings.value_bytes);
+        for (id, value) in &self.mirror.machines {
+            if !records.has(id) {
+                records.add(id, value.clone());
+            }
+        }
         lead.writes.types = !self.types.is_empty() && self.types != self.mirror.types;
         self.lead = Some(lead);
         self.recover();
         self.mirror.changed = self.mirror.jobs.keys().cloned().collect();
         self.take_in_jobs();
+        self.begin_rebuild();
     }
 
     pub(super) fn step_down(&mut self, why: &str) {
@@ -344,6 +365,9 @@
                     | Pending::TakeOver
                     | Pending::Types
                     | Pending::Show(_)
+                    | Pending::LookAtName(_)
+                    | Pending::LookAtRevision
+                    | Pending::Mark
             )
         });
     }
@@ -436,6 +460,11 @@
             batch.ops.push(WriteOp::End(id.clone(), *end));
         }
         batch.pages(&mut w.records, now, true);
+        let owed = std::mem::take(&mut self.mirror.owed);
+        self.gather_owed(&mut batch, &owed);
+        self.mirror.owed = owed;
+        let lead = self.lead.as_mut()?;
+        let w = &mut lead.writes;
         let mut due: Vec<(Instant, &JobId)> = w.progress.iter().map(|(id, t)| (*t, id)).collect();
         due.retain(|(t, id)| now >= *t + PROGRESS_DELAY && !w.ends.contains_key(*id));
         due.sort();
@@ -480,6 +509,12 @@
         if w.types && small && !w.aside.contains_key(&key(TYPES)) && batch.add(vec![types]) {
             batch.ops.push(WriteOp::Types);
         }
+        let whole = Change::Delete {
+            key: key(REBUILDING),
+        };
+        if w.rebuilt && batch.changes.is_empty() && batch.add(vec![whole]) {
+            batch.ops.push(WriteOp::Rebuilt);
+        }
         while batch.changes.len() < batch.most
             && let Some(key) = self.mirror.litter.pop_first()
         {
@@ -493,10 +528,16 @@
         self.write_budget.spend(changes.len());
         // Conditional on the leader key: a transaction that arrives after the end of this
         // leadership must change nothing.
-        let conditions = vec![Condition {
+        let mut conditions = vec![Condition {
             key: key(LEADER),
             version: lead.key_version,
         }];
+        // In a store that has lost data, another leader key may have the same version.
+        let name = lead.identity.as_ref().map(|(id, version)| Condition {
+            key: identity_key(id),
+            version: *version,
+        });
+        conditions.extend(name);
         Some((
             Txn {
                 conditions,
@@ -506,6 +547,40 @@
         ))
     }
 
+    /// What the store has lost, ends of jobs first: these are final, and some user was told of them.
+    fn gather_owed(&self, batch: &mut Batch, owed: &BTreeSet<JobId>) {
+        let Some(lead) = &self.lead else { return };
+        let w = &lead.writes;
+        let over = |id: &&JobId| self.mirror.finished.contains_key(*id);
+        let ended = owed.iter().filter(over);
+        let live = owed.iter().filter(|id| !over(id));
+        for id in ended.chain(live) {
+            if w.aside.contains_key(&job_key(id)) || w.ends.contains_key(id) {
+                continue;
+            }
+            let room = batch.most.saturating_sub(batch.changes.len());
+            let Some((changes, op)) = self.owed_changes(id, room) else {
+                continue;
+            };
+            if !batch.add(changes) {
+                return;
+            }
+            batch.ops.push(op);
+        }
+    }
+
+    /// Whether the store's identity is among these keys.
+    fn names_store(&self, keys: &[String]) -> bool {
+        let name = self.mirror.identity.as_ref();
+        name.is_some_and(|(id, _)| keys.contains(&identity_key(id)))
+    }
+
+    /// By the key in the copy.
+    pub(super) fn leads_by_key(&self) -> bool {
+        let leader = self.mirror.leader.as_ref();
+        leader.is_some_and(|(v, _)| v.name == self.settings.name && v.nonce == self.nonce)
+    }
+
     /// Rows per stored piece, so that even every other row of a piece fits into one value.
     fn piece(&self) -> u32 {
         let rows = (self.settings.value_bytes as u32 / 4).clamp(64, 2048);
@@ -533,6 +608,9 @@
                 }
             }
             StateOutcome::Conflict { failed } => {
+                if self.names_store(&failed) {
+                    self.doubt("its identity is gone");
+                }
                 self.step_down(&format!(
                     "a write was refused: {} changed",
                     failed.join(", ")
@@ -585,7 +663,7 @@
             WriteOp::End(id, end) => {
                 lead.writes.ends.remove(&id);
                 lead.writes.followers.remove(&id);
-                self.mirror.put_job(&id, JobValue::Over { end }, revision);
+                self.mirror.end_written(&id, end, revision);
                 self.take_in_jobs();
             }
             WriteOp::Progress(id, rows) => {
@@ -613,6 +691,14 @@
                 }
             }
             WriteOp::Types => lead.writes.types = false,
+            WriteOp::Owed(id) => {
+                lead.writes.owed_parts.remove(&id);
+                self.mirror.owed.remove(&id);
+            }
+            WriteOp::OwedParts(id, upto) => {
+                lead.writes.owed_parts.insert(id, upto);
+            }
+            WriteOp::Rebuilt => lead.writes.rebuilt = false,
         }
     }
 
--- a/src/core/losses.rs
+++ b/src/core/losses.rs
@@ -13,7 +13,7 @@
 /// than a moment's silence.
 const DEAF_MARGIN: Duration = Duration::from_millis(1000);
 /// Added to a worker's lease before its tasks count as gone: for drift, and for slow timers.
-const LEASE_MARGIN: Duration = Duration::from_millis(1500);
+pub(super) const LEASE_MARGIN: Duration = Duration::from_millis(1500);
 
 /// So many machines are hardly ever all silent for this long: with reports spread over their
 /// interval, one in 400 times.
--- a/src/core/mirror.rs
+++ b/src/core/mirror.rs
@@ -1,17 +1,26 @@
 //! This node's copy of what the state service holds, kept current by the watch.
 //!
 //! Keys: `leader` (on the leader's lease), `term`, `types`, `j/<job>`, `d/<job>/<row>` (ranges of
-//! done tasks, counted from that row), `s/<job>/<stem>/<n>` (parts of large jobs), `p/<n>` (pages of machines that may hold a task), and
-//! `m/<machine>` (such machines one by one, from earlier versions).
-
-use super::keys::{LEADER, Stem, TERM, TYPES, done_key};
+//! done tasks, counted from that row), `s/<job>/<stem>/<n>` (parts of large jobs), `p/<n>` (pages of
+//! machines that may hold a task), `m/<machine>` (such machines one by one, from earlier versions),
+//! `i/<identity>` (which store this is) and `rebuilding` (it has lost data that is being brought back).
+//!
+//! When the store has lost data, the copy outlives it: `rejoin` keeps what is remembered and notes
+//! what of it the store does not hold. What others remember joins by the same rules (`remember`), which
+//! do not depend on order: ends are final, done rows unite, a machine once known is known.
+
+use super::keys::{
+    LEADER, REBUILDING, Stem, TERM, TYPES, done_key, identity_key, job_key, key as stored_key,
+    page_key,
+};
 use super::parts::{self, Head, PartValue, Parts};
 use super::pipelines::Pipelines;
 use crate::job::{Final, JobId, JobSpec, MachineId};
 use crate::state::PREFIX;
-use crate::wire::{Event, Item, MachineType};
+use crate::wire::{Event, Item, MachineType, to_json};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
+use std::ops::Bound;
 use std::sync::Arc;
 use std::time::{Duration, SystemTime};
 
@@ -22,6 +31,28 @@
     pub lease: u64,
 }
 
+/// What a store is told of itself, once.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct IdentityValue {
+    /// Of the forms in which keys and values are written.
+    pub format: u32,
+    /// The store that it continues, where that one lost data.
+    pub of: Option<String>,
+    /// Its first term, if it was empty and taken for new.
+    #[serde(default)]
+    pub first: Option<u64>,
+}
+
+/// While this is in the store, what is absent from it may yet have been accepted.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct RebuildingValue {
+    /// The store that lost data, as far as anybody knew it.
+    pub of: Option<String>,
+    /// When that was noticed, in milliseconds since 1970.
+    pub since_ms: u64,
+    pub why: String,
+}
+
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct TermValue {
     /// Earlier versions call it `term` and cannot read this: having seen it, they cannot raise
@@ -117,6 +148,27 @@
     }
 }
 
+/// Machines in one page of a memory handed over.
+const MEMORY_PAGE: usize = 100;
+
+/// A page of a memory in the making.
+struct Page {
+    items: Vec<(String, serde_json::Value)>,
+    bytes: usize,
+    most_bytes: usize,
+}
+
+impl Page {
+    /// Says whether there is room for more.
+    fn add<T: Serialize>(&mut self, key: String, value: &T) -> bool {
+        let text = to_json(value);
+        self.bytes += key.len() + text.len() + 8;
+        let value = serde_json::from_slice(&text).unwrap_or(serde_json::Value::Null);
+        self.items.push((key, value));
+        self.bytes < self.most_bytes
+    }
+}
+
 /// A set of a job's rows.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct RowSet {
@@ -218,6 +270,31 @@
     pub litter: BTreeSet<String>,
     /// Jobs too large for one value.
     pub parts: Parts,
+    /// Which store this is a copy of, and the version of the key that says so.
+    pub identity: Option<(String, u64)>,
+    /// Its first term, if it was taken for new: a worker that has seen an earlier one proves it was not.
+    pub first: Option<u64>,
+    /// It goes by another name now, which a store is given only when it has lost data.
+    pub renamed: bool,
+    /// This process has noticed the loss itself, and the next name is expected.
+    expects_name: bool,
+    pub rebuilding: Option<(RebuildingValue, u64)>,
+    /// Jobs whose key is remembered here and not, or not so, in the store.
+    pub owed: BTreeSet<JobId>,
+    /// Ends that this process wrote and the watch has not told yet, with their revisions: a list
+    /// begun before them does not contradict them.
+    ahead: BTreeMap<JobId, u64>,
+}
+
+/// What another controller, or a snapshot, remembers.
+#[derive(Debug, Default)]
+pub struct Remembered {
+    /// Done rows of live jobs, which the leader counts as it does those that machines report.
+    pub done: Vec<(JobId, Vec<u32>)>,
+    /// Machines that were not known here.
+    pub machines: Vec<MachineId>,
+    /// Jobs that were not known here, or not their ends.
+    pub jobs: usize,
 }
 
 impl Mirror {
@@ -225,9 +302,11 @@
     pub fn reset(&mut self, items: Vec<Item>, revision: u64) {
         let finished = std::mem::take(&mut self.finished);
         let changed = std::mem::take(&mut self.jobs).into_keys().collect();
+        let ahead = std::mem::take(&mut self.ahead);
         *self = Mirror {
             finished,
             changed,
+            ahead,
             loaded: true,
             revision,
             ..Mirror::default()
@@ -237,6 +316,251 @@
         }
     }
 
+    /// Why what is stored cannot be what this copy was made of, if so. A list that was begun before
+    /// this process's own newest writes does not hold them, and is no contradiction.
+    pub fn contradicted(&self, items: &[Item], revision: u64) -> Option<String> {
+        if revision < self.revision {
+            let before = self.revision;
+            return Some(format!(
+                "its revision went back from {before} to {revision}"
+            ));
+        }
+        let find = |key: &str| {
+            // Lists come ordered by key.
+            let at = items.binary_search_by(|i| i.key.as_str().cmp(key));
+            at.ok().map(|n| &items[n])
+        };
+        if let Some((id, version)) = &self.identity
+            && find(&identity_key(id)).is_none_or(|i| i.version != *version)
+        {
+            return Some(format!("it is not the store {id} any more"));
+        }
+        if self.term_version > 0
+            && find(&stored_key(TERM)).is_none_or(|i| i.version < self.term_version)
+        {
+            return Some(format!("it has forgotten term {}", self.term));
+        }
+        let absent = |id: &JobId| find(&job_key(id)).is_none();
+        let newer = |id: &JobId, at: u64| at > revision || self.owed.contains(id);
+        if let Some((id, _)) =
+            (self.jobs.iter()).find(|(id, j)| !newer(id, j.version) && absent(id))
+        {
+            return Some(format!("it has forgotten job {id}"));
+        }
+        let ahead = |id: &JobId| self.ahead.get(id).copied().unwrap_or(0);
+        let over = |i: &Item| {
+            let value = serde_json::from_value(i.value.clone());
+            matches!(value, Ok(JobValue::Over { .. }))
+        };
+        let undone = |id: &&JobId| {
+            !newer(id, ahead(id)) && find(&job_key(id)).is_none_or(|item| !over(item))
+        };
+        let undone = self.finished.keys().find(undone)?;
+        Some(format!("it has forgotten how job {undone} ended"))
+    }
+
+    /// The store has lost data: what is remembered stays, what is stored joins it, and what of the
+    /// first is not among the second is owed to the store. Versions begin anew.
+    pub fn rejoin(&mut self, items: Vec<Item>, revision: u64) {
+        let over = |v: &serde_json::Value| {
+            let value = serde_json::from_value(v.clone());
+            matches!(value, Ok(JobValue::Over { .. }))
+        };
+        let prefix = stored_key("j/");
+        let stored: BTreeMap<JobId, bool> = (items.iter())
+            .filter_map(|i| Some((JobId::from(i.key.strip_prefix(&prefix)?), over(&i.value))))
+            .collect();
+        for job in self.jobs.values_mut() {
+            // Older than whatever leads from now on: its tasks may be anywhere.
+            job.version = 0;
+            job.pieces.clear();
+        }
+        (self.identity, self.first, self.expects_name) = (None, None, false);
+        (self.leader, self.rebuilding, self.renamed) = (None, None, false);
+        (self.revision, self.term_version) = (revision, 0);
+        (self.pages, self.alone) = Default::default();
+        (self.orphans, self.litter, self.ahead) = Default::default();
+        self.parts = Parts::default();
+        for item in items {
+            self.put(&item.key, item.value, item.version);
+        }
+        let live = self.jobs.keys().filter(|id| !stored.contains_key(*id));
+        let ended = self
+            .finished
+            .keys()
+            .filter(|id| stored.get(*id) != Some(&true));
+        self.owed = live.chain(ended).cloned().collect();
+        self.changed.extend(self.jobs.keys().cloned());
+        self.changed.extend(self.owed.iter().cloned());
+        self.loaded = true;
+    }
+
+    /// The store has lost data and goes by a name all the same: it gets another one, so that no write
+    /// that was meant for what is lost can come to be applied.
+    pub fn expect_name(&mut self) {
+        self.expects_name = self.identity.is_some();
+    }
+
+    /// Takes in what others remember, as far as it is not known here.
+    pub fn remember(&mut self, items: Vec<(String, serde_json::Value)>) -> Remembered {
+        let mut new = Remembered::default();
+        for (key, value) in items {
+            let Some(name) = key.strip_prefix(PREFIX) else {
+                continue;
+            };
+            let read = match name.split_once('/') {
+                None if name == TERM => serde_json::from_value(value)
+                    .map(|v: TermValue| self.term = self.term.max(v.term)),
+                None if name == TYPES && self.types.is_empty() => {
+                    serde_json::from_value(value).map(|v| self.types = v)
+                }
+                Some(("j", id)) => serde_json::from_value(value).map(|v| {
+                    new.jobs += usize::from(self.remember_job(id, v));
+                }),
+                Some(("p", _)) => serde_json::from_value(value).map(|v: PageValue| {
+                    for (id, m) in v.machines {
+                        if !self.machines.contains_key(&id) {
+                            self.machines.insert(id.clone(), m);
+                            new.machines.push(id);
+                        }
+                    }
+                }),
+                Some(("d", rest)) => serde_json::from_value(value).map(|v: DoneValue| {
+                    if let Some((id, base)) = rest.split_once('/')
+                        && let Ok(base) = base.parse()
+                        && let Some(job) = self.jobs.get(id)
+                    {
+                        let mut rows = RowSet::default();
+                        rows.add_ranges(base, &v.rows, job.spec.tasks);
+                        let rows = (0..job.spec.tasks).filter(|r| rows.contains(*r));
+                        let rows: Vec<u32> = rows.filter(|r| !job.done.contains(*r)).collect();
+                        if !rows.is_empty() {
+                            new.done.push((JobId::from(id), rows));
+                        }
+                    }
+                }),
+                _ => Ok(()),
+            };
+            if let Err(e) = read {
+                tracing::error!("another's memory: unreadable value of {key}: {e}");
+            }
+        }
+        new
+    }
+
+    /// Says whether anything of it was new.
+    fn remember_job(&mut self, id: &str, value: JobValue) -> bool {
+        let job = JobId::from(id);
+        let known = match &value {
+            JobValue::Over { .. } => self.finished.contains_key(&job),
+            JobValue::Parted { .. } => true,
+            _ => self.knows(id),
+        };
+        if known {
+            return false;
+        }
+        self.put_job(id, value, 0);
+        self.owed.insert(job);
+        true
+    }
+
+    /// What this copy holds, as keys and values of the store in a fixed order, from after a key on
+    /// and up to so many bytes; with whether there is more.
+    pub fn memory(
+        &self,
+        after: &str,
+        most_bytes: usize,
+    ) -> (Vec<(String, serde_json::Value)>, bool) {
+        let after = after.strip_prefix(PREFIX).unwrap_or("");
+        let (stage, last) = after.split_once('/').unwrap_or(("j", ""));
+        let mut page = Page {
+            items: Vec::new(),
+            bytes: 0,
+            most_bytes,
+        };
+        let more = !self.fill(stage, last, &mut page);
+        (page.items, more)
+    }
+
+    /// Jobs come before their done rows, as these say nothing without them. False: the page is full.
+    fn fill(&self, stage: &str, last: &str, page: &mut Page) -> bool {
+        if stage == "j" {
+            let from = (Bound::Excluded(last), Bound::Unbounded);
+            let mut ended = self
+                .finished
+                .range::<str, _>(from)
+                .map(|(id, _)| id)
+                .peekable();
+            let mut live = self.jobs.range::<str, _>(from).map(|(id, _)| id).peekable();
+            loop {
+                let next = match (ended.peek(), live.peek()) {
+                    (Some(a), Some(b)) if a <= b => ended.next(),
+                    (_, Some(_)) => live.next(),
+                    (_, None) => ended.next(),
+                };
+                let Some(id) = next else { break };
+                if let Some(value) = self.job_value(id)
+                    && !page.add(job_key(id), &value)
+                {
+                    return false;
+                }
+            }
+        }
+        if stage != "p" {
+            let last = last.split_once('/').map_or("", |(id, _)| id);
+            let last = if stage == "d" { last } else { "" };
+            let from = (Bound::Excluded(last), Bound::Unbounded);
+            for (id, job) in self
+                .jobs
+                .range::<str, _>(from)
+                .filter(|(_, j)| j.done.len() > 0)
+            {
+                let rows = job.done.ranges(0, job.spec.tasks);
+                if !page.add(done_key(id, 0), &DoneValue { rows }) {
+                    return false;
+                }
+            }
+        }
+        let done = if stage == "p" {
+            last.parse().ok()
+        } else {
+            None
+        };
+        let machines: Vec<_> = self.machines.iter().collect();
+        let pages = machines.chunks(MEMORY_PAGE).enumerate();
+        for (n, some) in pages.skip(done.map_or(0, |n: usize| n + 1)) {
+            let machines = some.iter().map(|(id, m)| ((*id).clone(), (*m).clone()));
+            let machines = machines.collect();
+            if !page.add(page_key(n), &PageValue { machines }) {
+                return false;
+            }
+        }
+        page.add(stored_key(TERM), &TermValue { term: self.term });
+        if !self.types.is_empty() {
+            page.add(stored_key(TYPES), &self.types);
+        }
+        true
+    }
+
+    /// What the job's key holds, or would hold.
+    pub fn job_value(&self, id: &JobId) -> Option<JobValue> {
+        if let Some(end) = self.finished.get(id) {
+            return Some(JobValue::Over { end: *end });
+        }
+        let job = self.jobs.get(id)?;
+        let since = job.submitted.duration_since(SystemTime::UNIX_EPOCH);
+        let ms = since.unwrap_or_default().as_millis() as u64;
+        Some(JobValue::live(Box::new((*job.spec).clone()), ms))
+    }
+
+    /// This process wrote how a job ended.
+    pub fn end_written(&mut self, id: &JobId, end: Final, revision: u64) {
+        if revision > self.revision {
+            self.ahead.insert(id.clone(), revision);
+        }
+        self.put_job(id, JobValue::Over { end }, revision);
+    }
+
     pub fn apply(&mut self, events: Vec<Event>, revision: u64) {
         for e in events {
             if let Some(key) = e.put {
@@ -246,6 +570,8 @@
             }
         }
         self.revision = self.revision.max(revision);
+        let revision = self.revision;
+        self.ahead.retain(|_, at| *at > revision);
     }
 
     fn put(&mut self, key: &str, value: serde_json::Value, version: u64) {
@@ -280,6 +606,19 @@
                     self.join_parts(&id);
                 }
             }),
+            Some(("i", id)) => {
+                match &self.identity {
+                    Some((known, _)) if known != id && !self.expects_name => self.renamed = true,
+                    Some((known, v)) if known == id && *v >= version => {}
+                    _ => {
+                        let read = serde_json::from_value::<IdentityValue>(value);
+                        self.first = read.ok().and_then(|v| v.first);
+                        self.expects_name &= self.identity.as_ref().is_some_and(|(k, _)| k == id);
+                        self.identity = Some((id.to_string(), version));
+                    }
+                }
+                Ok(())
+            }
             Some(_) => Ok(()),
         };
         if let Err(e) = read {
@@ -301,10 +640,13 @@
                 }
             }
             TERM if version > self.term_version => {
-                self.term = serde_json::from_value::<TermValue>(value)?.term;
+                // A store that has lost its terms does not bring back one that was used.
+                let stored = serde_json::from_value::<TermValue>(value)?.term;
+                self.term = self.term.max(stored);
                 self.term_version = version;
             }
             TYPES => self.types = serde_json::from_value(value)?,
+            REBUILDING => self.rebuilding = Some((serde_json::from_value(value)?, version)),
             _ => {}
         }
         Ok(())
@@ -321,6 +663,16 @@
     pub fn put_job(&mut self, id: &str, value: JobValue, version: u64) {
         let id = JobId::from(id);
         self.changed.insert(id.clone());
+        let over = matches!(value, JobValue::Over { .. });
+        if version > 0 && !over && self.finished.contains_key(&id) {
+            // Stored as live, and remembered as over: a store that has lost data, unless the end has
+            // been written since by this process.
+            if !self.ahead.contains_key(&id) {
+                self.owed.insert(id.clone());
+            }
+        } else if version > 0 {
+            self.owed.remove(&id);
+        }
         match value {
             JobValue::Parted {
                 parts: count,
@@ -445,7 +797,13 @@
             self.litter.remove(key);
             self.parts.delete(&id, stem, n);
         }
-        if name == LEADER && self.leader.as_ref().is_some_and(|(_, v)| *v < version) {
+        if name == REBUILDING {
+            self.rebuilding = None;
+            // Whatever the store lists of machines is all there is again.
+            let listed = self.pages.values().flatten().chain(&self.alone);
+            let listed: BTreeSet<MachineId> = listed.cloned().collect();
+            self.machines.retain(|id, _| listed.contains(id));
+        } else if name == LEADER && self.leader.as_ref().is_some_and(|(_, v)| *v < version) {
             self.leader = None;
         } else if let Some(id) = name.strip_prefix("m/") {
             self.alone.remove(id);
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -6,6 +6,8 @@
 //! - `leadership`: the lease, taking over, resigning, and the leader's durable writes.
 //! - `jobs`: what users ask for, and how jobs progress and end.
 //! - `barrier`: questions that take knowing all that was written before they came.
+//! - `custody`: whether the state service still holds what it was given, and who may lead if not.
+//! - `rebuild`: how a leader brings back what it has lost, and what waits for that.
 //! - `delegation`: what a leader lends to the other controllers, and takes back.
 //! - `machine`: a machine as the leader knows it, for all who act on machines.
 //! - `reports`, `commands`, `losses`, `renting`: what machines say, are told, how they are lost, and
@@ -23,6 +25,7 @@
 #[cfg(test)]
 mod bidding_stories;
 mod commands;
+mod custody;
 mod delegation;
 #[cfg(test)]
 mod delegation_stories;
@@ -34,11 +37,14 @@
 mod keys;
 mod lead;
 mod leadership;
+#[cfg(test)]
+mod loss_stories;
 mod losses;
 mod machine;
 mod mirror;
 mod parts;
 mod pipelines;
+mod rebuild;
 mod records;
 mod recovery;
 mod relay;
@@ -67,6 +73,7 @@
 use crate::link::{Sync, Synced};
 use crate::peer::{PeerAnswer, PeerRequest};
 use crate::policy::{Entry, FleetFacts, Policy};
+use crate::recall::{Recall, Recalled};
 use crate::settings::Settings;
 use crate::state::{Budget, StateOutcome, StateRequest};
 use crate::wire::{Event, Item, MachineType, Report};
@@ -137,6 +144,26 @@
         events: Vec<Event>,
         revision: u64,
     },
+    /// Another controller asks what is remembered here.
+    Recall {
+        ticket: Ticket,
+        recall: Recall,
+    },
+    /// What a peer remembers, or `None` if it gave no answer.
+    Recalled {
+        peer: String,
+        asked: Recall,
+        answer: Option<Box<Recalled>>,
+    },
+    /// An operator takes an incomplete store as it is.
+    Settle(Ticket),
+    /// A page of a snapshot, offered as one more memory.
+    Offer {
+        ticket: Ticket,
+        store: String,
+        last: bool,
+        items: Vec<(String, String)>,
+    },
     State {
         call: CallId,
         outcome: StateOutcome,
@@ -183,6 +210,13 @@
         request: DirectRequest,
         not_after: Instant,
     },
+    /// Ask a peer what it remembers.
+    Recall {
+        peer: String,
+        recall: Recall,
+    },
+    /// Read the state service as a whole, and watch it from there on.
+    ReadAfresh,
     /// End the lease, and with it leadership, so that another controller can take over.
     GiveUpLease,
     /// What `/ready` says from now on.
@@ -215,6 +249,11 @@
     },
     Barrier(Vec<barrier::Question>),
     TakeOver,
+    /// Whether the store's identity is still of this version.
+    LookAtName(u64),
+    LookAtRevision,
+    /// The mark that tells another leader of a loss.
+    Mark,
     Write,
     Direct(MachineId),
     /// The token shown to a machine for the leader.
@@ -259,6 +298,7 @@
     resigned: Option<Instant>,
     forwards: BTreeMap<Ticket, UserRequest>,
     barriers: barrier::Barriers,
+    custody: custody::Custody,
     /// Peers that gave no answer lately, and until when they are not asked.
     peers_down: BTreeMap<String, Instant>,
     types: Vec<MachineType>,
@@ -340,6 +380,7 @@
             resigned: None,
             forwards: BTreeMap::new(),
             barriers: Default::default(),
+            custody: Default::default(),
             peers_down: BTreeMap::new(),
             types: Vec::new(),
             types_asked: None,
@@ -381,6 +422,19 @@
                 } => self.forwarded(ticket, peer, answer),
                 Command::LeaseKept { lease, sent } => self.lease_kept(lease, sent),
                 Command::LeaseLost => self.lease_lost(),
+                Command::Recall { ticket, recall } => self.recall(ticket, recall),
+                Command::Recalled {
+                    peer,
+                    asked,
+                    answer,
+                } => self.recalled(peer, asked, answer),
+                Command::Settle(ticket) => self.settle(ticket),
+                Command::Offer {
+                    ticket,
+                    store,
+                    last,
+                    items,
+                } => self.offered(ticket, &store, last, items),
                 Command::Listed { items, revision } => self.listed(items, revision),
                 Command::Changed { events, revision } => self.changed(events, revision),
                 Command::State { call, outcome } => self.state_outcome(call, outcome),
@@ -388,10 +442,12 @@
                 Command::Direct { call, outcome } => self.direct_outcome(call, outcome),
             }
         }
+        self.tend_custody();
         self.tend_leadership();
         self.tend_barriers();
         reports.extend(self.take_over_reports());
         if self.acting() {
+            self.tend_rebuild();
             self.tend_machines();
             self.schedule();
             for (ticket, machine) in reports {
@@ -442,6 +498,7 @@
 
     fn ask_state(&mut self, pending: Pending, request: StateRequest) -> CallId {
         let call = self.call(pending);
+        self.custody.call(call);
         self.out.push(Effect::State { call, request });
         call
     }
@@ -454,6 +511,7 @@
         if !matches!(outcome, StateOutcome::Refused(_) | StateOutcome::Unknown(_)) {
             self.state_ok = self.now.mono;
         }
+        self.heed_revision(call, &outcome);
         match self.pending.remove(&call) {
             Some(Pending::Create {
                 ticket,
@@ -472,6 +530,7 @@
             Some(Pending::Read { id, purpose }) => self.read(id, purpose, outcome),
             Some(Pending::Barrier(questions)) => self.barrier_read(questions, outcome),
             Some(Pending::TakeOver) => self.took_over(outcome),
+            Some(Pending::LookAtName(version)) => self.looked_at_name(version, outcome),
             Some(Pending::Write) => self.written(call, outcome),
             _ => {}
         }
--- /dev/null
+++ b/src/core/rebuild.rs
@@ -0,0 +1,619 @@
+//! What a leader does for a store that has lost data: it joins what the controllers remember, writes
+//! it back, and lets nothing be said or started before that is safe.
+//!
+//! - *Said.* Ends are final wherever they come from. What is not final, and whether a job is unknown,
+//!   is told only when all controllers have handed over what they remember, or have nothing, or when
+//!   the workers' leases have run out meanwhile. An unknown job is answered 503 until the mark is gone.
+//! - *Started.* A machine that was rented just before the loss may be on nobody's record. So nothing
+//!   starts before a list of the cloud that must have every machine of then, and word from each of
+//!   them; or before the lease of every worker has run out.
+//! - *Held.* Tasks of jobs that nobody remembers go on, their results are kept, and nothing of such a
+//!   job is ever started by itself. They are adopted when the job becomes known, and listed until then.
+//! - *The end.* The mark is taken off when all is written back, all controllers were asked twice, and
+//!   nothing is held; or when an operator settles it.
+
+use super::lead::{Lead, WriteOp};
+use super::leadership::json;
+use super::machine::{Machine, StopReason};
+use super::mirror::{JobValue, MachineValue};
+use super::parts::{self, PartValue};
+use super::{Core, Effect, Ticket};
+use crate::http::Answer;
+use crate::job::{JobId, MachineId, Resources, TaskKey};
+use crate::recall::{Recall, Recalled};
+use crate::wire::{Change, to_json};
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, Instant};
+
+/// After no answer, a controller is asked again.
+const AGAIN: Duration = Duration::from_millis(300);
+/// All are asked once more, so long after they were asked first: what was on its way to the lost
+/// store (its calls take 1.5 s at the most) is in their memory then.
+const SECOND_PASS: Duration = Duration::from_secs(2);
+/// Held tasks that one view shows; the rest is counted.
+const MOST_SHOWN: usize = 100;
+
+/// How far a controller has handed over its memory.
+#[derive(Clone, Debug, Default)]
+struct Memory {
+    /// The key after which it goes on.
+    after: String,
+    /// Asked, and not answered yet.
+    asked: bool,
+    again_at: Option<Instant>,
+    /// Complete passes, and when the first one ended.
+    passes: u32,
+    first: Option<Instant>,
+    /// It remembers the store that lost data.
+    had_copy: bool,
+    /// What came from it that was not known here.
+    jobs: usize,
+}
+
+/// What only the leader of an incomplete store has.
+#[derive(Default)]
+pub struct Rebuild {
+    /// The store that lost data, where anybody knows its name.
+    of: Option<String>,
+    /// Why it is known to have lost data, and when that was noticed (milliseconds since 1970).
+    why: String,
+    since_ms: u64,
+    memories: BTreeMap<String, Memory>,
+    /// A copy of the lost store was held here, or by whoever handed over theirs.
+    copy: bool,
+    /// An operator takes it as it is.
+    settled: bool,
+    /// A list of the cloud that has all machines that an earlier leader could know.
+    listed: bool,
+    /// Machines that it showed as booting: they may be up by now.
+    booting: BTreeSet<MachineId>,
+    /// Tasks on machines, of jobs that nobody remembers.
+    held: BTreeMap<JobId, BTreeSet<(u32, MachineId)>>,
+    /// Such tasks that have ended well.
+    held_done: BTreeMap<JobId, BTreeSet<u32>>,
+    /// Jobs that were adopted, and those that snapshots brought.
+    adopted: usize,
+    offered: usize,
+    /// When all was known, and when the first start was allowed.
+    pub complete_at: Option<Instant>,
+    pub started_at: Option<Instant>,
+}
+
+impl Rebuild {
+    /// All controllers have handed over their memory or have none, and one of them had a copy.
+    fn complete(&self) -> bool {
+        self.settled || (self.copy && self.memories.values().all(|m| m.passes > 0))
+    }
+
+    fn asked_twice(&self) -> bool {
+        self.settled || self.memories.values().all(|m| m.passes > 1)
+    }
+
+    pub fn hold(&mut self, key: &TaskKey, machine: &MachineId) {
+        let rows = self.held.entry(key.job.clone()).or_default();
+        rows.insert((key.row, machine.clone()));
+    }
+
+    /// The task is not on the machine any more.
+    pub fn let_go(&mut self, key: &TaskKey, machine: &MachineId) {
+        if let Some(rows) = self.held.get_mut(&key.job) {
+            rows.remove(&(key.row, machine.clone()));
+            if rows.is_empty() {
+                self.held.remove(&key.job);
+            }
+        }
+    }
+
+    pub fn keep_result(&mut self, key: &TaskKey) {
+        let rows = self.held_done.entry(key.job.clone()).or_default();
+        rows.insert(key.row);
+    }
+
+    pub fn held_machines(&self) -> BTreeSet<&MachineId> {
+        self.held.values().flatten().map(|(_, m)| m).collect()
+    }
+
+    fn held_tasks(&self) -> usize {
+        self.held.values().map(BTreeSet::len).sum()
+    }
+}
+
+impl Lead {
+    /// Whether a task is of a job that may have been accepted all the same.
+    pub(super) fn may_be_forgotten(&self, known: bool) -> bool {
+        !known && self.rebuild.as_ref().is_some_and(|r| !r.settled)
+    }
+}
+
+impl Core {
+    /// Called when a leadership begins, and when the mark appears.
+    pub(super) fn begin_rebuild(&mut self) {
+        let Some((mark, _)) = &self.mirror.rebuilding else {
+            return;
+        };
+        let peers = self.settings.peers.iter();
+        let memories = peers.map(|p| (p.name.clone(), Memory::default()));
+        let own = self.custody.had_copy && self.custody.of == mark.of;
+        let rebuild = Rebuild {
+            of: mark.of.clone(),
+            why: mark.why.clone(),
+            since_ms: mark.since_ms,
+            memories: memories.collect(),
+            copy: own,
+            ..Rebuild::default()
+        };
+        let Some(lead) = &mut self.lead else { return };
+        tracing::warn!(
+            term = lead.term,
+            "term {}: rebuilding the state service: {}; {} jobs to write back, a copy here: {own}",
+            lead.term,
+            mark.why,
+            self.mirror.owed.len()
+        );
+        lead.rebuild = Some(rebuild);
+        // Done rows are written again, whichever of them are stored.
+        for (id, job) in self.mirror.jobs.iter().filter(|(_, j)| j.done.len() > 0) {
+            if let Some(run) = lead.runs.get_mut(id) {
+                let rows = (0..job.spec.tasks).filter(|r| job.done.contains(*r));
+                run.unwritten = rows.collect();
+                lead.writes.progress.insert(id.clone(), lead.since);
+            }
+        }
+        lead.writes.types = !self.types.is_empty();
+    }
+
+    /// Until the workers' leases have run out, a machine unknown to everybody may hold tasks.
+    fn leases_run_out(&self, lead: &Lead) -> bool {
+        let run_out = self.settings.lease + self.settings.lease / 500 + super::losses::LEASE_MARGIN;
+        self.now.mono > lead.since + run_out
+    }
+
+    /// Whether the leader may speak of what is not final.
+    pub(super) fn knows_enough(&self) -> bool {
+        let Some(lead) = &self.lead else { return false };
+        let complete = |r: &Rebuild| r.complete() || self.leases_run_out(lead);
+        self.acting() && lead.rebuild.as_ref().is_some_and(complete)
+    }
+
+    /// Whether tasks may be started, as far as a loss of data is concerned.
+    pub(super) fn may_start(&self, lead: &Lead) -> bool {
+        let Some(r) = &lead.rebuild else { return true };
+        let up = |id: &MachineId| lead.machines.get(id).is_none_or(|m| m.session > 0);
+        let heard = lead.unresolved.is_empty() && r.booting.iter().all(up);
+        let seen_all = r.complete() && r.listed && heard;
+        seen_all || self.leases_run_out(lead)
+    }
+
+    /// Called in every step of an acting leader.
+    pub(super) fn tend_rebuild(&mut self) {
+        let now = self.now.mono;
+        if self.mirror.rebuilding.is_none() {
+            if let Some(lead) = &mut self.lead
+                && lead.rebuild.take().is_some()
+            {
+                tracing::warn!(
+                    term = lead.term,
+                    "term {}: the state service is whole again",
+                    lead.term
+                );
+                lead.plan_again = true;
+            }
+            return;
+        }
+        if self.lead.as_ref().is_some_and(|l| l.rebuild.is_none()) {
+            self.begin_rebuild();
+        }
+        let Some(lead) = &self.lead else { return };
+        let starts = self.may_start(lead);
+        let Some(lead) = &mut self.lead else { return };
+        let (term, since) = (lead.term, lead.since);
+        let Some(r) = &mut lead.rebuild else { return };
+        if starts && r.started_at.is_none() {
+            r.started_at = Some(now);
+            lead.plan_again = true;
+            let took = now.saturating_duration_since(since).as_millis();
+            tracing::warn!(
+                term = term,
+                "term {term}: starts again {took} ms after it began"
+            );
+        }
+        for (peer, m) in &mut r.memories {
+            let wait = m.again_at.is_some_and(|t| now < t);
+            let second = m.first.is_some_and(|t| now < t + SECOND_PASS);
+            if m.asked || m.passes > 1 || wait || second || r.settled {
+                continue;
+            }
+            m.asked = true;
+            let recall = Recall {
+                word_only: false,
+                after: m.after.clone(),
+            };
+            let peer = peer.clone();
+            self.out.push(Effect::Recall { peer, recall });
+        }
+        if r.complete() && r.complete_at.is_none() {
+            r.complete_at = Some(now);
+            lead.plan_again = true;
+            let took = now.saturating_duration_since(since).as_millis();
+            tracing::warn!(
+                term = term,
+                "term {term}: all that is remembered is known after {took} ms"
+            );
+        }
+        let w = &lead.writes;
+        let written = self.mirror.owed.is_empty() && w.progress.is_empty() && w.ends.is_empty();
+        let quiet = r.held.is_empty() && r.held_done.is_empty();
+        let over = r.complete() && r.asked_twice() && starts && (quiet || r.settled);
+        lead.writes.rebuilt = over && written && w.records.written();
+    }
+
+    /// A page of another controller's memory, or no answer.
+    pub(super) fn memory_handed_over(
+        &mut self,
+        peer: &str,
+        asked: &Recall,
+        answer: Option<Box<Recalled>>,
+    ) {
+        let now = self.now.mono;
+        let memory = (self.lead.as_mut())
+            .and_then(|l| l.rebuild.as_mut())
+            .and_then(|r| r.memories.get_mut(peer));
+        let Some(m) = memory.filter(|m| m.asked && m.after == asked.after) else {
+            return;
+        };
+        m.asked = false;
+        let Some(mut told) = answer else {
+            m.again_at = Some(now + AGAIN);
+            return;
+        };
+        let last = told.items.last().map(|(k, _)| k.clone());
+        match last.filter(|_| told.more) {
+            Some(key) => m.after = key,
+            None if told.loaded || !told.items.is_empty() => {
+                m.after = String::new();
+                m.passes += 1;
+                m.first.get_or_insert(now);
+            }
+            // It has just begun, and remembers nothing.
+            None => {
+                m.passes += 1;
+                m.first.get_or_insert(now);
+            }
+        }
+        let items = std::mem::take(&mut told.items);
+        let jobs = self.join(items);
+        self.custody.heed_term(told.term, now);
+        let Some(r) = self.lead.as_mut().and_then(|l| l.rebuild.as_mut()) else {
+            return;
+        };
+        let same = told.remembers && told.store == r.of.clone().unwrap_or_default();
+        if let Some(m) = r.memories.get_mut(peer) {
+            m.jobs += jobs;
+            m.had_copy = same;
+            r.copy |= same && m.passes > 0;
+        }
+        self.heed_newer_term();
+    }
+
+    /// Takes in what somebody else remembers; says how many jobs, or ends of jobs, were new.
+    fn join(&mut self, items: Vec<(String, String)>) -> usize {
+        let now = self.now.mono;
+        let read = items.into_iter().filter_map(|(key, value)| {
+            let value = serde_json::from_str(&value);
+            if let Err(e) = &value {
+                tracing::error!("another's memory: {key}: {e}");
+            }
+            Some((key, value.ok()?))
+        });
+        let new = self.mirror.remember(read.collect());
+        self.take_in_jobs();
+        for (id, rows) in new.done {
+            for row in rows {
+                let job = id.clone();
+                self.task_done(&TaskKey { job, row }, None);
+            }
+        }
+        for id in new.machines {
+            let Some(value) = self.mirror.machines.get(&id).cloned() else {
+                continue;
+            };
+            let Some(lead) = &mut self.lead else { break };
+            if lead.machines.get(&id).is_some() || lead.gone.contains(&id) {
+                continue;
+            }
+            tracing::info!(machine = %id, "machine {id}: another controller remembers it");
+            lead.expect_machine(&id, &value, now);
+            lead.writes.records.add(&id, value);
+        }
+        new.jobs
+    }
+
+    /// A list of the cloud was read while a store is rebuilt: whatever it shows may hold tasks.
+    pub(super) fn heed_list(
+        &mut self,
+        sent: Instant,
+        unknown: Vec<(MachineId, MachineValue)>,
+        booting: Vec<MachineId>,
+    ) {
+        let now = self.now.mono;
+        // The list tells of a time at most twice its lag ago, and all that the lost store could have
+        // had on record was rented before this leadership began.
+        let lag = self.settings.list_lag * 2 + Duration::from_secs(1);
+        let Some(lead) = &mut self.lead else { return };
+        let since = lead.since;
+        let Some(r) = &mut lead.rebuild else { return };
+        let first = !r.listed;
+        r.listed |= sent >= since + lag;
+        if first {
+            r.booting.extend(booting);
+            for (id, value) in unknown {
+                lead.expect_machine(&id, &value, now);
+            }
+        }
+    }
+
+    /// A job has become known that tasks on machines are of.
+    pub(super) fn adopt(&mut self, id: &JobId) {
+        let now = self.now.mono;
+        if !self.mirror.knows(id) {
+            return;
+        }
+        let Some(lead) = &mut self.lead else { return };
+        let Some(r) = &mut lead.rebuild else { return };
+        let held = r.held.remove(id).unwrap_or_default();
+        let done = r.held_done.remove(id).unwrap_or_default();
+        if held.is_empty() && done.is_empty() {
+            return;
+        }
+        r.adopted += 1;
+        tracing::warn!(job = %id, "job {id}: known again, with {} tasks on machines and {} done", held.len(), done.len());
+        let job = self.mirror.jobs.get(id);
+        for (row, machine) in held {
+            let key = TaskKey {
+                job: id.clone(),
+                row,
+            };
+            let Some(m) = lead.machines.get_mut(&machine) else {
+                continue;
+            };
+            let Some(t) = m.tasks.get_mut(&key) else {
+                continue;
+            };
+            let run = lead.runs.get_mut(id);
+            match (job, run) {
+                (Some(job), Some(run))
+                    if row < job.spec.tasks
+                        && run.ending.is_none()
+                        && !job.done.contains(row)
+                        && !run.placed.contains_key(&row) =>
+                {
+                    t.needs = job.spec.needs;
+                    t.team = self.settings.team_index(&job.spec.team);
+                    run.queued.remove(&row);
+                    run.placed.insert(row, machine);
+                }
+                _ => {
+                    t.stop(StopReason::Over, now);
+                    m.push = true;
+                }
+            }
+        }
+        lead.plan_again = true;
+        for row in done {
+            let job = id.clone();
+            self.task_done(&TaskKey { job, row }, None);
+        }
+    }
+
+    /// Held tasks are of some team, and nothing tells of which: they count towards each of them with
+    /// all that their machines have.
+    pub(super) fn held_room(&self, lead: &Lead) -> Resources {
+        let mut room = Resources::default();
+        let machines = lead.rebuild.iter().flat_map(Rebuild::held_machines);
+        for m in machines.filter_map(|id| lead.machines.get(id)) {
+            if let Some(t) = self.type_of(&m.kind) {
+                room.add(&t.room());
+            }
+        }
+        room
+    }
+
+    /// The changes that bring one owed job back: its key, or the next parts of a large one.
+    pub(super) fn owed_changes(&self, id: &JobId, most: usize) -> Option<(Vec<Change>, WriteOp)> {
+        let value = self.mirror.job_value(id)?;
+        let put = |key, value| Change::Put {
+            key,
+            value,
+            lease: None,
+        };
+        let bytes = self.settings.value_bytes / 16 * 15;
+        let size = to_json(&value).len();
+        let owed = WriteOp::Owed(id.clone());
+        let (JobValue::Live { spec, submitted_ms }
+        | JobValue::Awaiting {
+            dependent: spec,
+            submitted_ms,
+        }) = &value
+        else {
+            return Some((vec![put(super::keys::job_key(id), json(&value))], owed));
+        };
+        if size <= bytes {
+            return Some((vec![put(super::keys::job_key(id), json(&value))], owed));
+        }
+        let text = String::from_utf8(to_json(spec)).unwrap_or_default();
+        let texts = parts::cut(&text, bytes);
+        let lead = self.lead.as_ref()?;
+        // This leadership's own writing of it.
+        let stem = lead.term;
+        let from = lead.writes.owed_parts.get(id).copied().unwrap_or(0);
+        if from < texts.len() {
+            let next = texts.iter().enumerate().skip(from).take(most.max(1));
+            let part = |(n, text): (usize, &String)| {
+                let key = super::keys::part_key(id, stem, n as u32);
+                put(key, json(&PartValue { text: text.clone() }))
+            };
+            let changes: Vec<Change> = next.map(part).collect();
+            let upto = from + changes.len();
+            return Some((changes, WriteOp::OwedParts(id.clone(), upto)));
+        }
+        let value = JobValue::Parted {
+            parts: texts.len() as u32,
+            stem,
+            submitted_ms: *submitted_ms,
+        };
+        Some((vec![put(super::keys::job_key(id), json(&value))], owed))
+    }
+
+    /// An operator takes the store as it is: what nobody remembers is stopped, and unknown from now
+    /// on.
+    pub(super) fn settle(&mut self, ticket: Ticket) {
+        let now = self.now.mono;
+        if !self.acting() {
+            let leader = self.leader_name().unwrap_or("nobody").to_string();
+            let text = format!("not the leader; that is {leader}");
+            return self.answer(ticket, Answer::error(409, &text));
+        }
+        let Some(lead) = &mut self.lead else { return };
+        let Some(r) = &mut lead.rebuild else {
+            return self.answer(ticket, Answer::error(409, "nothing is being rebuilt"));
+        };
+        r.settled = true;
+        let held = std::mem::take(&mut r.held);
+        r.held_done.clear();
+        let stopped: usize = held.values().map(BTreeSet::len).sum();
+        tracing::warn!(
+            term = lead.term,
+            "term {}: settled by an operator; {stopped} tasks of unknown jobs stop",
+            lead.term
+        );
+        for (job, rows) in held {
+            for (row, machine) in rows {
+                let key = TaskKey {
+                    job: job.clone(),
+                    row,
+                };
+                if let Some(m) = lead.machines.get_mut(&machine)
+                    && let Some(t) = m.tasks.get_mut(&key)
+                {
+                    t.stop(StopReason::Over, now);
+                    m.push = true;
+                }
+            }
+        }
+        let body = serde_json::json!({"settled": true, "tasks_stopped": stopped});
+        self.answer(ticket, Answer::new(200, to_json(&body)));
+    }
+
+    /// A snapshot, or a page of one, offered as one more memory; `store` is the one that it is of, and
+    /// `last` says that with this page it is whole.
+    pub(super) fn offered(
+        &mut self,
+        ticket: Ticket,
+        store: &str,
+        last: bool,
+        items: Vec<(String, String)>,
+    ) {
+        if !self.acting() {
+            let leader = self.leader_name().unwrap_or("nobody").to_string();
+            let text = format!("not the leader; that is {leader}");
+            return self.answer(ticket, Answer::error(409, &text));
+        }
+        let rebuild = self.lead.as_ref().and_then(|l| l.rebuild.as_ref());
+        let Some(r) = rebuild else {
+            let text = "nothing is being rebuilt: the state service has lost nothing that is known";
+            return self.answer(ticket, Answer::error(409, text));
+        };
+        if r.of.as_deref().is_some_and(|of| of != store) {
+            let text = format!(
+                "a snapshot of {store}, and what lost data is {}",
+                r.of.as_deref().unwrap_or("?")
+            );
+            return self.answer(ticket, Answer::error(409, &text));
+        }
+        let new = self.join(items);
+        if let Some(r) = self.lead.as_mut().and_then(|l| l.rebuild.as_mut()) {
+            r.offered += new;
+            r.copy |= last;
+        }
+        let body = serde_json::json!({"new_jobs": new});
+        self.answer(ticket, Answer::new(200, to_json(&body)));
+    }
+
+    /// For the status view.
+    pub(super) fn rebuild_view(&self) -> serde_json::Value {
+        if let Some(loss) = &self.custody.lost {
+            return serde_json::json!({"lost": loss.why, "waits": "for a new leader"});
+        }
+        let Some((mark, _)) = &self.mirror.rebuilding else {
+            return serde_json::Value::Null;
+        };
+        let Some((lead, r)) = (self.lead.as_ref()).and_then(|l| Some((l, l.rebuild.as_ref()?)))
+        else {
+            return serde_json::json!({"lost": mark.why, "since_ms": mark.since_ms});
+        };
+        let memories = r.memories.iter().map(|(name, m)| {
+            let standing = match (m.passes, m.had_copy) {
+                (0, _) => "not handed over yet",
+                (_, true) => "handed over",
+                (_, false) => "remembers nothing of it",
+            };
+            serde_json::json!({"node": name, "standing": standing, "new_jobs": m.jobs})
+        });
+        let held = r.held.iter().flat_map(|(job, rows)| {
+            rows.iter()
+                .map(move |(row, m)| format!("{job}/{row} on {m}"))
+        });
+        let done = r
+            .held_done
+            .iter()
+            .flat_map(|(job, rows)| rows.iter().map(move |row| format!("{job}/{row} done")));
+        let waits = if self.may_start(lead) {
+            None
+        } else if !r.complete() {
+            Some("for what other controllers remember")
+        } else if !r.listed {
+            Some("for a list of all machines")
+        } else {
+            Some("for machines that may hold tasks")
+        };
+        serde_json::json!({
+            "lost": r.why, "of": r.of, "since_ms": r.since_ms, "a_copy_is_known": r.copy,
+            "complete": r.complete(), "starts_wait": waits,
+            "jobs_to_write": self.mirror.owed.len(),
+            "memories": memories.collect::<Vec<_>>(),
+            "from_snapshots": r.offered, "adopted": r.adopted,
+            "held_tasks": r.held_tasks(), "held_results": r.held_done.values().map(BTreeSet::len).sum::<usize>(),
+            "held": held.chain(done).take(MOST_SHOWN).collect::<Vec<_>>(),
+        })
+    }
+
+    /// What monitoring is told: losses noticed, jobs to write back, tasks held.
+    pub(super) fn rebuild_figures(&self) -> [f64; 4] {
+        let r = self.lead.as_ref().and_then(|l| l.rebuild.as_ref());
+        [
+            self.custody.losses as f64,
+            f64::from(u8::from(self.incomplete())),
+            self.mirror.owed.len() as f64,
+            r.map_or(0, Rebuild::held_tasks) as f64,
+        ]
+    }
+}
+
+impl Lead {
+    /// A machine that may hold tasks and is on nobody's record here.
+    fn expect_machine(&mut self, id: &MachineId, value: &MachineValue, now: Instant) {
+        let since = self.since;
+        let m = self.machines.get_or_add(id, || {
+            let mut m = Machine::new(id.clone(), &value.kind, &value.zone, value.spot, now);
+            m.addr = value.addr.clone();
+            m
+        });
+        if m.session > 0 {
+            return;
+        }
+        // Nobody but this leader has answered it since.
+        m.lease_from = since;
+        self.unresolved.insert(id.clone());
+        self.to_ask.push(id.clone());
+    }
+}
--- a/src/core/records.rs
+++ b/src/core/records.rs
@@ -205,6 +205,21 @@
         }
     }
 
+    /// It is in the state service, as far as what is due tells.
+    pub fn known(&self, id: &MachineId) -> bool {
+        let page = self.home.get(id);
+        self.alone.contains(id) || page.is_some_and(|n| !self.due.contains(n))
+    }
+
+    pub fn has(&self, id: &MachineId) -> bool {
+        self.home.contains_key(id) || self.alone.contains(id)
+    }
+
+    /// Whether all machines that may hold tasks are on record.
+    pub fn written(&self) -> bool {
+        self.due.is_empty() && self.bound.is_empty()
+    }
+
     /// The pages were not written after all.
     pub fn again(&mut self, pages: Vec<usize>) {
         match pages.as_slice() {
--- a/src/core/recovery.rs
+++ b/src/core/recovery.rs
@@ -54,7 +54,8 @@
         for (id, value) in &self.mirror.machines {
             let mut m = Machine::new(id.clone(), &value.kind, &value.zone, value.spot, now);
             m.addr = value.addr.clone();
-            m.recorded = true;
+            // Remembered only, if the store has lost data.
+            m.recorded = lead.writes.records.known(id);
             // The predecessor stopped answering reports before our key could be created, so the
             // machine's lease runs from now at the latest.
             m.lease_from = now;
--- a/src/core/relay.rs
+++ b/src/core/relay.rs
@@ -220,6 +220,7 @@
     /// A worker reports here, and another controller leads, or none.
     pub(super) fn report_to_follower(&mut self, ticket: Ticket, report: Box<Report>) {
         let now = self.now.mono;
+        self.heed_token(report.token);
         if !self.delegating {
             return self.redirect(ticket);
         }
--- a/src/core/renting.rs
+++ b/src/core/renting.rs
@@ -205,12 +205,30 @@
         let Some(lead) = &mut self.lead else { return };
         let mut present = BTreeSet::new();
         let mut gone = Vec::new();
+        // While the store is rebuilt, each of them may hold tasks.
+        let (mut unknown, mut booting) = (Vec::new(), Vec::new());
         for l in list {
             present.insert(l.id.clone());
             if lead.gone.contains(&l.id) {
                 continue;
             }
             let known = lead.machines.get(&l.id);
+            if lead.rebuild.is_some() && known.is_none_or(|m| m.session == 0) {
+                match l.state {
+                    ListedState::Running if known.is_none() => {
+                        let addr = l.addr.clone().unwrap_or_default();
+                        let value = MachineValue {
+                            addr,
+                            kind: l.kind.clone(),
+                            zone: l.zone.clone(),
+                            spot: l.spot,
+                        };
+                        unknown.push((l.id.clone(), value));
+                    }
+                    ListedState::Booting if known.is_none() => booting.push(l.id.clone()),
+                    _ => {}
+                }
+            }
             // Most machines are listed as they are known: nothing to change, nothing to note.
             if known.is_some_and(|m| m.session > 0 && m.listed.is_some() && !m.addr.is_empty())
                 && l.state != ListedState::Failed
@@ -237,6 +255,7 @@
                 gone.push(l.id);
             }
         }
+        self.heed_list(sent, unknown, booting);
         for id in &gone {
             // It stopped by itself, but stays in the list until it is deleted.
             self.machine_gone(id, "the cloud lists it as failed");
--- a/src/core/reports.rs
+++ b/src/core/reports.rs
@@ -56,6 +56,7 @@
             return Err(Answer::error(400, "malformed report"));
         }
         let no_leader = || Answer::busy("no leader here", 1);
+        self.heed_token(report.token);
         let lead = self.lead.as_mut().ok_or_else(no_leader)?;
         if lead.gone.contains(&id) {
             // Sent before the machine was deleted, and held up on the way.
@@ -237,6 +238,7 @@
     fn row_live(&mut self, id: &MachineId, key: &TaskKey, row: &RowReport) {
         let now = self.now.mono;
         let Some(lead) = &mut self.lead else { return };
+        let forgotten = lead.may_be_forgotten(self.mirror.knows(&key.job));
         let Some(m) = lead.machines.get_mut(id) else {
             return;
         };
@@ -262,7 +264,12 @@
                     .as_ref()
                     .and_then(|s| self.settings.team_index(&s.team)),
             };
-            let mut wanted = false;
+            // Nobody remembers the job, and it may have been accepted all the same.
+            let mut wanted = forgotten;
+            if forgotten && let Some(r) = &mut lead.rebuild {
+                r.hold(key, id);
+                tracing::warn!(task = %key, machine = %id, "task {key} on {id}: its job is unknown; held");
+            }
             if let (Some(job), Some(run)) =
                 (self.mirror.jobs.get(&key.job), lead.runs.get_mut(&key.job))
             {
@@ -314,11 +321,18 @@
     fn row_exited(&mut self, id: &MachineId, key: &TaskKey, row: &RowReport) {
         let now = self.now.mono;
         let Some(lead) = &mut self.lead else { return };
+        let forgotten = lead.may_be_forgotten(self.mirror.knows(&key.job));
         let Some(m) = lead.machines.get_mut(id) else {
             return;
         };
         let ours = m.tasks.get(key).is_some_and(|t| t.attempt == row.attempt);
         let why = row.why.unwrap_or(Why::Other);
+        if forgotten && let Some(r) = &mut lead.rebuild {
+            r.let_go(key, id);
+            if why == Why::Done {
+                r.keep_result(key);
+            }
+        }
         if !ours {
             // Seen before, or started by an earlier leader. A completed task stays completed.
             if why == Why::Done {
@@ -437,7 +451,7 @@
             || m.faults.pace.faulty()
     }
 
-    fn task_done(&mut self, key: &TaskKey, on: Option<&MachineId>) {
+    pub(super) fn task_done(&mut self, key: &TaskKey, on: Option<&MachineId>) {
         let now = self.now.mono;
         let Some(lead) = &mut self.lead else { return };
         let (Some(job), Some(run)) = (
@@ -488,6 +502,9 @@
                 m.idle_since = now;
             }
             lead.plan_again = true;
+            if let Some(r) = &mut lead.rebuild {
+                r.let_go(&key, id);
+            }
             if let Some(run) = lead.runs.get_mut(&key.job)
                 && run.placed.get(&key.row) == Some(id)
             {
--- a/src/core/scheduling.rs
+++ b/src/core/scheduling.rs
@@ -151,6 +151,13 @@
             }
         };
         let mut used: Vec<TeamUse> = teams.iter().enumerate().map(of).collect();
+        if lead.rebuild.is_some() {
+            let held = self.held_room(lead);
+            for team in &mut used {
+                team.cpus += held.cpus;
+                team.gpus += held.gpus;
+            }
+        }
         if lead.unresolved.is_empty() {
             return used;
         }
@@ -412,6 +419,9 @@
         let now = self.now.mono;
         let lead = view.lead;
         let mut queue = Vec::new();
+        if !self.may_start(lead) {
+            return queue;
+        }
         for entry in self.line(view, false) {
             let (job, run) = (entry.job, entry.run);
             let whole = job.spec.kind == Kind::Gang;
@@ -462,6 +472,9 @@
     /// What is left of a gang that lost a task is stopped, so that it starts whole again.
     fn regroup_gangs(&mut self) {
         let now = self.now.mono;
+        if self.lead.as_ref().is_some_and(|l| !self.may_start(l)) {
+            return;
+        }
         let Some(lead) = &mut self.lead else { return };
         for (id, job) in &self.mirror.jobs {
             if job.spec.kind != Kind::Gang || Self::held_by_recovery(lead, job) {
--- a/src/core/status.rs
+++ b/src/core/status.rs
@@ -27,6 +27,7 @@
         body["accept_ms"] = quantiles(&self.stats.accept);
         body["start_ms"] = quantiles(&self.stats.start);
         body["step_us"] = quantiles(&self.stats.step);
+        body["rebuild"] = self.rebuild_view();
         body["up_s"] = json!(self.since(self.started));
         self.answer(ticket, Answer::new(200, body.to_string().into_bytes()));
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod peer;
 pub mod plan;
 pub mod policy;
+pub mod recall;
 pub mod service;
 pub mod settings;
 pub mod state;
--- a/src/link.rs
+++ b/src/link.rs
@@ -209,44 +209,65 @@
     Duration::from_millis(u64::from(ms.get()))
 }
 
-fn count(n: usize) -> U32 {
+pub(crate) fn count(n: usize) -> U32 {
     U32::new(n as u32)
 }
 
 #[derive(Default)]
-struct Out(Vec<u8>);
+pub(crate) struct Out(pub(crate) Vec<u8>);
 
 impl Out {
-    fn put(&mut self, fixed: &(impl IntoBytes + Immutable)) {
+    pub(crate) fn put(&mut self, fixed: &(impl IntoBytes + Immutable)) {
         self.0.extend_from_slice(fixed.as_bytes());
     }
 
     /// Names are far shorter than the length allows; a longer text is cut, and is then unknown.
-    fn text(&mut self, text: &str) {
+    pub(crate) fn text(&mut self, text: &str) {
         let bytes = &text.as_bytes()[..text.len().min(usize::from(u16::MAX))];
         self.put(&U16::new(bytes.len() as u16));
         self.0.extend_from_slice(bytes);
     }
+
+    /// For what may be longer than a name.
+    pub(crate) fn long_text(&mut self, text: &str) {
+        self.put(&count(text.len()));
+        self.0.extend_from_slice(text.as_bytes());
+    }
 }
 
-struct In<'a>(&'a [u8]);
+pub(crate) struct In<'a>(pub(crate) &'a [u8]);
 
 impl<'a> In<'a> {
-    fn get<T: FromBytes + KnownLayout + Immutable + Unaligned>(&mut self) -> Option<&'a T> {
+    pub(crate) fn get<T: FromBytes + KnownLayout + Immutable + Unaligned>(
+        &mut self,
+    ) -> Option<&'a T> {
         let (fixed, rest) = T::ref_from_prefix(self.0).ok()?;
         self.0 = rest;
         Some(fixed)
     }
 
-    fn text(&mut self) -> Option<&'a str> {
-        let n = self.get::<U16>()?.get();
-        let (head, rest) = self.0.split_at_checked(usize::from(n))?;
+    fn take(&mut self, n: usize) -> Option<&'a str> {
+        let (head, rest) = self.0.split_at_checked(n)?;
         self.0 = rest;
         std::str::from_utf8(head).ok()
     }
 
+    pub(crate) fn text(&mut self) -> Option<&'a str> {
+        let n = self.get::<U16>()?.get();
+        self.take(usize::from(n))
+    }
+
+    pub(crate) fn long_text(&mut self) -> Option<&'a str> {
+        let n = self.get::<U32>()?.get();
+        self.take(n as usize)
+    }
+
     /// A list of as many as stated; what is stated is not believed beyond what is there.
-    fn list<T>(&mut self, n: U32, f: impl Fn(&mut In<'a>) -> Option<T>) -> Option<Vec<T>> {
+    pub(crate) fn list<T>(
+        &mut self,
+        n: U32,
+        f: impl Fn(&mut In<'a>) -> Option<T>,
+    ) -> Option<Vec<T>> {
         let mut out = Vec::new();
         for _ in 0..n.get() {
             out.push(f(self)?);
--- /dev/null
+++ b/src/recall.rs
@@ -0,0 +1,138 @@
+//! What controllers ask of each other's memory when the state service is not what they remember:
+//! frames of a fixed layout, read with `zerocopy`, on the same port as those of `peer`. Versions that
+//! do not know these kinds drop the connection, which counts as no answer.
+
+use crate::link::{In, Out, count};
+use crate::peer;
+use zerocopy::byteorder::little_endian::{U32, U64};
+use zerocopy::{FromBytes, Immutable, IntoBytes, KnownLayout, Unaligned};
+
+pub const KIND_RECALL: u8 = 8;
+pub const KIND_RECALLED: u8 = 9;
+
+/// A page of a memory is filled up to this: a few of them hold thousands of jobs, and one takes a
+/// controller well under its share's hundredth part of a second.
+pub const PAGE_BYTES: usize = 192 * 1024;
+
+/// Asks for what a controller remembers, from after a key on.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Recall {
+    /// No items are wanted: only what it knows of the store.
+    pub word_only: bool,
+    pub after: String,
+}
+
+/// A page of it.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Recalled {
+    /// It has read the store at least once.
+    pub loaded: bool,
+    /// The store that its memory is of; empty where that has no identity, or where it has no memory.
+    pub store: String,
+    /// It remembers a term, or jobs: more than an empty store tells.
+    pub remembers: bool,
+    /// The newest term that it knows of, be it from a worker's token.
+    pub term: u64,
+    /// There is more after the last item's key.
+    pub more: bool,
+    /// Keys and values (JSON) as the state service would hold them.
+    pub items: Vec<(String, String)>,
+}
+
+#[derive(FromBytes, IntoBytes, Immutable, KnownLayout, Unaligned)]
+#[repr(C)]
+struct RecallFixed {
+    word_only: u8,
+}
+
+#[derive(FromBytes, IntoBytes, Immutable, KnownLayout, Unaligned)]
+#[repr(C)]
+struct RecalledFixed {
+    term: U64,
+    loaded: u8,
+    remembers: u8,
+    more: u8,
+    items: U32,
+}
+
+pub fn encode_recall(r: &Recall) -> Vec<u8> {
+    let mut out = Out::default();
+    out.put(&RecallFixed {
+        word_only: u8::from(r.word_only),
+    });
+    out.text(&r.after);
+    peer::frame(KIND_RECALL, &out.0)
+}
+
+pub fn decode_recall(body: &[u8]) -> Option<Recall> {
+    let mut rest = In(body);
+    let fixed: &RecallFixed = rest.get()?;
+    let word_only = fixed.word_only != 0;
+    let after = rest.text()?.to_string();
+    rest.0.is_empty().then_some(Recall { word_only, after })
+}
+
+pub fn encode_recalled(r: &Recalled) -> Vec<u8> {
+    let mut out = Out::default();
+    out.put(&RecalledFixed {
+        term: U64::new(r.term),
+        loaded: u8::from(r.loaded),
+        remembers: u8::from(r.remembers),
+        more: u8::from(r.more),
+        items: count(r.items.len()),
+    });
+    out.text(&r.store);
+    for (key, value) in &r.items {
+        out.text(key);
+        out.long_text(value);
+    }
+    peer::frame(KIND_RECALLED, &out.0)
+}
+
+pub fn decode_recalled(body: &[u8]) -> Option<Recalled> {
+    let mut rest = In(body);
+    let fixed: &RecalledFixed = rest.get()?;
+    let store = rest.text()?.to_string();
+    let item = |r: &mut In| Some((r.text()?.to_string(), r.long_text()?.to_string()));
+    let items = rest.list(fixed.items, item)?;
+    rest.0.is_empty().then_some(Recalled {
+        loaded: fixed.loaded != 0,
+        store,
+        remembers: fixed.remembers != 0,
+        term: fixed.term.get(),
+        more: fixed.more != 0,
+        items,
+    })
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// What comes from the network is never believed beyond what is there.
+    #[test]
+    fn frames_of_memory_come_back_whole_and_cut_ones_not_at_all() {
+        let asked = Recall {
+            word_only: true,
+            after: "burlusher/j/wk-000412".into(),
+        };
+        let told = Recalled {
+            loaded: true,
+            store: "4f".into(),
+            remembers: true,
+            term: 7,
+            more: true,
+            items: vec![("burlusher/j/wk-1".into(), "{}".repeat(40_000))],
+        };
+        let (a, b) = (encode_recall(&asked), encode_recalled(&told));
+        let body = |f: &[u8]| peer::read_frame(&mut &f[..]).unwrap().1;
+        assert_eq!(decode_recall(&body(&a)), Some(asked));
+        assert_eq!(decode_recalled(&body(&b)), Some(told));
+        for n in 0..body(&a).len() {
+            assert_eq!(decode_recall(&body(&a)[..n]), None);
+        }
+        for n in (0..body(&b).len()).step_by(997) {
+            assert_eq!(decode_recalled(&body(&b)[..n]), None);
+        }
+    }
+}
--- a/src/service.rs
+++ b/src/service.rs
@@ -11,10 +11,12 @@
 use crate::link;
 use crate::peer::{self, PeerAnswer, PeerRequest};
 use crate::policy::Policy;
+use crate::recall::{self, Recall};
 use crate::settings::Settings;
 use crate::state::{Budget, StateClient, StateOutcome, StateRequest};
 use crate::wire::{
-    self, JobAnswer, PATH_CANCEL, PATH_JOBS, PATH_METRICS, PATH_READY, PATH_REPORT, PATH_STATUS,
+    self, JobAnswer, OfferBody, PATH_CANCEL, PATH_JOBS, PATH_METRICS, PATH_OFFER, PATH_READY,
+    PATH_REPORT, PATH_SETTLE, PATH_STATUS,
 };
 use crate::worker::{self, DirectOutcome, DirectRequest};
 use std::collections::{BTreeMap, VecDeque};
@@ -39,6 +41,8 @@
 const PEER_CONNECT: Duration = Duration::from_millis(100);
 /// Much less than the leader's word holds, so that a grant outlives a frame that comes to nothing.
 const SYNC_TIMEOUT: Duration = Duration::from_millis(1000);
+/// A page of a memory takes its controller a while, and nothing waits for it but the next page.
+const RECALL_TIMEOUT: Duration = Duration::from_millis(1500);
 const WATCH_WAIT: Duration = Duration::from_secs(10);
 const STACK: usize = 192 * 1024;
 /// Sockets for the lease, the watch, the listeners and the process's own files.
@@ -73,7 +77,7 @@
     fn of(command: &Command) -> usize {
         match command {
             Command::Report { .. } | Command::Direct { .. } => 2,
-            Command::Status(_) | Command::Figures { .. } => 1,
+            Command::Status(_) | Command::Figures { .. } | Command::Recall { .. } => 1,
             Command::User(r) if matches!(r.what, Ask::Show(_)) => 1,
             _ => 0,
         }
@@ -318,7 +322,11 @@
 type StateCall = (u64, StateRequest);
 type CloudCall = (u64, CloudRequest, Option<Instant>);
 type DirectCall = (u64, SocketAddrV4, DirectRequest, Instant);
-type PeerCall = (Ticket, PeerRequest);
+
+enum PeerCall {
+    Pass(Ticket, PeerRequest),
+    Recall(Recall),
+}
 type SyncCall = (String, u64, Vec<u8>);
 
 struct Outbox {
@@ -327,6 +335,7 @@
     direct: Sender<DirectCall>,
     peers: BTreeMap<String, Sender<PeerCall>>,
     sync: Sender<SyncCall>,
+    watch: Arc<Watch>,
     give_up_lease: Arc<AtomicBool>,
     ready: Arc<AtomicBool>,
 }
@@ -342,7 +351,9 @@
     let share = settings.state_rps / (settings.peers.len() as f64 + 1.0);
     let budget = Arc::new(Mutex::new(Budget::new(share * 0.6, Instant::now())));
 
+    let watch = Arc::new(Watch::new(&settings, &inbox_side));
     let outbox = Outbox {
+        watch: watch.clone(),
         state: state_pool(&settings, &inbox_side, budget)?,
         cloud: cloud_pool(&settings, &inbox_side)?,
         direct: direct_pool(&inbox_side)?,
@@ -352,7 +363,7 @@
         ready: ready.clone(),
     };
     keep_lease(&settings, &inbox_side, give_up_lease)?;
-    watch(&settings, &inbox_side)?;
+    watch.begin()?;
     serve_peers(back, inbox_side.clone())?;
     let most = most_connections(&settings);
     let handler_inbox = inbox_side.clone();
@@ -453,7 +464,17 @@
             request,
         } => {
             if let Some(tx) = out.peers.get(&peer) {
-                let _ = tx.send((ticket, request));
+                let _ = tx.send(PeerCall::Pass(ticket, request));
+            }
+        }
+        Effect::Recall { peer, recall } => {
+            if let Some(tx) = out.peers.get(&peer) {
+                let _ = tx.send(PeerCall::Recall(recall));
+            }
+        }
+        Effect::ReadAfresh => {
+            if let Err(e) = out.watch.begin() {
+                tracing::error!("the state service cannot be read afresh: {e}");
             }
         }
         Effect::Sync {
@@ -526,7 +547,26 @@
         let tx = pool("peer", PEER_THREADS, || {
             let (inbox, name) = (inbox.clone(), name.clone());
             let mut kept: Option<TcpStream> = None;
-            Box::new(move |(ticket, request): PeerCall| {
+            Box::new(move |call: PeerCall| {
+                let (ticket, request) = match call {
+                    PeerCall::Pass(ticket, request) => (ticket, request),
+                    PeerCall::Recall(asked) => {
+                        let frame = recall::encode_recall(&asked);
+                        let decode = |kind, body: &[u8]| {
+                            (kind == recall::KIND_RECALLED)
+                                .then(|| recall::decode_recalled(body))?
+                        };
+                        let answer = exchange(&mut kept, addr, &frame, RECALL_TIMEOUT, decode);
+                        if let Err(e) = &answer {
+                            tracing::debug!("peer {name}: no memory: {e}");
+                        }
+                        return inbox.put(Command::Recalled {
+                            peer: name.clone(),
+                            asked,
+                            answer: answer.ok().map(Box::new),
+                        });
+                    }
+                };
                 let frame = peer::encode_request(&request);
                 let answer = exchange(&mut kept, addr, &frame, PEER_TIMEOUT, peer::decode_answer);
                 if let Err(e) = &answer {
@@ -671,18 +711,55 @@
     })
 }
 
-/// Keeps the owner's copy of the state current.
-fn watch(settings: &Settings, inbox: &Inbox) -> io::Result<()> {
-    let (addr, inbox) = (settings.state_addr, inbox.clone());
-    spawn("watch", move || {
-        let mut client = StateClient::new(addr);
+/// Keeps the owner's copy of the state current. One thread at a time: when the store is to be read
+/// afresh, another one begins, and what the earlier one still brings is dropped.
+struct Watch {
+    addr: SocketAddrV4,
+    inbox: Inbox,
+    /// Which thread is the newest one. Held while a command is put, so that nothing of an earlier
+    /// one can follow the first list of the next.
+    newest: Mutex<u64>,
+}
+
+impl Watch {
+    fn new(settings: &Settings, inbox: &Inbox) -> Watch {
+        Watch {
+            addr: settings.state_addr,
+            inbox: inbox.clone(),
+            newest: Mutex::new(0),
+        }
+    }
+
+    fn begin(self: &Arc<Watch>) -> io::Result<()> {
+        let number = {
+            let mut newest = lock(&self.newest);
+            *newest += 1;
+            *newest
+        };
+        let watch = self.clone();
+        spawn("watch", move || watch.run(number))
+    }
+
+    /// False: another thread watches now.
+    fn put(&self, number: u64, command: Command) -> bool {
+        let newest = lock(&self.newest);
+        if *newest == number {
+            self.inbox.put(command);
+        }
+        *newest == number
+    }
+
+    fn run(&self, number: u64) {
+        let mut client = StateClient::new(self.addr);
         let mut at: Option<u64> = None;
-        loop {
+        while *lock(&self.newest) == number {
             let trouble = match at {
                 None => match client.list() {
                     Ok((items, revision)) => {
                         at = Some(revision);
-                        inbox.put(Command::Listed { items, revision });
+                        if !self.put(number, Command::Listed { items, revision }) {
+                            return;
+                        }
                         None
                     }
                     Err(e) => Some(e),
@@ -690,7 +767,9 @@
                 Some(since) => match client.watch(since, WATCH_WAIT) {
                     Ok(Some((revision, events))) => {
                         at = Some(revision.max(since));
-                        inbox.put(Command::Changed { events, revision });
+                        if !self.put(number, Command::Changed { events, revision }) {
+                            return;
+                        }
                         // Changes that come close together are fetched together.
                         std::thread::sleep(Duration::from_millis(15));
                         None
@@ -711,7 +790,7 @@
                 std::thread::sleep(Duration::from_millis(pause));
             }
         }
-    })
+    }
 }
 
 fn serve_peers(listener: TcpListener, inbox: Inbox) -> io::Result<()> {
@@ -763,6 +842,15 @@
             peer::write_frame(&mut stream, &answer.body)?;
             continue;
         }
+        if kind == recall::KIND_RECALL {
+            let recall = recall::decode_recall(&body).ok_or(io::ErrorKind::InvalidData)?;
+            let answer = inbox.ask(|ticket| Command::Recall { ticket, recall });
+            if answer.status != 200 {
+                return Ok(());
+            }
+            peer::write_frame(&mut stream, &answer.body)?;
+            continue;
+        }
         let Some(request) = peer::decode_request(kind, &body) else {
             return Err(io::ErrorKind::InvalidData.into());
         };
@@ -795,7 +883,9 @@
     }
 }
 
-const OTHER_PATHS: [&str; 5] = [
+const OTHER_PATHS: [&str; 7] = [
+    PATH_SETTLE,
+    PATH_OFFER,
     PATH_READY,
     PATH_REPORT,
     PATH_JOBS,
@@ -850,6 +940,16 @@
             }
         },
         ("GET", PATH_STATUS) => inbox.ask(Command::Status),
+        ("POST", PATH_SETTLE) => inbox.ask(Command::Settle),
+        ("POST", PATH_OFFER) => match serde_json::from_slice::<OfferBody>(&r.body) {
+            Ok(o) => inbox.ask(|ticket| Command::Offer {
+                ticket,
+                store: o.store,
+                last: o.last,
+                items: o.items,
+            }),
+            Err(e) => Answer::error(400, &e.to_string()),
+        },
         ("GET", PATH_METRICS) => {
             let lanes = inbox.waiting();
             let answer = inbox.ask(|ticket| Command::Figures { ticket, lanes });
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -10,6 +10,9 @@
 pub const PATH_JOBS: &str = "/api/jobs";
 pub const PATH_CANCEL: &str = "withdraw";
 pub const PATH_STATUS: &str = "/api/status";
+/// For operators, while the state service is rebuilt after a loss of data (`core::rebuild`).
+pub const PATH_SETTLE: &str = "/api/rebuild/settle";
+pub const PATH_OFFER: &str = "/api/rebuild/memory";
 /// Our own, like the status: figures for monitoring.
 pub const PATH_METRICS: &str = "/metrics";
 pub const PATH_READY: &str = "/ready";
@@ -25,6 +28,16 @@
 const MOST_TASKS: u64 = 100_000;
 const LONGEST_NAME: usize = 200;
 
+// ---------------------------------------------------------------- operators
+
+/// A page of a snapshot of that store, as keys and values of the state service; `last` with the last.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct OfferBody {
+    pub store: String,
+    pub last: bool,
+    pub items: Vec<(String, String)>,
+}
+
 // ---------------------------------------------------------------- users
 
 #[derive(Deserialize, Serialize)]
