A leader's word rests on its key being there, not on its lease's number alone

Cause: a state service that lost data gives lease numbers again; a leader that had not noticed took the renewals of another's lease for its own, and could act beside the next leader.

Change: with each renewal the leader's keeper compares the leader key and the store's identity (a transaction without changes); its word runs from when that was last seen to hold. After a loss each controller takes another lease.

Measured: the story with the number given again; at each tick of the in-memory world at most one leader acts, over all stories and generated histories.

--- a/src/core/custody.rs
+++ b/src/core/custody.rs
@@ -138,9 +138,11 @@
             None => self.mirror.reset(items, revision),
             Some(why) => {
                 tracing::error!("the state service has lost data: {why}");
-                if self.lead.is_some() {
-                    self.resign_to_rebuild();
-                }
+                // Whatever number its lease has, another may have been given the same since. A leader
+                // key that was restored ends with its lease.
+                self.step_down("the state service has lost data");
+                self.lease = None;
+                self.out.push(Effect::ChangeLease);
                 let before = self.mirror.identity.as_ref().map(|(id, _)| id.clone());
                 self.mirror.rejoin(items, revision);
                 let c = &mut self.custody;
@@ -165,10 +167,6 @@
                 if c.lost.is_some() {
                     self.mirror.expect_name();
                 }
-                // A restored leader key may name this process.
-                if self.leads_by_key() {
-                    self.resign_to_rebuild();
-                }
                 tracing::error!(
                     "remembered here: {} live jobs, {} ended, {} machines, term {}; {} jobs are not in the store any more",
                     self.mirror.jobs.len(),
--- a/src/core/lead.rs
+++ b/src/core/lead.rs
@@ -3,14 +3,14 @@
 
 use super::CallId;
 use super::expectation::Bidding;
-use super::keys::Stem;
+use super::keys::{Stem, identity_key};
 use super::machine::{Machine, Machines};
 use super::rebuild::Rebuild;
 use super::records::Records;
 use super::run::{Arrivals, Pace, Run, Urgency};
 use crate::board::Board;
 use crate::job::{Final, JobId, MachineId};
-use crate::wire::{RentBody, Txn};
+use crate::wire::{Condition, RentBody, Txn};
 use burlusher_membership::grant::Issued;
 use burlusher_membership::view::Patience;
 use std::collections::{BTreeMap, BTreeSet};
@@ -37,6 +37,9 @@
     pub key_version: u64,
     pub term: u64,
     pub since: Instant,
+    /// When it was last seen that the leader key stands, by when that was asked. Renewals of the lease
+    /// alone prove nothing: in a store that has lost data its number may have been given again.
+    pub stands: Instant,
     pub machines: Machines,
     /// What placing and renting see of the machines.
     pub board: Board,
@@ -100,6 +103,15 @@
 }
 
 impl Lead {
+    /// That the store is still the one it was.
+    pub(super) fn named(&self) -> Option<Condition> {
+        let (id, version) = self.identity.as_ref()?;
+        Some(Condition {
+            key: identity_key(id),
+            version: *version,
+        })
+    }
+
     /// Whether a machine may be given tasks now.
     pub fn takes_tasks(&self, m: &Machine, now: Instant, report: Duration) -> bool {
         m.usable(now, report * 9 / 4) && !m.avoided(now) && !self.unresolved.contains(&m.id)
--- a/src/core/leadership.rs
+++ b/src/core/leadership.rs
@@ -11,7 +11,7 @@
 use super::mirror::{DoneValue, JobValue, LeaderValue, TermValue};
 use super::parts::Writing;
 use super::records::Records;
-use super::{CallId, Core, Effect, Pending, Ticket};
+use super::{CallId, Core, Effect, Pending, Stand, Ticket};
 use crate::board::Board;
 use crate::http::Answer;
 use crate::job::{Final, JobId, JobSpec};
@@ -94,17 +94,22 @@
     /// Until when this process may act as the leader.
     pub(super) fn leader_until(&self) -> Option<Instant> {
         let lease = self.lease.as_ref()?;
-        self.lead.as_ref()?;
+        let lead = self.lead.as_ref()?;
         // The service's clock may run faster than ours by 0.1% at the most.
-        Some(lease.kept + LEASE_TTL - LEASE_TTL / 1000 - SAFETY)
+        Some(lease.kept.min(lead.stands) + LEASE_TTL - LEASE_TTL / 1000 - SAFETY)
     }
 
     pub(super) fn acting(&self) -> bool {
         self.leader_until().is_some_and(|t| self.now.mono < t)
     }
 
-    pub(super) fn lease_kept(&mut self, id: u64, sent: Instant) {
+    pub(super) fn lease_kept(&mut self, id: u64, sent: Instant, stands: Option<u64>) {
         self.state_ok = self.now.mono;
+        if let Some(lead) = &mut self.lead
+            && stands == Some(lead.key_version)
+        {
+            lead.stands = lead.stands.max(sent);
+        }
         match &mut self.lease {
             Some(l) if l.id == id => l.kept = l.kept.max(sent),
             _ => {
@@ -116,6 +121,18 @@
         }
     }
 
+    /// The leader key is gone though its lease is not, or the store is another one.
+    pub(super) fn deposed(&mut self, key_version: u64) {
+        if self
+            .lead
+            .as_ref()
+            .is_some_and(|l| l.key_version == key_version)
+        {
+            self.step_down("the leader key is not there any more");
+            self.doubt("a leader key is gone before its lease");
+        }
+    }
+
     pub(super) fn lease_lost(&mut self) {
         let kept = self.lease.take().map(|l| l.kept);
         self.step_down("the lease has ended");
@@ -256,6 +273,7 @@
             conditions,
             changes,
         };
+        self.stood = now;
         self.ask_state(Pending::TakeOver, StateRequest::Txn(txn));
     }
 
@@ -287,6 +305,7 @@
             key_version,
             term,
             since: now,
+            stands: self.stood,
             machines: Machines::default(),
             board: Board::default(),
             gone: BTreeSet::new(),
@@ -331,6 +350,15 @@
             }
         }
         lead.writes.types = !self.types.is_empty() && self.types != self.mirror.types;
+        let mut conditions = vec![Condition {
+            key: key(LEADER),
+            version: key_version,
+        }];
+        conditions.extend(lead.named());
+        self.out.push(Effect::Stand(Some(Stand {
+            key_version,
+            conditions,
+        })));
         self.lead = Some(lead);
         self.recover();
         self.mirror.changed = self.mirror.jobs.keys().cloned().collect();
@@ -340,6 +368,7 @@
 
     pub(super) fn step_down(&mut self, why: &str) {
         let Some(lead) = self.lead.take() else { return };
+        self.out.push(Effect::Stand(None));
         tracing::warn!(
             term = lead.term,
             "term {}: no longer leading: {why}",
@@ -533,11 +562,7 @@
             version: lead.key_version,
         }];
         // In a store that has lost data, another leader key may have the same version.
-        let name = lead.identity.as_ref().map(|(id, version)| Condition {
-            key: identity_key(id),
-            version: *version,
-        });
-        conditions.extend(name);
+        conditions.extend(lead.named());
         Some((
             Txn {
                 conditions,
@@ -575,12 +600,6 @@
         name.is_some_and(|(id, _)| keys.contains(&identity_key(id)))
     }
 
-    /// By the key in the copy.
-    pub(super) fn leads_by_key(&self) -> bool {
-        let leader = self.mirror.leader.as_ref();
-        leader.is_some_and(|(v, _)| v.name == self.settings.name && v.nonce == self.nonce)
-    }
-
     /// Rows per stored piece, so that even every other row of a piece fits into one value.
     fn piece(&self) -> u32 {
         let rows = (self.settings.value_bytes as u32 / 4).clamp(64, 2048);
--- a/src/core/loss_stories.rs
+++ b/src/core/loss_stories.rs
@@ -317,6 +317,26 @@
     w.until_done("wk-1", 90.0);
 }
 
+/// After the loss another process is given the number of the leader's lease, and renews it. The leader
+/// took these renewals for its own, and acted on beside the next one.
+#[test]
+fn a_lease_whose_number_is_given_again_keeps_no_leader() {
+    let (mut w, leader) = begin(912);
+    w.submit(leader, &long("wk-1"));
+    w.run(2.0);
+    let starts = w.starts;
+    w.nodes[leader].lags = true;
+    w.lose_state();
+    w.give_lease_again(leader);
+    w.until(12.0, "another leader", |w| {
+        w.leader().is_some_and(|n| n != leader)
+    });
+    w.run(3.0);
+    w.nodes[leader].lags = false;
+    comes_back(&mut w, starts);
+    w.until_done("wk-1", 90.0);
+}
+
 /// None of these is a loss: an outage, a lagging watch that has to list again, restarts in turn.
 #[test]
 fn an_outage_a_new_list_and_restarts_are_no_loss() {
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -76,7 +76,7 @@
 use crate::recall::{Recall, Recalled};
 use crate::settings::Settings;
 use crate::state::{Budget, StateOutcome, StateRequest};
-use crate::wire::{Event, Item, MachineType, Report};
+use crate::wire::{Condition, Event, Item, MachineType, Report};
 use crate::worker::{DirectOutcome, DirectRequest};
 use burlusher_membership::view::View;
 use std::collections::BTreeMap;
@@ -129,10 +129,16 @@
         peer: String,
         answer: Option<PeerAnswer>,
     },
-    /// The lease is granted or renewed by a request sent at `sent`.
+    /// The lease is granted or renewed by a request sent at `sent`; and since then the leader key of
+    /// this version was seen to stand.
     LeaseKept {
         lease: u64,
         sent: Instant,
+        stands: Option<u64>,
+    },
+    /// What a leader's word rests on is not as it was when it was asked to be watched.
+    Deposed {
+        key_version: u64,
     },
     LeaseLost,
     /// Everything under our prefix, as of `revision` or later.
@@ -219,10 +225,22 @@
     ReadAfresh,
     /// End the lease, and with it leadership, so that another controller can take over.
     GiveUpLease,
+    /// Take another lease, and leave this one alone: in a store that has lost data it may be
+    /// somebody else's by now.
+    ChangeLease,
+    /// With each renewal of the lease, see whether these still hold; or nothing any more.
+    Stand(Option<Stand>),
     /// What `/ready` says from now on.
     Ready(bool),
 }
 
+/// What a leader's word rests on, beside its lease.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Stand {
+    pub key_version: u64,
+    pub conditions: Vec<Condition>,
+}
+
 /// What a call in flight is for.
 #[derive(Debug)]
 enum Pending {
@@ -292,6 +310,8 @@
     delegating: bool,
     relay: relay::Relay,
     view: View,
+    /// When the last attempt to lead was sent.
+    stood: Instant,
     /// No attempt to lead before this moment.
     candidate_after: Instant,
     /// When this process last gave leadership up.
@@ -376,6 +396,7 @@
             delegating,
             relay: relay::Relay::new(nonce),
             view,
+            stood: now.mono,
             candidate_after: now.mono,
             resigned: None,
             forwards: BTreeMap::new(),
@@ -420,7 +441,12 @@
                     peer,
                     answer,
                 } => self.forwarded(ticket, peer, answer),
-                Command::LeaseKept { lease, sent } => self.lease_kept(lease, sent),
+                Command::LeaseKept {
+                    lease,
+                    sent,
+                    stands,
+                } => self.lease_kept(lease, sent, stands),
+                Command::Deposed { key_version } => self.deposed(key_version),
                 Command::LeaseLost => self.lease_lost(),
                 Command::Recall { ticket, recall } => self.recall(ticket, recall),
                 Command::Recalled {
--- a/src/core/world.rs
+++ b/src/core/world.rs
@@ -2,7 +2,7 @@
 //! It watches the rules at every tick: no task on two machines, no team over its limit, nothing
 //! of a cancelled job left, nothing said and then unsaid, no task ahead of a job that it awaits.
 
-use super::{Ask, Command, Core, Effect, LEASE_TTL, Now, Ticket, UserRequest};
+use super::{Ask, Command, Core, Effect, LEASE_TTL, Now, Stand, Ticket, UserRequest};
 use crate::cloud::{CloudOutcome, CloudRequest};
 use crate::http::Answer;
 use crate::job::{JobSpec, Kind, MachineId, TaskKey};
@@ -184,7 +184,9 @@
         if !txn.changes.iter().all(lease_ok) {
             return StateOutcome::Invalid("no such lease".into());
         }
-        self.revision += 1;
+        if !txn.changes.is_empty() {
+            self.revision += 1;
+        }
         for change in &txn.changes {
             match change {
                 Change::Put { key, value, lease } => {
@@ -255,6 +257,7 @@
     pub calls: u32,
     inbox: Vec<Command>,
     lease: Option<u64>,
+    stand: Option<Stand>,
     next_renewal: Instant,
     seen: Option<usize>,
     /// Of the store that its watch was opened on, which may be no more.
@@ -415,6 +418,7 @@
             calls: 0,
             inbox: Vec::new(),
             lease: None,
+            stand: None,
             next_renewal: self.now,
             seen: None,
             timeline: self.state.timeline,
@@ -658,8 +662,6 @@
         let timeline = self.state.timeline + 1;
         self.state = backup.0.clone();
         self.state.timeline = timeline;
-        // Numbers of leases are not given twice here, so that a lost one is unknown.
-        self.state.next_lease = self.state.next_lease.max(1000 * u64::from(timeline));
         for end in self.state.leases.values_mut() {
             *end = self.now + LEASE_TTL;
         }
@@ -670,6 +672,14 @@
         self.nodes[node].seen = None;
     }
 
+    /// A lease number that was in use is given again, to somebody who renews it.
+    pub fn give_lease_again(&mut self, node: usize) {
+        if let Some(id) = self.nodes[node].lease {
+            let far = Duration::from_secs(86_400);
+            self.state.leases.insert(id, self.now + far);
+        }
+    }
+
     /// Only what is under these keys is lost.
     pub fn lose_keys(&mut self, prefix: &str) {
         self.state.keys.retain(|k, _| !k.starts_with(prefix));
@@ -851,9 +861,23 @@
         match node.lease {
             Some(id) if self.state.leases.contains_key(&id) => {
                 self.state.leases.insert(id, now + LEASE_TTL);
+                let mut stands = None;
+                if let Some(stand) = &node.stand {
+                    let txn = Txn {
+                        conditions: stand.conditions.clone(),
+                        changes: Vec::new(),
+                    };
+                    let key_version = stand.key_version;
+                    if let StateOutcome::Committed { .. } = self.state.txn(&txn) {
+                        stands = Some(key_version);
+                    } else {
+                        node.inbox.push(Command::Deposed { key_version });
+                    }
+                }
                 node.inbox.push(Command::LeaseKept {
                     lease: id,
                     sent: now,
+                    stands,
                 });
             }
             Some(_) => {
@@ -868,6 +892,7 @@
                 node.inbox.push(Command::LeaseKept {
                     lease: id,
                     sent: now,
+                    stands: None,
                 });
             }
         }
@@ -1352,11 +1377,19 @@
                     self.state.leases.insert(id, self.now);
                 }
             }
+            Effect::ChangeLease => {
+                self.nodes[i].lease = None;
+                self.nodes[i].next_renewal = self.now;
+            }
+            Effect::Stand(stand) => self.nodes[i].stand = stand,
             Effect::Ready(_) => {}
         }
     }
 
     fn check(&self) {
+        let acts = |n: &&Node| n.up && !n.frozen && n.core.leads();
+        let leaders = self.nodes.iter().filter(acts).count();
+        assert!(leaders <= 1, "{leaders} leaders act at the same time");
         let mut at: BTreeMap<&TaskKey, &MachineId> = BTreeMap::new();
         let mut used: BTreeMap<&str, f64> = BTreeMap::new();
         for (id, w) in &self.workers {
--- a/src/service.rs
+++ b/src/service.rs
@@ -6,7 +6,7 @@
 //! of its own, and `/ready` is a flag.
 
 use crate::cloud::{CloudClient, CloudOutcome, CloudRequest};
-use crate::core::{Ask, Command, Core, Effect, Now, Ticket, UserRequest, note};
+use crate::core::{Ask, Command, Core, Effect, Now, Stand, Ticket, UserRequest, note};
 use crate::http::{self, Answer, Request};
 use crate::link;
 use crate::peer::{self, PeerAnswer, PeerRequest};
@@ -16,7 +16,7 @@
 use crate::state::{Budget, StateClient, StateOutcome, StateRequest};
 use crate::wire::{
     self, JobAnswer, OfferBody, PATH_CANCEL, PATH_JOBS, PATH_METRICS, PATH_OFFER, PATH_READY,
-    PATH_REPORT, PATH_SETTLE, PATH_STATUS,
+    PATH_REPORT, PATH_SETTLE, PATH_STATUS, Txn,
 };
 use crate::worker::{self, DirectOutcome, DirectRequest};
 use std::collections::{BTreeMap, VecDeque};
@@ -336,7 +336,7 @@
     peers: BTreeMap<String, Sender<PeerCall>>,
     sync: Sender<SyncCall>,
     watch: Arc<Watch>,
-    give_up_lease: Arc<AtomicBool>,
+    keeper: Arc<Keeper>,
     ready: Arc<AtomicBool>,
 }
 
@@ -347,7 +347,7 @@
     let back = TcpListener::bind(settings.peer_listen)?;
     let inbox_side = Inbox::new();
     let ready = Arc::new(AtomicBool::new(false));
-    let give_up_lease = Arc::new(AtomicBool::new(false));
+    let keeper = Arc::new(Keeper::default());
     let share = settings.state_rps / (settings.peers.len() as f64 + 1.0);
     let budget = Arc::new(Mutex::new(Budget::new(share * 0.6, Instant::now())));
 
@@ -359,10 +359,10 @@
         direct: direct_pool(&inbox_side)?,
         peers: peer_pools(&settings, &inbox_side)?,
         sync: sync_pool(&settings, &inbox_side)?,
-        give_up_lease: give_up_lease.clone(),
+        keeper: keeper.clone(),
         ready: ready.clone(),
     };
-    keep_lease(&settings, &inbox_side, give_up_lease)?;
+    keep_lease(&settings, &inbox_side, keeper)?;
     watch.begin()?;
     serve_peers(back, inbox_side.clone())?;
     let most = most_connections(&settings);
@@ -484,7 +484,9 @@
         } => {
             let _ = out.sync.send((peer, number, frame));
         }
-        Effect::GiveUpLease => out.give_up_lease.store(true, Ordering::Relaxed),
+        Effect::GiveUpLease => out.keeper.give_up.store(true, Ordering::Relaxed),
+        Effect::ChangeLease => out.keeper.change.store(true, Ordering::Relaxed),
+        Effect::Stand(stand) => *lock(&out.keeper.stand) = stand,
         Effect::Ready(yes) => out.ready.store(yes, Ordering::Relaxed),
     }
 }
@@ -650,8 +652,44 @@
     Ok(answer)
 }
 
+/// What the owner asks of the thread that keeps the lease.
+#[derive(Default)]
+struct Keeper {
+    give_up: AtomicBool,
+    change: AtomicBool,
+    stand: Mutex<Option<Stand>>,
+}
+
+impl Keeper {
+    /// The lease is not to be renewed again.
+    fn interrupted(&self) -> bool {
+        self.give_up.load(Ordering::Relaxed) || self.change.load(Ordering::Relaxed)
+    }
+
+    /// Whether what the leader's word rests on still holds; `None` where nobody leads, or cannot tell.
+    fn stands(&self, client: &mut StateClient, inbox: &Inbox) -> Option<u64> {
+        let stand = lock(&self.stand).clone()?;
+        let txn = Txn {
+            conditions: stand.conditions,
+            changes: Vec::new(),
+        };
+        let key_version = stand.key_version;
+        match client.perform(&StateRequest::Txn(txn)) {
+            StateOutcome::Committed { .. } => Some(key_version),
+            StateOutcome::Conflict { .. } => {
+                inbox.put(Command::Deposed { key_version });
+                None
+            }
+            other => {
+                tracing::debug!("whether the leader key stands: {other:?}");
+                None
+            }
+        }
+    }
+}
+
 /// Renews the lease well before it ends, whatever the owner is busy with.
-fn keep_lease(settings: &Settings, inbox: &Inbox, give_up: Arc<AtomicBool>) -> io::Result<()> {
+fn keep_lease(settings: &Settings, inbox: &Inbox, keeper: Arc<Keeper>) -> io::Result<()> {
     let (addr, inbox) = (settings.state_addr, inbox.clone());
     spawn("lease", move || {
         let mut client = StateClient::new(addr);
@@ -665,7 +703,10 @@
             if late > ttl / 4 {
                 tracing::warn!("the lease's renewal comes {} ms late", late.as_millis());
             }
-            if give_up.swap(false, Ordering::Relaxed)
+            if keeper.change.swap(false, Ordering::Relaxed) {
+                lease = None;
+            }
+            if keeper.give_up.swap(false, Ordering::Relaxed)
                 && let Some(id) = lease.take()
             {
                 client.revoke(id);
@@ -675,7 +716,11 @@
                 None => match client.grant(ttl) {
                     Ok(id) => {
                         lease = Some(id);
-                        inbox.put(Command::LeaseKept { lease: id, sent });
+                        inbox.put(Command::LeaseKept {
+                            lease: id,
+                            sent,
+                            stands: None,
+                        });
                     }
                     Err(e) => {
                         tracing::debug!("no lease: {e:?}");
@@ -683,7 +728,14 @@
                     }
                 },
                 Some(id) => match client.renew(id) {
-                    Ok(true) => inbox.put(Command::LeaseKept { lease: id, sent }),
+                    Ok(true) => {
+                        let stands = keeper.stands(&mut client, &inbox);
+                        inbox.put(Command::LeaseKept {
+                            lease: id,
+                            sent,
+                            stands,
+                        });
+                    }
                     Ok(false) => {
                         lease = None;
                         inbox.put(Command::LeaseLost);
@@ -703,7 +755,7 @@
             if took > ttl / 4 {
                 tracing::warn!("the lease's renewal took {} ms", took.as_millis());
             }
-            while Instant::now() < until && !give_up.load(Ordering::Relaxed) {
+            while Instant::now() < until && !keeper.interrupted() {
                 let left = until.saturating_duration_since(Instant::now());
                 std::thread::sleep(left.min(Duration::from_millis(200)));
             }
