--- /dev/null
+++ b/crates/snapshot/src/line.rs
@@ -0,0 +1,581 @@
+//! A base and its log. A base is written beside its place, synced, and put there whole; the log after
+//! it only grows. When the log has become longer than its base, a new base takes the place of both,
+//! and the pair before stays until there is another one: a line can always be read.
+
+use crate::image::{Change, Entry, Image};
+use crate::record::{self, Fault, Key, Kind, Link, Next, first_link};
+use std::fs::File;
+use std::io::{self, BufReader, BufWriter, Write};
+use std::path::{Path, PathBuf};
+use std::time::{Duration, SystemTime};
+
+/// Raw bytes of a record of a base.
+const PIECE: usize = 128 * 1024;
+/// A log shorter than this is not worth a new base.
+const LEAST_LOG: usize = 256 * 1024;
+/// Pairs of base and log that are kept.
+const KEPT: u64 = 2;
+
+/// What a line is of, and when its base was taken.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Head {
+    /// The store's identity; empty if it has none.
+    pub store: String,
+    pub revision: u64,
+    /// Since 1970, in milliseconds.
+    pub at_ms: u64,
+}
+
+fn now_ms() -> u64 {
+    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    since.unwrap_or(Duration::ZERO).as_millis() as u64
+}
+
+#[derive(Default)]
+struct Out(Vec<u8>);
+
+impl Out {
+    fn number(&mut self, n: u64) {
+        self.0.extend_from_slice(&n.to_le_bytes());
+    }
+
+    fn text(&mut self, t: &str) {
+        self.0.extend_from_slice(&(t.len() as u32).to_le_bytes());
+        self.0.extend_from_slice(t.as_bytes());
+    }
+}
+
+struct In<'a>(&'a [u8]);
+
+impl In<'_> {
+    fn number(&mut self) -> Option<u64> {
+        let (n, rest) = self.0.split_first_chunk::<8>()?;
+        self.0 = rest;
+        Some(u64::from_le_bytes(*n))
+    }
+
+    fn text(&mut self) -> Option<String> {
+        let (n, rest) = self.0.split_first_chunk::<4>()?;
+        let (text, rest) = rest.split_at_checked(u32::from_le_bytes(*n) as usize)?;
+        self.0 = rest;
+        String::from_utf8(text.to_vec()).ok()
+    }
+}
+
+/// A deletion has this in place of a version: no key is ever put at revision 0.
+const DELETED: u64 = 0;
+
+fn encode(out: &mut Out, key: &str, entry: Option<&Entry>) {
+    out.number(entry.map_or(DELETED, |e| e.version));
+    out.text(key);
+    out.text(entry.map_or("", |e| &e.value));
+}
+
+fn decode(raw: &mut In) -> Option<Change> {
+    let version = raw.number()?;
+    let key = raw.text()?;
+    let value = raw.text()?;
+    let entry = (version != DELETED).then_some(Entry { version, value });
+    Some(Change { key, entry })
+}
+
+fn file_name(number: u64, what: &str) -> String {
+    format!("{number:06}.{what}")
+}
+
+fn sync_dir(dir: &Path) -> io::Result<()> {
+    File::open(dir)?.sync_all()
+}
+
+/// A line that is being written.
+pub struct Writer {
+    dir: PathBuf,
+    key: Key,
+    store: String,
+    log: File,
+    link: Link,
+    base_bytes: usize,
+    log_bytes: usize,
+    unsynced: bool,
+}
+
+impl Writer {
+    /// Begins a pair with what the store holds; the ones before the last are removed.
+    pub fn begin(dir: &Path, key: Key, store: &str, image: &Image) -> io::Result<Writer> {
+        std::fs::create_dir_all(dir)?;
+        let number = numbers(dir)?.last().map_or(1, |n| n + 1);
+        let name = file_name(number, "base");
+        // A log is there before its base is: one without a base says nothing.
+        let log = File::create_new(dir.join(file_name(number, "log")))?;
+        let mut part = tempfile::Builder::new().prefix("part-").tempfile_in(dir)?;
+        let base_bytes = write_base(&mut part, &key, &name, store, image)?;
+        part.as_file().sync_all()?;
+        part.persist(dir.join(&name)).map_err(|e| e.error)?;
+        sync_dir(dir)?;
+        for old in numbers(dir)?.into_iter().filter(|n| n + KEPT <= number) {
+            for what in ["base", "log"] {
+                let _ = std::fs::remove_file(dir.join(file_name(old, what)));
+            }
+        }
+        Ok(Writer {
+            dir: dir.into(),
+            key,
+            store: store.into(),
+            log,
+            link: first_link(&key, &file_name(number, "log")),
+            base_bytes,
+            log_bytes: 0,
+            unsynced: false,
+        })
+    }
+
+    /// Adds what a watch told. It is safe only after `sync`.
+    pub fn append(&mut self, changes: &[Change], revision: u64) -> io::Result<()> {
+        for some in changes.chunks(256) {
+            let mut out = Out::default();
+            out.number(revision);
+            out.number(now_ms());
+            for c in some {
+                encode(&mut out, &c.key, c.entry.as_ref());
+            }
+            let n = record::write(
+                &mut self.log,
+                &self.key,
+                &mut self.link,
+                Kind::Changes,
+                &out.0,
+            )?;
+            self.log_bytes += n;
+            self.unsynced = true;
+        }
+        Ok(())
+    }
+
+    pub fn sync(&mut self) -> io::Result<()> {
+        if std::mem::take(&mut self.unsynced) {
+            self.log.sync_data()?;
+        }
+        Ok(())
+    }
+
+    /// Whether a new base would make the line shorter.
+    pub fn is_long(&self) -> bool {
+        self.log_bytes > LEAST_LOG.max(self.base_bytes)
+    }
+
+    /// Puts a new base in the place of this one and its log.
+    pub fn compact(&mut self, image: &Image) -> io::Result<()> {
+        self.sync()?;
+        *self = Writer::begin(&self.dir, self.key, &self.store, image)?;
+        Ok(())
+    }
+}
+
+fn write_base(
+    out: impl Write,
+    key: &Key,
+    name: &str,
+    store: &str,
+    image: &Image,
+) -> io::Result<usize> {
+    let mut file = BufWriter::new(out);
+    let mut link = first_link(key, name);
+    let mut bytes = 0;
+    let mut put = |kind, raw: &[u8]| -> io::Result<()> {
+        bytes += record::write(&mut file, key, &mut link, kind, raw)?;
+        Ok(())
+    };
+    let mut head = Out::default();
+    head.number(image.revision);
+    head.number(now_ms());
+    head.text(store);
+    put(Kind::Head, &head.0)?;
+    let mut piece = Out::default();
+    for (k, entry) in &image.items {
+        encode(&mut piece, k, Some(entry));
+        if piece.0.len() >= PIECE {
+            put(Kind::Items, &std::mem::take(&mut piece).0)?;
+        }
+    }
+    if !piece.0.is_empty() {
+        put(Kind::Items, &piece.0)?;
+    }
+    let mut end = Out::default();
+    end.number(image.items.len() as u64);
+    put(Kind::End, &end.0)?;
+    file.flush()?;
+    Ok(bytes)
+}
+
+/// The numbers of the pairs in a folder, the newest last. Only a base makes one.
+fn numbers(dir: &Path) -> io::Result<Vec<u64>> {
+    let mut out = Vec::new();
+    for entry in std::fs::read_dir(dir)? {
+        let name = entry?.file_name();
+        let name = name.to_string_lossy();
+        let number = name.strip_suffix(".base").or(name.strip_suffix(".log"));
+        out.extend(number.and_then(|n| n.parse::<u64>().ok()));
+    }
+    out.sort_unstable();
+    out.dedup();
+    Ok(out)
+}
+
+/// A fault found in a file.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Found {
+    pub file: String,
+    /// Bytes before the record at fault.
+    pub at: u64,
+    pub fault: Fault,
+}
+
+impl std::fmt::Display for Found {
+    fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
+        write!(f, "{} at byte {}: {}", self.file, self.at, self.fault)
+    }
+}
+
+/// A line as far as it can be read.
+#[derive(Debug)]
+pub struct Line {
+    pub head: Head,
+    pub image: Image,
+    /// When the last change was written, in milliseconds since 1970; that of the base if none was.
+    pub newest_ms: u64,
+    pub changes: usize,
+    pub bytes: u64,
+    /// What is at fault; of the changes after it nothing is in the image.
+    pub faults: Vec<Found>,
+}
+
+struct Reader<'a> {
+    input: BufReader<File>,
+    name: String,
+    key: &'a Key,
+    link: Link,
+    at: u64,
+}
+
+impl<'a> Reader<'a> {
+    fn open(dir: &Path, key: &'a Key, name: String) -> io::Result<Reader<'a>> {
+        Ok(Reader {
+            input: BufReader::new(File::open(dir.join(&name))?),
+            link: first_link(key, &name),
+            name,
+            key,
+            at: 0,
+        })
+    }
+
+    fn found(&self, fault: Fault) -> Found {
+        Found {
+            file: self.name.clone(),
+            at: self.at,
+            fault,
+        }
+    }
+
+    fn next(&mut self) -> io::Result<Next<Found>> {
+        let mut counted = Counted(&mut self.input, 0);
+        let read = record::read(&mut counted, self.key, &mut self.link)?;
+        let n = counted.1;
+        Ok(match read {
+            Ok(x) => {
+                self.at += n;
+                Ok(x)
+            }
+            Err(fault) => Err(self.found(fault)),
+        })
+    }
+}
+
+struct Counted<'a, R>(&'a mut R, u64);
+
+impl<R: io::Read> io::Read for Counted<'_, R> {
+    fn read(&mut self, buffer: &mut [u8]) -> io::Result<usize> {
+        let n = self.0.read(buffer)?;
+        self.1 += n as u64;
+        Ok(n)
+    }
+}
+
+fn read_base(dir: &Path, key: &Key, number: u64) -> io::Result<Result<(Head, Image, u64), Found>> {
+    let mut r = Reader::open(dir, key, file_name(number, "base"))?;
+    let mut head = None;
+    let mut image = Image::default();
+    loop {
+        let next = match r.next()? {
+            Ok(next) => next,
+            Err(found) => return Ok(Err(found)),
+        };
+        let damaged = Fault::Damaged("content");
+        match next {
+            Some((Kind::Head, raw)) => {
+                let mut raw = In(&raw);
+                let read = (raw.number(), raw.number(), raw.text());
+                let (Some(revision), Some(at_ms), Some(store)) = read else {
+                    return Ok(Err(r.found(damaged)));
+                };
+                image.revision = revision;
+                head = Some(Head {
+                    store,
+                    revision,
+                    at_ms,
+                });
+            }
+            Some((Kind::Items, raw)) => {
+                let mut raw = In(&raw);
+                while !raw.0.is_empty() {
+                    let Some(Change {
+                        key,
+                        entry: Some(entry),
+                    }) = decode(&mut raw)
+                    else {
+                        return Ok(Err(r.found(damaged)));
+                    };
+                    image.items.insert(key, entry);
+                }
+            }
+            Some((Kind::End, raw)) => {
+                let whole = In(&raw).number() == Some(image.items.len() as u64);
+                return Ok(match head {
+                    Some(head) if whole => Ok((head, image, r.at)),
+                    _ => Err(r.found(damaged)),
+                });
+            }
+            Some((Kind::Changes, _)) => return Ok(Err(r.found(Fault::Foreign))),
+            None => return Ok(Err(r.found(Fault::Torn))),
+        }
+    }
+}
+
+/// Reads the newest pair whose base is whole, as far as its log is. `None`: there is no such pair, and
+/// the faults say why.
+pub fn read(dir: &Path, key: &Key) -> io::Result<Result<Line, Vec<Found>>> {
+    let mut faults = Vec::new();
+    for number in numbers(dir)?.into_iter().rev() {
+        let base = match read_base(dir, key, number) {
+            Ok(base) => base,
+            // A log whose base never came to be.
+            Err(e) if e.kind() == io::ErrorKind::NotFound => continue,
+            Err(e) => return Err(e),
+        };
+        let (head, mut image, base_bytes) = match base {
+            Ok(base) => base,
+            Err(found) => {
+                faults.push(found);
+                continue;
+            }
+        };
+        let mut newest_ms = head.at_ms;
+        let (mut changes, mut bytes) = (0, base_bytes);
+        let mut log = match Reader::open(dir, key, file_name(number, "log")) {
+            Ok(log) => log,
+            Err(e) if e.kind() == io::ErrorKind::NotFound => {
+                let found = Found {
+                    file: file_name(number, "log"),
+                    at: 0,
+                    fault: Fault::Torn,
+                };
+                faults.push(found);
+                return Ok(Ok(Line {
+                    head,
+                    image,
+                    newest_ms,
+                    changes,
+                    bytes,
+                    faults,
+                }));
+            }
+            Err(e) => return Err(e),
+        };
+        loop {
+            let raw = match log.next()? {
+                Ok(Some((Kind::Changes, raw))) => raw,
+                Ok(None) => break,
+                Ok(Some(_)) => {
+                    faults.push(log.found(Fault::Foreign));
+                    break;
+                }
+                Err(found) => {
+                    faults.push(found);
+                    break;
+                }
+            };
+            let mut raw = In(&raw);
+            let (Some(revision), Some(at_ms)) = (raw.number(), raw.number()) else {
+                faults.push(log.found(Fault::Damaged("content")));
+                break;
+            };
+            let mut some = Vec::new();
+            while let Some(change) = decode(&mut raw) {
+                some.push(change);
+            }
+            changes += some.len();
+            newest_ms = newest_ms.max(at_ms);
+            image.apply(some, revision);
+        }
+        bytes += log.at;
+        return Ok(Ok(Line {
+            head,
+            image,
+            newest_ms,
+            changes,
+            bytes,
+            faults,
+        }));
+    }
+    Ok(Err(faults))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    const KEY: Key = [7; 32];
+
+    fn put(key: &str, version: u64, value: &str) -> Change {
+        let value = value.to_string();
+        Change {
+            key: key.into(),
+            entry: Some(Entry { version, value }),
+        }
+    }
+
+    fn drop_key(key: &str) -> Change {
+        Change {
+            key: key.into(),
+            entry: None,
+        }
+    }
+
+    /// A small line: two items, then four changes in three records.
+    fn small(dir: &Path) -> Vec<Image> {
+        let mut image = Image::default();
+        image.apply(vec![put("a", 1, "{}"), put("b", 2, "[1,2]")], 2);
+        let mut seen = vec![image.clone()];
+        let mut w = Writer::begin(dir, KEY, "s", &image).unwrap();
+        let steps = [
+            (vec![put("c", 3, "3")], 3),
+            (vec![drop_key("a"), put("b", 4, "{\"x\":4}")], 4),
+            (vec![put("d", 5, "\"five\"")], 5),
+        ];
+        for (changes, revision) in steps {
+            w.append(&changes, revision).unwrap();
+            image.apply(changes, revision);
+            seen.push(image.clone());
+        }
+        w.sync().unwrap();
+        seen
+    }
+
+    /// The writer may be ended at any byte: what was written before is read, and it is said that more
+    /// was to come.
+    #[test]
+    fn a_log_cut_at_any_byte_is_read_as_far_as_it_goes() {
+        let dir = tempfile::tempdir().unwrap();
+        let seen = small(dir.path());
+        let log = dir.path().join("000001.log");
+        let whole = std::fs::read(&log).unwrap();
+        let mut told = std::collections::BTreeSet::new();
+        for n in 0..=whole.len() {
+            std::fs::write(&log, &whole[..n]).unwrap();
+            let line = read(dir.path(), &KEY).unwrap().unwrap();
+            assert!(seen.contains(&line.image), "cut at {n}");
+            let between = line.faults.first().map(|f| f.fault.clone());
+            assert!(matches!(between, None | Some(Fault::Torn)), "{between:?}");
+            told.insert(line.image.revision);
+        }
+        assert_eq!(told, [2, 3, 4, 5].into());
+    }
+
+    #[test]
+    fn a_flipped_bit_in_any_byte_is_found_and_nothing_wrong_is_read() {
+        let dir = tempfile::tempdir().unwrap();
+        let seen = small(dir.path());
+        for name in ["000001.base", "000001.log"] {
+            let file = dir.path().join(name);
+            let whole = std::fs::read(&file).unwrap();
+            for n in 0..whole.len() {
+                let mut bytes = whole.clone();
+                bytes[n] ^= 1 << (n % 8);
+                std::fs::write(&file, &bytes).unwrap();
+                match read(dir.path(), &KEY).unwrap() {
+                    Ok(line) => {
+                        assert_eq!(line.faults.len(), 1, "{name} byte {n}");
+                        assert!(seen.contains(&line.image), "{name} byte {n}");
+                    }
+                    Err(faults) => assert_eq!((name, faults.len()), ("000001.base", 1)),
+                }
+            }
+            std::fs::write(&file, &whole).unwrap();
+        }
+        assert!(read(dir.path(), &KEY).unwrap().unwrap().faults.is_empty());
+    }
+
+    /// Records moved, taken out or written with another key are whole, and yet not the line's.
+    #[test]
+    fn a_log_put_together_by_another_hand_is_not_believed() {
+        let dir = tempfile::tempdir().unwrap();
+        small(dir.path());
+        let other = tempfile::tempdir().unwrap();
+        let mut w = Writer::begin(other.path(), [8; 32], "s", &Image::default()).unwrap();
+        w.append(&[put("a", 9, "9")], 9).unwrap();
+        let forged = std::fs::read(other.path().join("000001.log")).unwrap();
+        std::fs::write(dir.path().join("000001.log"), forged).unwrap();
+        let line = read(dir.path(), &KEY).unwrap().unwrap();
+        assert_eq!(line.image.revision, 2);
+        assert_eq!(line.faults[0].fault, Fault::Foreign);
+    }
+
+    #[test]
+    fn a_damaged_base_falls_back_to_the_pair_before_it() {
+        let dir = tempfile::tempdir().unwrap();
+        let seen = small(dir.path());
+        let last = seen.last().unwrap();
+        Writer::begin(dir.path(), KEY, "s", last).unwrap();
+        let base = dir.path().join("000002.base");
+        let mut bytes = std::fs::read(&base).unwrap();
+        let middle = bytes.len() / 2;
+        bytes[middle] ^= 4;
+        std::fs::write(&base, bytes).unwrap();
+        let line = read(dir.path(), &KEY).unwrap().unwrap();
+        assert_eq!((&line.image, line.faults.len()), (last, 1));
+        // The third pair removes the first, and a log without a base is passed over.
+        Writer::begin(dir.path(), KEY, "s", last).unwrap();
+        assert!(!dir.path().join("000001.base").exists());
+        File::create(dir.path().join("000009.log")).unwrap();
+        assert_eq!(&read(dir.path(), &KEY).unwrap().unwrap().image, last);
+    }
+
+    proptest! {
+        #![proptest_config(ProptestConfig { cases: 64, failure_persistence: None, ..ProptestConfig::default() })]
+        /// Whatever is put, deleted and compacted, what is read is what was there.
+        #[test]
+        fn what_is_read_is_what_was_written(
+            steps in proptest::collection::vec((0..20u8, proptest::option::of("[a-z]{0,40}"), any::<bool>()), 1..60)
+        ) {
+            let dir = tempfile::tempdir().unwrap();
+            let mut image = Image::default();
+            let mut w = Writer::begin(dir.path(), KEY, "", &image).unwrap();
+            for (n, (key, value, compact)) in steps.into_iter().enumerate() {
+                let revision = n as u64 + 1;
+                let key = format!("k/{key}");
+                let change = match value {
+                    Some(v) => put(&key, revision, &v),
+                    None => drop_key(&key),
+                };
+                w.append(std::slice::from_ref(&change), revision).unwrap();
+                image.apply(vec![change], revision);
+                if compact && n % 7 == 0 {
+                    w.compact(&image).unwrap();
+                }
+            }
+            let line = read(dir.path(), &KEY).unwrap().unwrap();
+            prop_assert_eq!(line.image, image);
+            prop_assert!(line.faults.is_empty());
+        }
+    }
+}
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -168,7 +168,7 @@
         ticket: Ticket,
         store: String,
         last: bool,
-        items: Vec<(String, String)>,
+        items: Vec<(String, serde_json::Value)>,
     },
     State {
         call: CallId,
@@ -415,6 +415,13 @@
         }
     }
 
+    /// What a snapshot of a store holds, before anything is read: a memory like any other, and found
+    /// to be older than the store where that has lost nothing.
+    pub fn remember(&mut self, items: Vec<Item>, revision: u64) {
+        self.mirror.reset(items, revision);
+        self.mirror.loaded = false;
+    }
+
     /// Works through a batch of commands and says what is to be done.
     pub fn step(&mut self, now: Now, commands: Vec<Command>) -> Vec<Effect> {
         let late = now.mono.saturating_duration_since(self.now.mono);
--- a/src/core/rebuild.rs
+++ b/src/core/rebuild.rs
@@ -281,7 +281,14 @@
             }
         }
         let items = std::mem::take(&mut told.items);
-        let jobs = self.join(items);
+        let read = items.into_iter().filter_map(|(key, value)| {
+            let value = serde_json::from_str(&value);
+            if let Err(e) = &value {
+                tracing::error!("what {peer} remembers: {key}: {e}");
+            }
+            Some((key, value.ok()?))
+        });
+        let jobs = self.join(read.collect());
         self.custody.heed_term(told.term, now);
         let Some(r) = self.lead.as_mut().and_then(|l| l.rebuild.as_mut()) else {
             return;
@@ -296,16 +303,9 @@
     }
 
     /// Takes in what somebody else remembers; says how many jobs, or ends of jobs, were new.
-    fn join(&mut self, items: Vec<(String, String)>) -> usize {
+    fn join(&mut self, items: Vec<(String, serde_json::Value)>) -> usize {
         let now = self.now.mono;
-        let read = items.into_iter().filter_map(|(key, value)| {
-            let value = serde_json::from_str(&value);
-            if let Err(e) = &value {
-                tracing::error!("another's memory: {key}: {e}");
-            }
-            Some((key, value.ok()?))
-        });
-        let new = self.mirror.remember(read.collect());
+        let new = self.mirror.remember(items);
         self.take_in_jobs();
         for (id, rows) in new.done {
             for row in rows {
@@ -511,7 +511,7 @@
         ticket: Ticket,
         store: &str,
         last: bool,
-        items: Vec<(String, String)>,
+        items: Vec<(String, serde_json::Value)>,
     ) {
         if !self.acting() {
             let leader = self.leader_name().unwrap_or("nobody").to_string();
--- a/src/core/world.rs
+++ b/src/core/world.rs
@@ -697,7 +697,7 @@
     /// A snapshot is offered to a node; the answer's status.
     pub fn offer(&mut self, node: usize, store: &str, backup: &Backup) -> u16 {
         let items = backup.0.keys.iter();
-        let items = items.map(|(k, e)| (k.clone(), e.value.to_string()));
+        let items = items.map(|(k, e)| (k.clone(), e.value.clone()));
         let ticket = self.next_ticket;
         self.next_ticket += 1;
         self.nodes[node].inbox.push(Command::Offer {
@@ -1422,9 +1422,9 @@
     }
 }
 
-/// Prints the log of a story, for whoever looks into one.
-#[allow(dead_code)]
+/// With `LOG_LEVEL` set, the log of a story is printed, for whoever looks into one.
 pub fn with_log() {
-    let level = std::env::var("LOG_LEVEL").ok();
-    let _ = crate::logging::start(crate::logging::LogFormat::Text, level.as_deref());
+    if let Ok(level) = std::env::var("LOG_LEVEL") {
+        let _ = crate::logging::start(crate::logging::LogFormat::Text, Some(&level));
+    }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,7 @@
 //! The program is a thin shell around this library. `core` decides everything and does no I/O;
 //! `service` runs it between threads that do nothing but I/O.
 
+pub mod archivist;
 pub mod bids;
 pub mod board;
 pub mod cloud;
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,12 +1,15 @@
 //! The command line; everything else is in the library.
 
+use burlusher::archivist::{self, Archivist};
 use burlusher::logging::LogFormat;
 use burlusher::{http, policy::Policy, service, settings::Settings, wire};
+use burlusher_snapshot::archive::{Archive, Listed};
+use burlusher_snapshot::line::Found;
 use clap::{Args, Parser, Subcommand};
 use std::net::SocketAddrV4;
 use std::path::PathBuf;
 use std::process::ExitCode;
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 
 /// A cluster scheduler: submitted jobs in, tasks running on rented machines out.
 ///
@@ -31,6 +34,29 @@
         /// How the log is written.
         #[arg(long, value_enum, default_value_t = LogFormat::Text)]
         log_format: LogFormat,
+        /// Keep what the state service holds in this folder, and remember what is in it.
+        #[arg(long, value_name = "DIR")]
+        snapshots: Option<PathBuf>,
+    },
+    /// Follow the state service and keep what it holds in a folder, until killed.
+    Archive {
+        /// The settings file of any controller (JSON): where the state service is.
+        #[arg(long, value_name = "FILE")]
+        config: PathBuf,
+        #[arg(long, value_name = "DIR")]
+        dir: PathBuf,
+        #[arg(long, value_enum, default_value_t = LogFormat::Text)]
+        log_format: LogFormat,
+    },
+    /// Look at what an archive holds, add to it, or offer it to a service that rebuilds.
+    Snapshot {
+        #[command(subcommand)]
+        what: Snapshot,
+    },
+    /// Decide on a state service that has lost data.
+    Rebuild {
+        #[command(subcommand)]
+        what: Rebuild,
     },
     /// Check the settings and the policy, and show the policy in force.
     Check(Files),
@@ -62,6 +88,71 @@
     },
 }
 
+#[derive(Subcommand)]
+enum Snapshot {
+    /// All lines of the archive: one for each store that was followed.
+    List {
+        #[command(flatten)]
+        archive: Folder,
+    },
+    /// What a line holds.
+    Show {
+        #[command(flatten)]
+        archive: Folder,
+        #[command(flatten)]
+        line: Line,
+    },
+    /// Read every line to its end; the exit code is 1 if anything in it is at fault.
+    Verify {
+        #[command(flatten)]
+        archive: Folder,
+    },
+    /// Read the state service once and write down what it holds.
+    Take {
+        #[command(flatten)]
+        archive: Folder,
+        /// The settings file of any controller (JSON): where the state service is.
+        #[arg(long, value_name = "FILE")]
+        config: PathBuf,
+    },
+    /// Offer a line to the controller that leads, while it rebuilds the state service.
+    Restore {
+        #[command(flatten)]
+        archive: Folder,
+        #[command(flatten)]
+        line: Line,
+        #[command(flatten)]
+        node: Node,
+    },
+}
+
+#[derive(Subcommand)]
+enum Rebuild {
+    /// Take the state service as it is: tasks of jobs that nobody remembers are stopped, and what is
+    /// not known is unknown from then on. Cannot be undone.
+    Settle {
+        #[command(flatten)]
+        node: Node,
+    },
+}
+
+#[derive(Args)]
+struct Folder {
+    /// The archive's folder.
+    #[arg(long, value_name = "DIR")]
+    dir: PathBuf,
+    /// As JSON.
+    #[arg(long)]
+    json: bool,
+}
+
+#[derive(Args)]
+struct Line {
+    /// The line's name or number, or the identity of its store; the newest if none is named.
+    #[arg(long, value_name = "NAME")]
+    line: Option<String>,
+}
+
 #[derive(Args)]
 struct Files {
     /// The platform's settings file (JSON).
@@ -103,13 +194,173 @@
     }
 }
 
+fn opened(folder: &Folder) -> Result<Archive, String> {
+    Archive::existing(&folder.dir).map_err(|e| format!("{}: {e}", folder.dir.display()))
+}
+
+/// The line that is asked for.
+fn chosen(folder: &Folder, line: &Line) -> Result<Listed, String> {
+    let archive = opened(folder)?;
+    let found = match &line.line {
+        Some(which) => archive.find(which),
+        None => archive.newest(),
+    };
+    let found = found.map_err(|e| format!("{}: {e}", folder.dir.display()))?;
+    found.ok_or_else(|| format!("{}: no such line", folder.dir.display()))
+}
+
+/// One line of an archive, as a value.
+fn told(listed: &Listed, jobs: bool) -> serde_json::Value {
+    let faults = |f: &[Found]| f.iter().map(Found::to_string).collect::<Vec<_>>();
+    match &listed.line {
+        Ok(l) => {
+            let s = archivist::summary(&l.image);
+            let mut out = serde_json::json!({
+                "line": listed.name, "store": l.head.store, "revision": l.image.revision,
+                "base_ms": l.head.at_ms, "newest_ms": l.newest_ms, "bytes": l.bytes,
+                "changes": l.changes, "jobs_live": s.live.len(), "jobs_ended": s.ended,
+                "machines": s.machines, "term": s.term, "faults": faults(&l.faults),
+            });
+            if jobs {
+                out["live"] = s.live.into();
+            }
+            out
+        }
+        Err(f) => serde_json::json!({"line": listed.name, "faults": faults(f)}),
+    }
+}
+
+fn table(lines: &[serde_json::Value]) -> String {
+    let mut out = format!(
+        "{:<26} {:>10} {:>8} {:>8} {:>8} {:>9}  newest change (s ago), faults\n",
+        "line", "revision", "live", "ended", "machines", "bytes"
+    );
+    let now = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    let now = now.unwrap_or_default().as_millis() as u64;
+    for l in lines {
+        let age = l["newest_ms"].as_u64().map_or("-".into(), |t| {
+            format!("{:.1}", now.saturating_sub(t) as f64 / 1000.0)
+        });
+        let faults = l["faults"].as_array().map_or(0, Vec::len);
+        let faults = if faults == 0 {
+            "none".into()
+        } else {
+            format!("{faults}: {}", l["faults"][0])
+        };
+        out.push_str(&format!(
+            "{:<26} {:>10} {:>8} {:>8} {:>8} {:>9}  {age}, {faults}\n",
+            l["line"].as_str().unwrap_or("-"),
+            l["revision"],
+            l["jobs_live"],
+            l["jobs_ended"],
+            l["machines"],
+            l["bytes"],
+        ));
+    }
+    out
+}
+
+fn print(folder: &Folder, lines: &[serde_json::Value]) {
+    if folder.json {
+        println!("{}", serde_json::Value::from(lines));
+    } else {
+        print!("{}", table(lines));
+    }
+}
+
+fn snapshot(what: Snapshot) -> Result<(), String> {
+    match what {
+        Snapshot::List { archive } => {
+            let all = opened(&archive)?.list().map_err(|e| e.to_string())?;
+            let lines: Vec<_> = all.iter().map(|l| told(l, false)).collect();
+            print(&archive, &lines);
+            Ok(())
+        }
+        Snapshot::Show { archive, line } => {
+            let line = told(&chosen(&archive, &line)?, true);
+            print(&archive, std::slice::from_ref(&line));
+            if !archive.json {
+                let live = line["live"].as_array().into_iter().flatten();
+                live.for_each(|id| println!("live {}", id.as_str().unwrap_or("-")));
+            }
+            Ok(())
+        }
+        Snapshot::Verify { archive } => {
+            let all = opened(&archive)?.list().map_err(|e| e.to_string())?;
+            let lines: Vec<_> = all.iter().map(|l| told(l, false)).collect();
+            print(&archive, &lines);
+            let faults = lines.iter().filter_map(|l| l["faults"].as_array());
+            match faults.map(Vec::len).sum::<usize>() {
+                0 => Ok(()),
+                n => Err(format!("{n} faults")),
+            }
+        }
+        Snapshot::Take { archive, config } => {
+            let settings = Settings::load(&config)?;
+            let taken =
+                Archivist::open(settings.state_addr, &archive.dir).and_then(|mut a| a.take());
+            let revision = taken.map_err(|e| e.to_string())?;
+            println!("{}", serde_json::json!({"revision": revision}));
+            Ok(())
+        }
+        Snapshot::Restore {
+            archive,
+            line,
+            node,
+        } => {
+            let listed = chosen(&archive, &line)?;
+            let offers = archivist::offers(&listed)?;
+            let mut new = 0;
+            for offer in &offers {
+                let body = wire::to_json(offer);
+                if body.len() > http::MAX_BODY {
+                    return Err("a job in it is too large for this way: start a controller with --snapshots and this folder".into());
+                }
+                let answer = call(&node, "POST", wire::PATH_OFFER, &body)?;
+                let answer: serde_json::Value =
+                    serde_json::from_str(&answer).map_err(|e| e.to_string())?;
+                new += answer["new_jobs"].as_u64().unwrap_or(0);
+            }
+            println!(
+                "{}",
+                serde_json::json!({"line": listed.name, "new_jobs": new})
+            );
+            Ok(())
+        }
+    }
+}
+
 fn run(cli: Cli) -> Result<(), String> {
     let job = |id: &str, action: &str| format!("{}/{id}{action}", wire::PATH_JOBS);
     match cli.command {
-        Command::Serve { files, log_format } => {
+        Command::Serve {
+            files,
+            log_format,
+            snapshots,
+        } => {
             burlusher::logging::start(log_format, std::env::var("LOG_LEVEL").ok().as_deref())?;
             let (settings, policy) = files.load()?;
-            service::run(settings, policy).map_err(|e| e.to_string())
+            let run = service::run(settings, policy, snapshots.as_deref());
+            run.map_err(|e| e.to_string())
+        }
+        Command::Archive {
+            config,
+            dir,
+            log_format,
+        } => {
+            burlusher::logging::start(log_format, std::env::var("LOG_LEVEL").ok().as_deref())?;
+            let settings = Settings::load(&config)?;
+            let archivist = Archivist::open(settings.state_addr, &dir);
+            archivist
+                .map_err(|e| format!("{}: {e}", dir.display()))?
+                .run()
+        }
+        Command::Snapshot { what } => snapshot(what),
+        Command::Rebuild {
+            what: Rebuild::Settle { node },
+        } => {
+            println!("{}", call(&node, "POST", wire::PATH_SETTLE, b"")?);
+            Ok(())
         }
         Command::Check(files) => {
             let (settings, policy) = files.load()?;
--- a/src/service.rs
+++ b/src/service.rs
@@ -5,6 +5,7 @@
 //! other controllers. The lease and `/ready` never wait behind planning: the lease has a thread
 //! of its own, and `/ready` is a flag.
 
+use crate::archivist::{self, Archivist};
 use crate::cloud::{CloudClient, CloudOutcome, CloudRequest};
 use crate::core::{Ask, Command, Core, Effect, Now, Stand, Ticket, UserRequest, note};
 use crate::http::{self, Answer, Request};
@@ -22,6 +23,7 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::io;
 use std::net::{SocketAddr, SocketAddrV4, TcpListener, TcpStream};
+use std::path::Path;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::mpsc::{Sender, SyncSender, channel, sync_channel};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
@@ -341,7 +343,9 @@
 }
 
 /// Runs the service; returns only if it cannot start.
-pub fn run(settings: Settings, policy: Policy) -> io::Result<()> {
+/// With a folder for snapshots, what the state service holds is kept there, and what was kept is
+/// remembered if it has lost it.
+pub fn run(settings: Settings, policy: Policy, snapshots: Option<&Path>) -> io::Result<()> {
     let settings = Arc::new(settings);
     let public = TcpListener::bind(settings.listen)?;
     let back = TcpListener::bind(settings.peer_listen)?;
@@ -378,7 +382,15 @@
         settings.listen,
         settings.peer_listen
     );
-    let core = Core::new(settings, Arc::new(policy), rand::random(), now());
+    let state_addr = settings.state_addr;
+    let mut core = Core::new(settings, Arc::new(policy), rand::random(), now());
+    if let Some(dir) = snapshots {
+        if let Some((items, revision)) = archivist::remembered(dir)? {
+            core.remember(items, revision);
+        }
+        let mut archivist = Archivist::open(state_addr, dir)?;
+        spawn("archivist", move || archivist.run())?;
+    }
     own(core, &inbox_side, outbox)
 }
 
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -35,7 +35,7 @@
 pub struct OfferBody {
     pub store: String,
     pub last: bool,
-    pub items: Vec<(String, String)>,
+    pub items: Vec<(String, Value)>,
 }
 
 // ---------------------------------------------------------------- users
