--- a/src/core/loss_stories.rs
+++ b/src/core/loss_stories.rs
@@ -290,7 +290,10 @@
     assert_eq!(store.len(), 1);
     w.offer(next, "", &backup);
     w.run(6.0);
-    w.workers.get_mut(&id).unwrap().hung = false;
+    // Unless it was deleted meanwhile, as it does not answer.
+    if let Some(m) = w.workers.get_mut(&id) {
+        m.hung = false;
+    }
     w.run(3.0);
     assert!(w.starts >= starts);
     w.run(60.0);
@@ -354,6 +357,24 @@
     w.until_done("wk-1", 90.0);
 }
 
+/// The leader hears nothing of the state service any more and acts until its word runs out; the others
+/// see the loss much sooner.
+#[test]
+fn the_next_leader_waits_for_the_word_of_one_that_hears_nothing() {
+    let (mut w, leader) = begin(914);
+    w.submit(leader, &long("wk-1"));
+    w.run(2.0);
+    let starts = w.starts;
+    w.lose_state();
+    w.nodes[leader].state = Link::Refused;
+    // `World` fails if two act at the same time.
+    w.until(12.0, "another leader", |w| {
+        w.leader().is_some_and(|n| n != leader)
+    });
+    w.nodes[leader].state = Link::Good;
+    comes_back(&mut w, starts);
+}
+
 /// None of these is a loss: an outage, a lagging watch that has to list again, restarts in turn.
 #[test]
 fn an_outage_a_new_list_and_restarts_are_no_loss() {
--- a/src/core/rebuild.rs
+++ b/src/core/rebuild.rs
@@ -30,6 +30,8 @@
 /// All are asked once more, so long after they were asked first: what was on its way to the lost
 /// store (its calls take 1.5 s at the most) is in their memory then.
 const SECOND_PASS: Duration = Duration::from_secs(2);
+/// Added to twice the lag of the cloud's list.
+const LIST_MARGIN: Duration = Duration::from_millis(200);
 /// Held tasks that one view shows; the rest is counted.
 const MOST_SHOWN: usize = 100;
 
@@ -334,6 +336,14 @@
         new.jobs
     }
 
+    /// Whether starts wait for a list of the cloud that can be asked for now, the last one having been
+    /// asked for too early.
+    pub(super) fn list_is_due(&self, lead: &Lead, asked: Option<Instant>) -> bool {
+        let from = lead.since + self.settings.list_lag * 2 + LIST_MARGIN;
+        let waits = lead.rebuild.as_ref().is_some_and(|r| !r.listed);
+        waits && self.now.mono >= from && asked.is_none_or(|t| t < from)
+    }
+
     /// A list of the cloud was read while a store is rebuilt: whatever it shows may hold tasks.
     pub(super) fn heed_list(
         &mut self,
@@ -344,12 +354,12 @@
         let now = self.now.mono;
         // The list tells of a time at most twice its lag ago, and all that the lost store could have
         // had on record was rented before this leadership began.
-        let lag = self.settings.list_lag * 2 + Duration::from_secs(1);
+        let after = self.settings.list_lag * 2 + LIST_MARGIN;
         let Some(lead) = &mut self.lead else { return };
         let since = lead.since;
         let Some(r) = &mut lead.rebuild else { return };
         let first = !r.listed;
-        r.listed |= sent >= since + lag;
+        r.listed |= sent >= since + after;
         if first {
             r.booting.extend(booting);
             for (id, value) in unknown {
--- a/src/core/renting.rs
+++ b/src/core/renting.rs
@@ -28,7 +28,10 @@
         let pages = 1.0 + lead.market.listed as f64 / PAGE as f64;
         let every = Duration::from_secs_f64(3.0 * pages / self.settings.cloud_rps);
         let every = every.max(Duration::from_secs(if hurry { 2 } else { 6 }));
-        let list = !lead.market.listing && lead.market.list_asked.is_none_or(|t| now >= t + every);
+        let asked = lead.market.list_asked;
+        let awaited = (self.lead.as_ref()).is_some_and(|l| self.list_is_due(l, asked));
+        let Some(lead) = &mut self.lead else { return };
+        let list = !lead.market.listing && (awaited || asked.is_none_or(|t| now >= t + every));
         if list && self.cloud_budget.try_take(now) {
             let Some(lead) = &mut self.lead else { return };
             lead.market.listing = true;
