--- a/src/main.rs
+++ b/src/main.rs
@@ -241,6 +241,7 @@
         let age = l["newest_ms"].as_u64().map_or("-".into(), |t| {
             format!("{:.1}", now.saturating_sub(t) as f64 / 1000.0)
         });
+        let number = |name: &str| l[name].as_u64().map_or("-".into(), |n| n.to_string());
         let faults = l["faults"].as_array().map_or(0, Vec::len);
         let faults = if faults == 0 {
             "none".into()
@@ -250,11 +251,11 @@
         out.push_str(&format!(
             "{:<26} {:>10} {:>8} {:>8} {:>8} {:>9}  {age}, {faults}\n",
             l["line"].as_str().unwrap_or("-"),
-            l["revision"],
-            l["jobs_live"],
-            l["jobs_ended"],
-            l["machines"],
-            l["bytes"],
+            number("revision"),
+            number("jobs_live"),
+            number("jobs_ended"),
+            number("machines"),
+            number("bytes"),
         ));
     }
     out
