Losses: what was written twice is one piece of code

Need: on reading the change again, the span after which a worker's lease has run out, the condition on the store's identity, a put without a lease, the making of a loss, whether a stored job is over, the key that nobody writes, the stand-ins' way to start the program, and parts of stories stood in two or more places each.

Change: losses::run_out, keys::named, keys::NOTHING, Change::put, Core::loss, is_over (which no longer copies the value), being_rebuilt, not_the_leader, Controllers::spawn, World::whole, all_begin_anew, led. A log that is missing and one that is read end in one return. One thing behaves otherwise: when a controller begins anew in the midst of handing over its memory, the second pass asks it from the beginning, and not from where the first had come.

--- a/crates/snapshot/src/line.rs
+++ b/crates/snapshot/src/line.rs
@@ -371,26 +371,18 @@
         let mut newest_ms = head.at_ms;
         let (mut changes, mut bytes) = (0, base_bytes);
         let mut log = match Reader::open(dir, key, file_name(number, "log")) {
-            Ok(log) => log,
+            Ok(log) => Some(log),
             Err(e) if e.kind() == io::ErrorKind::NotFound => {
-                let found = Found {
+                faults.push(Found {
                     file: file_name(number, "log"),
                     at: 0,
                     fault: Fault::Torn,
-                };
-                faults.push(found);
-                return Ok(Ok(Line {
-                    head,
-                    image,
-                    newest_ms,
-                    changes,
-                    bytes,
-                    faults,
-                }));
+                });
+                None
             }
             Err(e) => return Err(e),
         };
-        loop {
+        while let Some(log) = &mut log {
             let raw = match log.next()? {
                 Ok(Some((Kind::Changes, raw))) => raw,
                 Ok(None) => break,
@@ -416,7 +408,7 @@
             newest_ms = newest_ms.max(at_ms);
             image.apply(some, revision);
         }
-        bytes += log.at;
+        bytes += log.map_or(0, |l| l.at);
         return Ok(Ok(Line {
             head,
             image,
--- a/crates/standin/src/cluster.rs
+++ b/crates/standin/src/cluster.rs
@@ -51,62 +51,49 @@
 }
 
 impl Controllers {
+    fn file(&self, name: &str) -> String {
+        self.dir.join(name).display().to_string()
+    }
+
     fn start(&self, number: usize) -> Result<(), String> {
-        let file = |what: &str| self.dir.join(format!("controller-{number}.{what}"));
-        let log = File::options()
-            .create(true)
-            .append(true)
-            .open(file("log"))
-            .map_err(|e| format!("{}: {e}", file("log").display()))?;
-        let child = Command::new(&self.program)
-            .arg("serve")
-            .arg("--policy")
-            .arg(self.dir.join("policy"))
-            .arg("--config")
-            .arg(file("json"))
-            .stdin(Stdio::null())
-            .stdout(Stdio::null())
-            .stderr(log)
-            .spawn()
-            .map_err(|e| format!("{}: {e}", self.program.display()))?;
+        let (policy, config) = (
+            self.file("policy"),
+            self.file(&format!("controller-{number}.json")),
+        );
+        let args = ["serve", "--policy", &policy, "--config", &config];
+        let child = self.spawn(&format!("controller-{number}.log"), &args)?;
         self.children.lock().expect("no panic holds it")[number] = Some(child);
         Ok(())
     }
 
-    fn command(&self, log: &str, args: &[&str]) -> Result<Command, String> {
+    /// The program with these arguments, its log added to a file.
+    fn spawn(&self, log: &str, args: &[&str]) -> Result<Child, String> {
         let log = self.dir.join(log);
         let open = File::options().create(true).append(true).open(&log);
         let log = open.map_err(|e| format!("{}: {e}", log.display()))?;
-        let mut command = Command::new(&self.program);
-        command
+        Command::new(&self.program)
             .args(args)
-            .current_dir(&self.dir)
             .stdin(Stdio::null())
             .stdout(Stdio::null())
-            .stderr(log);
-        Ok(command)
+            .stderr(log)
+            .spawn()
+            .map_err(|e| format!("{}: {e}", self.program.display()))
     }
 
     fn start_archivist(&self) -> Result<(), String> {
-        let args = [
-            "archive",
-            "--config",
-            "controller-0.json",
-            "--dir",
-            "archive",
-        ];
-        let child = self.command("archivist.log", &args)?.spawn();
-        let child = child.map_err(|e| format!("{}: {e}", self.program.display()))?;
+        let (config, dir) = (self.file("controller-0.json"), self.file("archive"));
+        let args = ["archive", "--config", &config, "--dir", &dir];
+        let child = self.spawn("archivist.log", &args)?;
         *self.archivist.lock().expect("no panic holds it") = Some(child);
         Ok(())
     }
 
     /// Says whether it was taken.
     fn restore(&self, node: SocketAddrV4) -> Result<bool, String> {
-        let node = node.to_string();
-        let args = ["snapshot", "restore", "--dir", "archive", "--node", &node];
-        let status = self.command("restore.log", &args)?.status();
-        status.map(|s| s.success()).map_err(|e| e.to_string())
+        let (dir, node) = (self.file("archive"), node.to_string());
+        let args = ["snapshot", "restore", "--dir", &dir, "--node", &node];
+        let ended = self.spawn("restore.log", &args)?.wait();
+        ended.map(|s| s.success()).map_err(|e| e.to_string())
     }
 
     fn kill(&self, number: usize) {
--- a/src/core/barrier.rs
+++ b/src/core/barrier.rs
@@ -11,8 +11,6 @@
 use crate::state::{StateOutcome, StateRequest};
 use std::time::{Duration, Instant};
 
-/// A key that nobody writes: its absence comes with the revision.
-const NOTHING: &str = "nothing";
 /// The watch brings changes within some ten milliseconds; a user waits 2 s for a poll.
 const PATIENCE: Duration = Duration::from_millis(1500);
 
@@ -39,7 +37,7 @@
     pub(super) fn send_barrier(&mut self) {
         let new = std::mem::take(&mut self.barriers.new);
         if !new.is_empty() {
-            let key = super::keys::key(NOTHING);
+            let key = super::keys::key(super::keys::NOTHING);
             self.ask_state(Pending::Barrier(new), StateRequest::Get(key));
         }
     }
--- a/src/core/custody.rs
+++ b/src/core/custody.rs
@@ -11,7 +11,7 @@
 //! nobody leads it before the word of any earlier leader has run out: that one's last renewal came
 //! before the loss, and the loss before it was noticed.
 
-use super::keys::{REBUILDING, identity_key, key};
+use super::keys::{NOTHING, REBUILDING, identity_key, key, named};
 use super::leadership::{LEASE_TTL, json};
 use super::machine::EPOCH_BITS;
 use super::mirror::{IdentityValue, RebuildingValue};
@@ -39,8 +39,6 @@
 const AFRESH_EVERY: Duration = Duration::from_secs(1);
 /// Between two questions to a controller of what it knows of an empty store.
 const WORD_EVERY: Duration = Duration::from_millis(200);
-/// A key that nobody writes: its absence comes with the revision.
-const NOTHING: &str = "nothing";
 
 /// A loss of data that this process has noticed, until the store is named anew.
 #[derive(Clone, Debug)]
@@ -178,19 +176,15 @@
                 if before.is_some() {
                     c.of = before;
                 }
-                let named = self.mirror.identity.as_ref().map(|(id, _)| id.clone());
-                let marked = self.mirror.rebuilding.is_some();
                 // Others may have noticed before, and have begun anew.
-                let begun = marked && named.as_ref().is_some_and(|n| !c.names.contains(n));
-                c.lost = (!begun).then_some(Loss {
-                    since: now,
-                    wall: self.now.wall,
-                    why,
-                    named,
-                    marked,
-                });
-                if c.lost.is_some() {
+                let loss = self.loss(why);
+                let known = |name| self.custody.names.contains(name);
+                let begun = loss.marked && loss.named.as_ref().is_some_and(|n| !known(n));
+                if !begun {
+                    self.custody.lost = Some(loss);
                     self.mirror.expect_name();
+                } else {
+                    self.custody.lost = None;
                 }
                 tracing::error!(
                     "remembered here: {} live jobs, {} ended, {} machines, term {}; {} jobs are not in the store any more",
@@ -211,6 +205,16 @@
         }
     }
 
+    fn loss(&self, why: String) -> Loss {
+        Loss {
+            since: self.now.mono,
+            wall: self.now.wall,
+            why,
+            named: self.mirror.identity.as_ref().map(|(id, _)| id.clone()),
+            marked: self.mirror.rebuilding.is_some(),
+        }
+    }
+
     /// Neither an identity nor a term: a new store, or one that has lost both.
     fn nameless(&self) -> bool {
         self.mirror.loaded && self.mirror.identity.is_none() && self.mirror.term_version == 0
@@ -219,17 +223,14 @@
     /// The store has been read, and may have a new name.
     pub(super) fn heed_name(&mut self) {
         // Somebody noticed a loss that this process may have as well.
-        if self.mirror.rebuilding.is_some()
-            && !self.custody.seen_mark
-            && self.custody.lost.is_none()
-        {
+        let marked = self.mirror.rebuilding.is_some();
+        if marked && !self.custody.seen_mark && self.custody.lost.is_none() {
             self.doubt("it is marked as incomplete");
         }
-        self.custody.seen_mark = self.mirror.rebuilding.is_some();
+        self.custody.seen_mark = marked;
         if self.mirror.renamed {
             self.doubt("it has been given another identity");
         }
-        let marked = self.mirror.rebuilding.is_some();
         if let (Some((name, _)), Some(loss)) = (&self.mirror.identity, &mut self.custody.lost) {
             let same = Some(name) == loss.named.as_ref();
             let begun = !same && !self.custody.names.contains(name);
@@ -328,13 +329,7 @@
         self.custody.losses += 1;
         let mark = self.mirror.rebuilding.as_ref();
         self.custody.of = mark.and_then(|(m, _)| m.of.clone());
-        self.custody.lost = Some(Loss {
-            since: self.now.mono,
-            wall: self.now.wall,
-            why,
-            named: self.mirror.identity.as_ref().map(|(id, _)| id.clone()),
-            marked: self.mirror.rebuilding.is_some(),
-        });
+        self.custody.lost = Some(self.loss(why));
         self.custody.oldest_token = None;
         self.mirror.expect_name();
     }
@@ -392,18 +387,13 @@
         if known.is_some() && self.custody.lost.is_none() {
             return Vec::new();
         }
-        let put = |key: String, value| Change::Put {
-            key,
-            value,
-            lease: None,
-        };
         let id = format!("{:016x}{:x}", self.nonce, self.next_call);
         let value = IdentityValue {
             format: FORMAT,
             of: self.custody.lost.as_ref().and(self.custody.of.clone()),
             first: (self.nameless() && self.custody.lost.is_none()).then_some(self.next_term()),
         };
-        let mut out = vec![put(identity_key(&id), json(&value))];
+        let mut out = vec![Change::put(identity_key(&id), json(&value))];
         if let Some((old, _)) = known {
             let key = identity_key(old);
             out.push(Change::Delete { key });
@@ -503,19 +493,18 @@
         let now = self.now.mono;
         let led = self.mirror.leader.is_some() && self.lead.is_none();
         let waited = |loss: &Loss| now >= loss.since + LEASE_TTL;
-        let (Some(loss), Some((name, version))) = (&self.custody.lost, &self.mirror.identity)
-        else {
+        let (Some(loss), Some(name)) = (&self.custody.lost, &self.mirror.identity) else {
             return;
         };
         let under_way = self.pending.values().any(|p| matches!(p, Pending::Mark));
         if !led || !waited(loss) || self.mirror.rebuilding.is_some() || under_way {
             return;
         }
-        let condition = |key: String, version| Condition { key, version };
-        let conditions = vec![
-            condition(identity_key(name), *version),
-            condition(key(REBUILDING), 0),
-        ];
+        let unmarked = Condition {
+            key: key(REBUILDING),
+            version: 0,
+        };
+        let conditions = vec![named(name), unmarked];
         let changes = vec![self.mark_of(loss)];
         let txn = Txn {
             conditions,
@@ -531,11 +520,7 @@
             since_ms: since.unwrap_or_default().as_millis() as u64,
             why: loss.why.clone(),
         };
-        Change::Put {
-            key: key(REBUILDING),
-            value: json(&value),
-            lease: None,
-        }
+        Change::put(key(REBUILDING), json(&value))
     }
 
     /// What the watch tells may have a gap that no revision shows, after a small loss that other
--- a/src/core/histories.rs
+++ b/src/core/histories.rs
@@ -195,11 +195,7 @@
             }
         }
     }
-    w.until(90.0, "the store is whole", |w| {
-        let marked = !w.stored("burlusher/rebuilding").is_empty();
-        let leader = w.leader().map(|n| &w.nodes[n].core);
-        !marked && leader.is_some_and(|c| !c.incomplete())
-    });
+    w.until(90.0, "the store is whole", World::whole);
     // Replicas of a job whose acceptance nobody heard of would hold their team's limit for ever.
     for id in &services {
         if w.show(1, id).1.is_some() {
--- a/src/core/jobs.rs
+++ b/src/core/jobs.rs
@@ -60,6 +60,10 @@
     }
 }
 
+fn being_rebuilt() -> Answer {
+    Answer::busy("the state service has lost data and is being rebuilt", 1)
+}
+
 impl Core {
     fn final_answer(&self, id: &str) -> Option<Answer> {
         let end = self.mirror.end_of(id)?;
@@ -357,8 +361,7 @@
     ) {
         // It may be over, and somebody remember that: accepted anew, it would be said to wait.
         if self.unsaid() {
-            let answer = Answer::busy("the state service has lost data and is being rebuilt", 1);
-            return self.answer(ticket, answer);
+            return self.answer(ticket, being_rebuilt());
         }
         let judged = self.judge(&spec).and_then(|()| self.judge_awaits(&spec));
         if let Err(answer) = judged {
@@ -595,14 +598,12 @@
             ReadPurpose::Show(t) | ReadPurpose::Cancel(t) | ReadPurpose::Reject(t, _) => *t,
         };
         match outcome {
-            StateOutcome::Missing { .. }
-                if self.mirror.jobs.contains_key(id.as_str()) && !self.incomplete() =>
-            {
-                self.doubt("it has forgotten a job");
-                let answer = Answer::busy("the state service may have lost data", 1);
-                self.answer(ticket, answer);
-            }
             StateOutcome::Missing { .. } if self.mirror.jobs.contains_key(id.as_str()) => {
+                if !self.incomplete() {
+                    self.doubt("it has forgotten a job");
+                    let answer = Answer::busy("the state service may have lost data", 1);
+                    return self.answer(ticket, answer);
+                }
                 // Remembered, and not written back yet.
                 match purpose {
                     ReadPurpose::Cancel(_) if self.acting() => self.cancel(ticket, &id),
@@ -662,9 +663,7 @@
         let known = self.final_answer(id).or_else(|| self.live_answer(id));
         let answer = known.unwrap_or_else(|| match self.mirror.jobs.get(id) {
             None => Answer::busy("the state cannot be read now", 1),
-            Some(_) if self.unsaid() => {
-                Answer::busy("the state service has lost data and is being rebuilt", 1)
-            }
+            Some(_) if self.unsaid() => being_rebuilt(),
             Some(job) => {
                 let done = job.done.len();
                 let state = if done > 0 {
@@ -681,8 +680,7 @@
     /// Cancels a live job. Its end is durable before anybody is told.
     fn cancel(&mut self, ticket: Ticket, id: &str) {
         if self.unsaid() {
-            let answer = Answer::busy("the state service has lost data and is being rebuilt", 1);
-            return self.answer(ticket, answer);
+            return self.answer(ticket, being_rebuilt());
         }
         let Some(lead) = &mut self.lead else { return };
         let Some(run) = lead.runs.get_mut(id) else {
--- a/src/core/lead.rs
+++ b/src/core/lead.rs
@@ -3,7 +3,7 @@
 
 use super::CallId;
 use super::expectation::Bidding;
-use super::keys::{Stem, identity_key};
+use super::keys::{Stem, named};
 use super::machine::{Machine, Machines};
 use super::rebuild::Rebuild;
 use super::records::Records;
@@ -105,11 +105,7 @@
 impl Lead {
     /// That the store is still the one it was.
     pub(super) fn named(&self) -> Option<Condition> {
-        let (id, version) = self.identity.as_ref()?;
-        Some(Condition {
-            key: identity_key(id),
-            version: *version,
-        })
+        self.identity.as_ref().map(named)
     }
 
     /// Whether a machine may be given tasks now.
--- a/src/core/leadership.rs
+++ b/src/core/leadership.rs
@@ -4,7 +4,7 @@
 //! a persistent term, which the workers see as the upper part of their token.
 
 use super::keys::{
-    LEADER, REBUILDING, TERM, TYPES, done_key, identity_key, job_key, key, part_key,
+    LEADER, REBUILDING, TERM, TYPES, done_key, identity_key, job_key, key, named, part_key,
 };
 use super::lead::{Lead, Lease, Sent, WriteOp, Writes};
 use super::machine::Machines;
@@ -271,8 +271,7 @@
             condition(key(LEADER), 0),
             condition(key(TERM), self.mirror.term_version),
         ];
-        let name = self.mirror.identity.as_ref();
-        conditions.extend(name.map(|(id, version)| condition(identity_key(id), *version)));
+        conditions.extend(self.mirror.identity.as_ref().map(named));
         let term = self.next_term();
         let mut changes = vec![
             put(key(LEADER), json(&value), Some(lease.id)),
--- a/src/core/loss_stories.rs
+++ b/src/core/loss_stories.rs
@@ -29,15 +29,23 @@
     job(id, 4, 2.0, 60)
 }
 
-fn whole(w: &World) -> bool {
-    let marked = !w.stored("burlusher/rebuilding").is_empty();
-    let leader = w.leader().map(|n| &w.nodes[n].core);
-    !marked && leader.is_some_and(|c| !c.incomplete())
+/// All controllers begin anew in an empty store, and find out by the workers' tokens that it was not
+/// always so; says who leads then.
+fn all_begin_anew(w: &mut World) -> usize {
+    for n in 0..3 {
+        w.kill(n, Duration::from_secs(1));
+    }
+    w.lose_state();
+    w.until(15.0, "a leader again", |w| {
+        w.leader().is_some() && !w.stored("burlusher/rebuilding").is_empty()
+    });
+    w.run(8.0);
+    w.leader().unwrap()
 }
 
 /// Once whole, the store has every job, and nothing of it was started a second time.
 fn comes_back(w: &mut World, starts: u32) {
-    w.until(60.0, "the store is whole", whole);
+    w.until(60.0, "the store is whole", World::whole);
     assert_eq!(w.starts, starts, "needless restarts");
 }
 
@@ -127,7 +135,7 @@
     w.lose_state();
     w.nodes[leader].state = Link::Good;
     w.run(6.0);
-    w.until(60.0, "the store is whole", whole);
+    w.until(60.0, "the store is whole", World::whole);
     // The held write ends the job: its user was not told so.
     let held = w.held_txns.len();
     assert!(held > 0);
@@ -180,7 +188,7 @@
     // An operator who knows that it will not come back says so.
     assert_eq!(w.settle((other + 1) % 3), 409, "only the leader can");
     assert_eq!(w.settle(other), 200);
-    w.until(20.0, "the store is whole", whole);
+    w.until(20.0, "the store is whole", World::whole);
     assert_eq!(w.show(other, "wk-999").0, 404);
 }
 
@@ -204,15 +212,7 @@
         .next()
         .unwrap()
         .to_string();
-    for n in 0..3 {
-        w.kill(n, Duration::from_secs(1));
-    }
-    w.lose_state();
-    w.until(15.0, "a leader again", |w| {
-        w.leader().is_some() && !w.stored("burlusher/rebuilding").is_empty()
-    });
-    w.run(8.0);
-    let leader = w.leader().unwrap();
+    let leader = all_begin_anew(&mut w);
     assert_eq!(w.show(leader, "wk-1").0, 503);
     assert_eq!(w.show((leader + 1) % 3, "wk-2").0, 503);
     let view = w.status(leader);
@@ -237,7 +237,7 @@
     assert_eq!(w.offer(leader, &store, &backup), 200);
     w.run(3.0);
     assert_eq!(w.show(leader, "wk-2"), (200, Some(JobState::Done)));
-    w.until(30.0, "the store is whole", whole);
+    w.until(30.0, "the store is whole", World::whole);
     w.until_done("wk-1", 90.0);
     assert_eq!(w.starts, starts + 2, "nothing of them was started again");
     assert_eq!(w.show(leader, "wk-999").0, 404);
@@ -249,19 +249,11 @@
     let (mut w, leader) = begin(907);
     w.submit(leader, &long("wk-1"));
     w.run(2.5);
-    for n in 0..3 {
-        w.kill(n, Duration::from_secs(1));
-    }
-    w.lose_state();
-    w.until(15.0, "a leader again", |w| {
-        w.leader().is_some() && !w.stored("burlusher/rebuilding").is_empty()
-    });
-    w.run(8.0);
-    let leader = w.leader().unwrap();
+    let leader = all_begin_anew(&mut w);
     assert_eq!(w.places("wk-1").len(), 4);
     assert_eq!(w.settle(leader), 200);
     w.until(20.0, "they are gone", |w| w.places("wk-1").is_empty());
-    w.until(30.0, "the store is whole", whole);
+    w.until(30.0, "the store is whole", World::whole);
 }
 
 /// A machine recorded just before the loss, by a leader that is gone, is on nobody's record; it has
@@ -403,7 +395,7 @@
     w.run(1.0);
     w.restore(&backup);
     w.until(20.0, "a leader again", |w| w.leader().is_some());
-    w.until(60.0, "the store is whole", whole);
+    w.until(60.0, "the store is whole", World::whole);
 }
 
 /// Two controllers begin anew in the empty store, reach nobody who remembers, and take it for new. The
@@ -428,7 +420,7 @@
     w.nodes[third].lags = false;
     w.nodes[third].peers = true;
     w.run(6.0);
-    w.until(60.0, "the store is whole", whole);
+    w.until(60.0, "the store is whole", World::whole);
     assert_eq!(w.stored("burlusher/j/").len(), 1);
     assert_eq!(w.show(leader, "wk-1").0, 200);
 }
--- a/src/core/losses.rs
+++ b/src/core/losses.rs
@@ -13,13 +13,19 @@
 /// than a moment's silence.
 const DEAF_MARGIN: Duration = Duration::from_millis(1000);
 /// Added to a worker's lease before its tasks count as gone: for drift, and for slow timers.
-pub(super) const LEASE_MARGIN: Duration = Duration::from_millis(1500);
+const LEASE_MARGIN: Duration = Duration::from_millis(1500);
 
 /// So many machines are hardly ever all silent for this long: with reports spread over their
 /// interval, one in 400 times.
 fn hush(report: Duration, machines: u32) -> Duration {
     (report * 6 / machines.max(1)).min(report * 2)
 }
+
+/// From when a worker was last answered until its lease has run out for certain.
+pub(super) fn run_out(lease: Duration) -> Duration {
+    lease + lease / 500 + LEASE_MARGIN
+}
+
 impl Core {
     /// Losses, notices and the cloud's list.
     pub(super) fn tend_machines(&mut self) {
@@ -35,7 +41,7 @@
         self.tend_delegates();
         let Some(lead) = &mut self.lead else { return };
         let report = self.settings.report;
-        let run_out = self.settings.lease + self.settings.lease / 500 + LEASE_MARGIN;
+        let run_out = run_out(self.settings.lease);
         let fresh =
             |m: &Machine| m.session > 0 && now.saturating_duration_since(m.seen) < report * 2;
         let mut zones: BTreeMap<&str, (u32, u32, Instant)> = BTreeMap::new();
--- a/src/core/mirror.rs
+++ b/src/core/mirror.rs
@@ -86,6 +86,11 @@
     },
 }
 
+/// Whether a job's stored form says how it ended; only that of one that is over has an end.
+fn is_over(value: &serde_json::Value) -> bool {
+    Final::deserialize(&value["end"]).is_ok()
+}
+
 impl JobValue {
     pub fn live(spec: Box<JobSpec>, submitted_ms: u64) -> JobValue {
         if spec.awaits.is_empty() {
@@ -348,12 +353,8 @@
             return Some(format!("it has forgotten job {id}"));
         }
         let ahead = |id: &JobId| self.ahead.get(id).copied().unwrap_or(0);
-        let over = |i: &Item| {
-            let value = serde_json::from_value(i.value.clone());
-            matches!(value, Ok(JobValue::Over { .. }))
-        };
         let undone = |id: &&JobId| {
-            !newer(id, ahead(id)) && find(&job_key(id)).is_none_or(|item| !over(item))
+            !newer(id, ahead(id)) && find(&job_key(id)).is_none_or(|item| !is_over(&item.value))
         };
         let undone = self.finished.keys().find(undone)?;
         Some(format!("it has forgotten how job {undone} ended"))
@@ -369,11 +370,10 @@
             if !self.knows(&id) {
                 return Some(format!("it has job {id}, of which the watch has not told"));
             }
-            let over = matches!(
-                serde_json::from_value(i.value.clone()),
-                Ok(JobValue::Over { .. })
-            );
-            if !over && self.finished.contains_key(&id) && !self.ahead.contains_key(&id) {
+            if !is_over(&i.value)
+                && self.finished.contains_key(&id)
+                && !self.ahead.contains_key(&id)
+            {
                 return Some(format!("it has forgotten how job {id} ended"));
             }
         }
@@ -390,13 +390,9 @@
     /// The store has lost data: what is remembered stays, what is stored joins it, and what of the
     /// first is not among the second is owed to the store. Versions begin anew.
     pub fn rejoin(&mut self, items: Vec<Item>, revision: u64) {
-        let over = |v: &serde_json::Value| {
-            let value = serde_json::from_value(v.clone());
-            matches!(value, Ok(JobValue::Over { .. }))
-        };
         let prefix = stored_key("j/");
         let stored: BTreeMap<JobId, bool> = (items.iter())
-            .filter_map(|i| Some((JobId::from(i.key.strip_prefix(&prefix)?), over(&i.value))))
+            .filter_map(|i| Some((JobId::from(i.key.strip_prefix(&prefix)?), is_over(&i.value))))
             .collect();
         for job in self.jobs.values_mut() {
             // Older than whatever leads from now on: its tasks may be anywhere.
--- a/src/core/rebuild.rs
+++ b/src/core/rebuild.rs
@@ -12,8 +12,10 @@
 //! - *The end.* The mark is taken off when all is written back, all controllers were asked twice, and
 //!   nothing is held; or when an operator settles it.
 
+use super::keys::{job_key, part_key};
 use super::lead::{Lead, WriteOp};
 use super::leadership::json;
+use super::losses::run_out;
 use super::machine::{Machine, StopReason};
 use super::mirror::{JobValue, MachineValue};
 use super::parts::{self, PartValue};
@@ -169,8 +171,7 @@
 
     /// Until the workers' leases have run out, a machine unknown to everybody may hold tasks.
     fn leases_run_out(&self, lead: &Lead) -> bool {
-        let run_out = self.settings.lease + self.settings.lease / 500 + super::losses::LEASE_MARGIN;
-        self.now.mono > lead.since + run_out
+        self.now.mono > lead.since + run_out(self.settings.lease)
     }
 
     /// Whether the leader may speak of what is not final.
@@ -274,13 +275,9 @@
         let last = told.items.last().map(|(k, _)| k.clone());
         match last.filter(|_| told.more) {
             Some(key) => m.after = key,
-            None if told.loaded || !told.items.is_empty() => {
-                m.after = String::new();
-                m.passes += 1;
-                m.first.get_or_insert(now);
-            }
-            // It has just begun, and remembers nothing.
+            // Also of one that has just begun, and remembers nothing.
             None => {
+                m.after.clear();
                 m.passes += 1;
                 m.first.get_or_insert(now);
             }
@@ -437,11 +434,6 @@
     /// The changes that bring one owed job back: its key, or the next parts of a large one.
     pub(super) fn owed_changes(&self, id: &JobId, most: usize) -> Option<(Vec<Change>, WriteOp)> {
         let value = self.mirror.job_value(id)?;
-        let put = |key, value| Change::Put {
-            key,
-            value,
-            lease: None,
-        };
         let bytes = self.settings.value_bytes / 16 * 15;
         let size = to_json(&value).len();
         let owed = WriteOp::Owed(id.clone());
@@ -451,10 +443,10 @@
             submitted_ms,
         }) = &value
         else {
-            return Some((vec![put(super::keys::job_key(id), json(&value))], owed));
+            return Some((vec![Change::put(job_key(id), json(&value))], owed));
         };
         if size <= bytes {
-            return Some((vec![put(super::keys::job_key(id), json(&value))], owed));
+            return Some((vec![Change::put(job_key(id), json(&value))], owed));
         }
         let text = String::from_utf8(to_json(spec)).unwrap_or_default();
         let texts = parts::cut(&text, bytes);
@@ -465,8 +457,8 @@
         if from < texts.len() {
             let next = texts.iter().enumerate().skip(from).take(most.max(1));
             let part = |(n, text): (usize, &String)| {
-                let key = super::keys::part_key(id, stem, n as u32);
-                put(key, json(&PartValue { text: text.clone() }))
+                let key = part_key(id, stem, n as u32);
+                Change::put(key, json(&PartValue { text: text.clone() }))
             };
             let changes: Vec<Change> = next.map(part).collect();
             let upto = from + changes.len();
@@ -477,7 +469,13 @@
             stem,
             submitted_ms: *submitted_ms,
         };
-        Some((vec![put(super::keys::job_key(id), json(&value))], owed))
+        Some((vec![Change::put(job_key(id), json(&value))], owed))
+    }
+
+    /// For operators' words, which only the leader can follow.
+    fn not_the_leader(&self) -> Answer {
+        let leader = self.leader_name().unwrap_or("nobody");
+        Answer::error(409, &format!("not the leader; that is {leader}"))
     }
 
     /// An operator takes the store as it is: what nobody remembers is stopped, and unknown from now
@@ -485,9 +483,7 @@
     pub(super) fn settle(&mut self, ticket: Ticket) {
         let now = self.now.mono;
         if !self.acting() {
-            let leader = self.leader_name().unwrap_or("nobody").to_string();
-            let text = format!("not the leader; that is {leader}");
-            return self.answer(ticket, Answer::error(409, &text));
+            return self.answer(ticket, self.not_the_leader());
         }
         let Some(lead) = &mut self.lead else { return };
         let Some(r) = &mut lead.rebuild else {
@@ -530,9 +526,7 @@
         items: Vec<(String, serde_json::Value)>,
     ) {
         if !self.acting() {
-            let leader = self.leader_name().unwrap_or("nobody").to_string();
-            let text = format!("not the leader; that is {leader}");
-            return self.answer(ticket, Answer::error(409, &text));
+            return self.answer(ticket, self.not_the_leader());
         }
         let rebuild = self.lead.as_ref().and_then(|l| l.rebuild.as_ref());
         let Some(r) = rebuild else {
--- a/src/core/scale.rs
+++ b/src/core/scale.rs
@@ -27,10 +27,9 @@
     spec
 }
 
-/// A leader of so many machines, each with so many tasks, ends together with one machine.
-fn take_over(machines: usize, tasks_each: usize, delegate: bool) -> Row {
-    let text = format!("delegate = {delegate}");
-    let mut w = World::with_policy(7, Policy::with("scale", &text).unwrap());
+/// So many machines, none of which can be rented, and who leads.
+fn led(seed: u64, policy: &str, machines: usize) -> (World, usize) {
+    let mut w = World::with_policy(seed, Policy::with("scale", policy).unwrap());
     w.capacity.clear();
     for n in 0..machines {
         w.add_machine("small", ["a", "b"][n % 2]);
@@ -38,6 +37,13 @@
     w.until(10.0, "a leader", |w| w.leader().is_some());
     w.run(5.0);
     let leader = w.leader().unwrap();
+    (w, leader)
+}
+
+/// A leader of so many machines, each with so many tasks, ends together with one machine.
+fn take_over(machines: usize, tasks_each: usize, delegate: bool) -> Row {
+    let text = format!("delegate = {delegate}");
+    let (mut w, leader) = led(7, &text, machines);
     let in_all = machines * tasks_each;
     for n in 0..in_all.div_ceil(500) {
         let tasks = 500.min(in_all - n * 500) as u32;
@@ -115,14 +121,7 @@
 
 /// So many machines and jobs, and the store loses everything; the leader ends with it, or lives.
 fn lose(machines: usize, jobs: usize, leader_lives: bool, seed: u64) -> [u128; 6] {
-    let mut w = World::with_policy(seed, Policy::with("scale", "delegate = true").unwrap());
-    w.capacity.clear();
-    for n in 0..machines {
-        w.add_machine("small", ["a", "b"][n % 2]);
-    }
-    w.until(10.0, "a leader", |w| w.leader().is_some());
-    w.run(5.0);
-    let leader = w.leader().unwrap();
+    let (mut w, leader) = led(seed, "delegate = true", machines);
     for n in 0..jobs {
         let spec = job(&format!("wk-{n:06}"), 2);
         w.knows(&spec);
--- a/src/core/world.rs
+++ b/src/core/world.rs
@@ -674,6 +674,13 @@
         }
     }
 
+    /// The store has an identity and no mark, and who leads it knows of no loss.
+    pub fn whole(&self) -> bool {
+        let marked = self.state.keys.contains_key("burlusher/rebuilding");
+        let leader = self.leader().map(|n| &self.nodes[n].core);
+        !marked && leader.is_some_and(|c| !c.incomplete())
+    }
+
     /// What the state service holds now, to be restored later.
     pub fn backup(&self) -> Backup {
         Backup(self.state.clone())
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -529,6 +529,15 @@
 }
 
 impl Change {
+    /// A key that is attached to no lease.
+    pub fn put(key: String, value: Value) -> Change {
+        Change::Put {
+            key,
+            value,
+            lease: None,
+        }
+    }
+
     pub fn key(&self) -> &str {
         match self {
             Change::Put { key, .. } | Change::Delete { key } => key,
