--- a/crates/membership/src/grant.rs
+++ b/crates/membership/src/grant.rs
@@ -53,7 +53,10 @@
     /// The first one of a process; the one before it under this name is over, and what it kept is
     /// forgotten.
     Fresh,
-    /// Held up on the way; a newer one has been answered since.
+    /// Held up on the way; a newer one has been answered since. Or of another process under this name
+    /// while one may hold a grant: a process that is back within a moment waits for the grant of its
+    /// former life to run out, and a frame of that life which comes late takes nothing from the one
+    /// that lives.
     Old,
 }
 
@@ -69,6 +72,9 @@
 
     /// Takes in a request's number.
     pub fn request(&mut self, incarnation: u64, number: u64, now: Instant) -> Request {
+        if incarnation != self.incarnation && now < self.until {
+            return Request::Old;
+        }
         if incarnation == self.incarnation {
             if number <= self.number {
                 return Request::Old;
@@ -121,9 +127,13 @@
         assert_eq!(issued.request(1, 6, t + ms(3)), Request::Old);
         assert_eq!(issued.heard, t + ms(2));
         issued.grant(t + ms(900), t + ms(4));
-        assert_eq!(issued.request(2, 1, t + ms(5)), Request::Fresh);
         // What the process before was granted counts until it has run out.
-        issued.grant(t + ms(800), t + ms(6));
-        assert_eq!(issued.until, t + ms(900));
+        assert_eq!(issued.request(2, 1, t + ms(5)), Request::Old);
+        assert_eq!(issued.request(2, 9, t + ms(900)), Request::Fresh);
+        issued.grant(t + ms(2000), t + ms(901));
+        // A frame of the former life: the leader forgot what it had lent to the living one, which
+        // went on to renew leases that the leader saw run out.
+        assert_eq!(issued.request(1, 8, t + ms(950)), Request::Old);
+        assert_eq!(issued.request(2, 10, t + ms(951)), Request::Next);
     }
 }
--- a/src/core/commands.rs
+++ b/src/core/commands.rs
@@ -6,7 +6,7 @@
 //! a report (never executed late), and only while no other command can still arrive.
 
 use super::losses::ASKED_IN_VAIN;
-use super::machine::{Machine, Phase, Placement, StopReason};
+use super::machine::{EPOCH_BITS, Exited, Machine, Phase, Placement, StopReason};
 use super::{Core, Effect, Pending, Ticket};
 use crate::http::Answer;
 use crate::job::{MachineId, TaskKey};
@@ -49,7 +49,8 @@
             });
         }
         if in_answer && m.settled() {
-            for (key, attempt) in &m.exited {
+            for e in m.exited.iter().filter(|e| m.may_clear(e)) {
+                let Exited { key, attempt, .. } = e;
                 // A completed task is kept in the reports until a later leader would know it
                 // without them.
                 let unwritten = lead
@@ -110,6 +111,19 @@
 
     /// What a machine that has reported is told; that it is told is noted.
     pub(super) fn tell(&mut self, id: &MachineId) -> Option<ReportAnswer> {
+        let lead = self.lead.as_ref()?;
+        let Some(m) = lead.machines.get(id) else {
+            // Not taken on before it has shown that it is there.
+            let (token, orders) = (lead.term << EPOCH_BITS, Vec::new());
+            return (!lead.gone.contains(id)).then_some(ReportAnswer { token, orders });
+        };
+        // What is to be cleared has to be out of the reach of the commands that started it.
+        let token = m.token(lead.term);
+        if m.exited.iter().any(|e| e.told_under >= token)
+            && let Some(m) = self.lead.as_mut().and_then(|l| l.machines.get_mut(id))
+        {
+            m.epoch += 1;
+        }
         let lead = self.lead.as_ref()?;
         let m = lead.machines.get(id)?;
         let body = ReportAnswer {
@@ -152,6 +166,7 @@
                 m.session > 0
                     && !m.session_over
                     && m.settled()
+                    && m.unheard.is_none()
                     && now >= m.push_after
                     && now.saturating_duration_since(m.seen) < silent
             })
@@ -185,6 +200,9 @@
                 && let Some(m) = lead.machines.get_mut(&id)
             {
                 m.call = Some(call);
+                if (body.orders.iter()).any(|o| matches!(o, Order::Start { .. })) {
+                    m.told_under = body.token;
+                }
                 lead.calls_out += 1;
             }
             self.out.push(Effect::Direct {
@@ -214,6 +232,14 @@
             return;
         }
         m.call = None;
+        // Asked after we knew more of it than this tells: it has begun anew.
+        let began_anew = match &outcome {
+            DirectOutcome::Report { report, .. } => {
+                let known = m.asked.take_if(|(_, of)| *of == call);
+                known.is_some_and(|(known, _)| (report.session, report.seq) <= known)
+            }
+            _ => false,
+        };
         let answers = matches!(outcome, DirectOutcome::Report { .. });
         m.unanswered = if answers { 0 } else { m.unanswered + 1 };
         if answers {
@@ -233,6 +259,9 @@
                 let zone = m.zone.clone();
                 lead.calls_reach(&zone);
                 if report.machine == id {
+                    if began_anew {
+                        self.begins_anew(&id);
+                    }
                     self.absorb(&id, *report, false);
                 }
             }
--- a/src/core/custody.rs
+++ b/src/core/custody.rs
@@ -409,13 +409,11 @@
         self.mirror.term.max(self.custody.token_term)
     }
 
-    /// The term of the next leadership. Where the store does not tell, it begins with the seconds since
-    /// 2020: leaders follow one another less often, so no term is used again, however much is lost.
+    /// The term of the next leadership: the seconds since 2020, if those before it were less. Leaders follow
+    /// one another less often, so no term is used again, whatever is lost: a controller that has just
+    /// begun, in a store that was rolled back, knows of none that came after what it reads there.
     pub(super) fn next_term(&self) -> u64 {
         let next = self.newest_term() + 1;
-        if self.mirror.term_version > 0 && self.custody.lost.is_none() {
-            return next;
-        }
         let since = (self.now.wall.duration_since(SystemTime::UNIX_EPOCH)).unwrap_or_default();
         next.max(since.as_secs().saturating_sub(EPOCH_S))
             .min(MOST_TERM)
@@ -476,12 +474,22 @@
                 let version = self.mirror.identity.as_ref().map_or(0, |(_, v)| *v);
                 self.ask_state(Pending::LookAtName(version), StateRequest::Get(name));
             }
+            // Where there is no mark, its absence tells the revision. A store rolled back into its
+            // rebuilding shows it again, and no watch tells of that.
             None => {
-                self.ask_state(Pending::LookAtRevision, StateRequest::Get(key(NOTHING)));
+                let unmarked = self.mirror.rebuilding.is_none();
+                let look_at = key(if unmarked { REBUILDING } else { NOTHING });
+                self.ask_state(Pending::LookAtRevision, StateRequest::Get(look_at));
             }
         }
     }
 
+    pub(super) fn looked_at_revision(&mut self, outcome: StateOutcome) {
+        if matches!(outcome, StateOutcome::Found(_)) && self.mirror.rebuilding.is_none() {
+            self.doubt("it is marked as incomplete, and the watch has not told");
+        }
+    }
+
     /// Another controller leads and knows nothing of the loss: it sees by this mark that it has to
     /// rebuild.
     fn mark(&mut self) {
--- a/src/core/delegation.rs
+++ b/src/core/delegation.rs
@@ -15,7 +15,7 @@
 
 use super::commands::MOST_DIRECT;
 use super::lead::{Delegate, Lead, PATIENCE};
-use super::machine::{Machine, WORKER_RETRY};
+use super::machine::WORKER_RETRY;
 use super::{Core, Ticket};
 use crate::http::Answer;
 use crate::job::MachineId;
@@ -96,12 +96,12 @@
         }
     }
 
-    /// Until when a machine's silence says nothing, as the controller that it reported to is not
-    /// heard either: the worker has yet to find out, and to find another one.
-    pub(super) fn excused(&self, m: &Machine, now: Instant) -> Option<Instant> {
-        let d = self.delegates.by_name.get(m.via.as_ref()?)?;
-        let heard = d.issued.heard;
-        (now.saturating_duration_since(heard) > PATIENCE.suspect).then(|| heard + WORKER_RETRY)
+    /// Until when a machine's silence says nothing, as a controller is not heard either that it may
+    /// report to, or was just sent to by another: the worker has yet to find out, and to find the next.
+    pub(super) fn excused(&self, now: Instant) -> Option<Instant> {
+        let heard = self.delegates.by_name.values().map(|d| d.issued.heard);
+        let late = |at: &Instant| now.saturating_duration_since(*at) > PATIENCE.suspect;
+        heard.filter(late).max().map(|at| at + WORKER_RETRY)
     }
 
     /// Machines for another controller to show the token to, so that all controllers that live
--- a/src/core/delegation_stories.rs
+++ b/src/core/delegation_stories.rs
@@ -23,6 +23,7 @@
 
 /// Three controllers with a leader, and so many machines that have reported; none can be rented.
 fn begin(seed: u64, machines: usize) -> (World, usize) {
+    super::world::with_log();
     let mut w = World::with_policy(seed, policy(true));
     w.capacity.clear();
     for i in 0..machines {
--- a/src/core/histories.rs
+++ b/src/core/histories.rs
@@ -238,3 +238,31 @@
         panic!("{e}");
     }
 }
+
+/// Found by these histories: all controllers ended, their store was lost a moment after they were back,
+/// and was then rolled back to what it held while it was being rebuilt.
+#[test]
+fn a_store_rolled_back_into_its_rebuilding_comes_to_be_whole() {
+    super::world::with_log();
+    let event = |trouble, job: bool, then_ms| Event {
+        trouble,
+        job: job.then_some((1, 1.0, 1, Kind::Array)),
+        cancel: None,
+        then_ms,
+    };
+    play(
+        3401632716118953730,
+        &[
+            event(Trouble::Unheard { node: 0, every: 1 }, false, 275),
+            event(Trouble::EndAll, false, 2526),
+            event(Trouble::Lose, false, 50),
+            event(Trouble::Cloud, false, 3225),
+            event(Trouble::State(0, Link::AnswersLost), true, 2875),
+            event(Trouble::Freeze(0), true, 1925),
+            event(Trouble::Freeze(2), false, 3926),
+            event(Trouble::RollBack, false, 2875),
+            event(Trouble::Freeze(0), false, 76),
+            event(Trouble::RollBack, true, 50),
+        ],
+    );
+}
--- a/src/core/jobs.rs
+++ b/src/core/jobs.rs
@@ -245,6 +245,12 @@
     /// Nothing is cancelled here, since the leader would not know it in time.
     fn user_without_leader(&mut self, request: UserRequest) {
         let ticket = request.ticket;
+        // Nobody else is left to ask, and the state service would not be heard either: queued for it,
+        // the request would be answered when its user has long gone.
+        if self.state_is_stale() {
+            let answer = Answer::busy("the state service is not reached", 1);
+            return self.answer(ticket, answer);
+        }
         match request.what {
             Ask::Submit(spec) => self.accept(ticket, spec, request.received, false),
             Ask::Show(id) => self.read_for_question(id, ticket),
--- a/src/core/lead.rs
+++ b/src/core/lead.rs
@@ -108,6 +108,14 @@
         self.identity.as_ref().map(named)
     }
 
+    /// A worker is heard, here or by way of another controller.
+    pub(super) fn heard_one(&mut self, via: Option<&Arc<str>>, now: Instant) {
+        self.last_report = Some(now);
+        if via.is_none() {
+            (self.touched, self.missed) = (now, 0);
+        }
+    }
+
     /// Whether a machine may be given tasks now.
     pub fn takes_tasks(&self, m: &Machine, now: Instant, report: Duration) -> bool {
         m.usable(now, report * 9 / 4) && !m.avoided(now) && !self.unresolved.contains(&m.id)
--- a/src/core/losses.rs
+++ b/src/core/losses.rs
@@ -84,6 +84,7 @@
             back.get(zone)
                 .map_or(Duration::ZERO, |t| now.saturating_duration_since(*t))
         };
+        let excused = lead.excused(now);
         let mut over = Vec::new();
         let mut silent = Vec::new();
         for m in lead.machines.values() {
@@ -97,7 +98,7 @@
             }
             let since = m.seen.max(lead.deaf_until).max(lead.since);
             // Its controller is not heard: the worker has to find another one first.
-            let since = lead.excused(m, now).map_or(since, |t| since.max(t));
+            let since = excused.map_or(since, |t| since.max(t));
             let quiet = now.saturating_duration_since(since);
             let expected = m.session > 0 || lead.unresolved.contains(&m.id);
             let heard = heard_for(&m.zone).min(now.saturating_duration_since(lead.deaf_until));
@@ -107,10 +108,13 @@
             }
             // All old tasks that nobody has shown wait for each machine not heard of, one that
             // died with the old leader, say. Its neighbours answer, and it did not, twice.
-            // One that has reported is not dead, whatever becomes of calls to it; nor are those to which
-            // no call gets through, cut off one way.
+            // One that has reported is not dead, whatever becomes of calls to it, unless its reports
+            // never show what it was answered: they may be copies. Nor are those dead to which no call
+            // gets through, a zone cut off one way.
+            let untold = m.answered_since;
+            let deaf = untold.is_some_and(|t| now > t + report * 5 / 2 + WORKER_RETRY);
             let in_vain = lead.unresolved.contains(&m.id)
-                && m.session == 0
+                && (m.session == 0 || deaf)
                 && m.unanswered >= ASKED_IN_VAIN
                 && lead.answering.contains(&m.zone);
             if in_vain && m.deleting.is_none() && reachable(&m.zone) {
--- a/src/core/machine.rs
+++ b/src/core/machine.rs
@@ -76,6 +76,15 @@
     }
 }
 
+/// A task that ended on a machine and is still in its reports.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Exited {
+    pub key: TaskKey,
+    pub attempt: u64,
+    /// It may have been started by a direct command that came with this token, or with a lower one.
+    pub told_under: u64,
+}
+
 pub struct Machine {
     pub id: MachineId,
     pub addr: String,
@@ -92,7 +101,19 @@
     pub session_over: bool,
     pub tasks: BTreeMap<TaskKey, Placement>,
     /// Exited tasks in its newest report.
-    pub exited: Vec<(TaskKey, u64)>,
+    pub exited: Vec<Exited>,
+    /// The highest token that it has shown.
+    pub shown: u64,
+    /// The token under which it was last told directly to start something.
+    pub told_under: u64,
+    /// It gets no tasks before it has shown this token: its last session ended although it was answered,
+    /// or starts do not come to be, so what it is told may not reach it.
+    pub unheard: Option<u64>,
+    /// It has yet to show this term's token, and since when it has been answered with it.
+    pub answered_since: Option<Instant>,
+    /// Its session and sequence when a call was made to find out whether it has begun anew, and that
+    /// call.
+    pub asked: Option<((u64, u64), u64)>,
     /// It is in the state service and may get tasks.
     pub recorded: bool,
     /// Raised to outdate direct commands that got no answer: the worker refuses them once it has
@@ -259,6 +280,11 @@
             session_over: false,
             tasks: BTreeMap::new(),
             exited: Vec::new(),
+            shown: 0,
+            told_under: 0,
+            unheard: None,
+            answered_since: None,
+            asked: None,
             recorded: false,
             epoch: 0,
             doubt: None,
@@ -300,6 +326,7 @@
             && self.recorded
             && self.doubt.is_none()
             && !self.answered
+            && self.unheard.is_none()
             && self.notice.is_none()
             && report.notice.is_none()
             && self.up_since.is_some()
@@ -314,7 +341,7 @@
         calm && report.rows.iter().all(|row| {
             if row.state == RowState::Exited {
                 let mut exited = self.exited.iter();
-                return exited.any(|(k, a)| *a == row.attempt && is(k, &row.task));
+                return exited.any(|e| e.attempt == row.attempt && is(&e.key, &row.task));
             }
             let mut tasks = self.tasks.iter();
             tasks.any(|(k, t)| {
@@ -332,12 +359,25 @@
             && self.settled()
             && !self.answered
             && !self.push
+            && self.unheard.is_none()
             && self.notice.is_none()
             && self.deleting.is_none()
             && self.exited.is_empty()
             && (self.tasks.values()).all(|t| t.phase != Phase::Unseen && t.stopping.is_none())
     }
 
+    /// What it is told may not reach it: a later token shows that it does.
+    pub(super) fn not_heard_by(&mut self, term: u64) {
+        self.epoch += 1;
+        self.unheard = Some(self.token(term));
+    }
+
+    /// A `clear` of this may go out. After it, a copy of the command that started the task would start
+    /// it anew: so the worker has to have shown a higher token than that came with.
+    pub(super) fn may_clear(&self, exited: &Exited) -> bool {
+        self.shown > exited.told_under
+    }
+
     /// No command that was sent can still arrive.
     pub(super) fn settled(&self) -> bool {
         self.call.is_none() && self.doubt.is_none()
@@ -360,6 +400,7 @@
             && self.deleting.is_none()
             && self.notice.is_none()
             && self.doubt.is_none()
+            && self.unheard.is_none()
             && now.saturating_duration_since(self.seen) < patience
     }
 
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -20,6 +20,8 @@
 //! - `urgency`: what a job owes to those that need it.
 //! - `scheduling`: snapshots for `plan` and `fleet`, and their decisions carried out.
 
+#[cfg(test)]
+mod added_stories;
 mod barrier;
 mod bidding;
 #[cfg(test)]
@@ -571,6 +573,7 @@
             Some(Pending::TakeOver) => self.took_over(outcome),
             Some(Pending::Audit { after, suspicion }) => self.audited(after, suspicion, outcome),
             Some(Pending::LookAtName(version)) => self.looked_at_name(version, outcome),
+            Some(Pending::LookAtRevision) => self.looked_at_revision(outcome),
             Some(Pending::Write) => self.written(call, outcome),
             _ => {}
         }
--- a/src/core/rebuild.rs
+++ b/src/core/rebuild.rs
@@ -141,7 +141,7 @@
             Some(of) => self.custody.whole.contains(of),
             None => self.custody.had_copy,
         };
-        let rebuild = Rebuild {
+        let mut rebuild = Rebuild {
             of: mark.of.clone(),
             why: mark.why.clone(),
             since_ms: mark.since_ms,
@@ -157,6 +157,13 @@
             mark.why,
             self.mirror.owed.len()
         );
+        // A leader that knew of no loss told machines to stop what is of no job: it may be of one all the
+        // same, and must not be started elsewhere before it is gone.
+        for m in lead.machines.values() {
+            for key in m.tasks.keys().filter(|k| !self.mirror.knows(&k.job)) {
+                rebuild.hold(key, &m.id);
+            }
+        }
         lead.rebuild = Some(rebuild);
         // Done rows are written again, whichever of them are stored.
         for (id, job) in self.mirror.jobs.iter().filter(|(_, j)| j.done.len() > 0) {
--- a/src/core/recovery.rs
+++ b/src/core/recovery.rs
@@ -6,6 +6,7 @@
 
 use super::commands::MOST_DIRECT;
 use super::lead::Lead;
+use super::leadership::LEASE_TTL;
 use super::machine::Machine;
 use super::{Core, Effect, Pending};
 use crate::job::MachineId;
@@ -13,6 +14,8 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
+/// Between two questions to a machine of which older reports come.
+const ASK_AGAIN: Duration = Duration::from_secs(2);
 /// So long a new leader waits for other controllers to say which machines they see to.
 const OTHERS_FIRST: Duration = Duration::from_millis(400);
 
@@ -57,8 +60,9 @@
             // Remembered only, if the store has lost data.
             m.recorded = lead.writes.records.known(id);
             // The predecessor stopped answering reports before our key could be created, so the
-            // machine's lease runs from now at the latest.
-            m.lease_from = now;
+            // machine's lease runs from now at the latest; or, if it gave its lease back, from when its
+            // last grant to another controller ran out.
+            m.lease_from = now + LEASE_TTL;
             lead.machines.get_or_add(id, || m);
             lead.unresolved.insert(id.clone());
         }
@@ -105,6 +109,46 @@
         }
     }
 
+    /// A report came that is older than what is known: a copy that comes late, or the machine has begun
+    /// anew and counts from one. Its answer to a question that is asked now tells which.
+    pub(super) fn ask_whether_it_began_anew(&mut self, id: &MachineId) {
+        let now = self.now.mono;
+        let Some(lead) = &mut self.lead else { return };
+        let free = lead.calls_out < MOST_DIRECT;
+        let Some(m) = lead.machines.get_unnoted(id) else {
+            return;
+        };
+        if !free || m.call.is_some() || m.session == 0 || now < m.push_after {
+            return;
+        }
+        m.push_after = now + ASK_AGAIN;
+        // Shown with the question: what was sent to its former life is refused from then on.
+        m.epoch += 1;
+        self.ask_machine(id);
+        if let Some(m) = (self.lead.as_mut()).and_then(|l| l.machines.get_unnoted(id))
+            && let Some(call) = m.call
+        {
+            m.asked = Some(((m.session, m.seq), call));
+        }
+    }
+
+    /// The machine has begun anew, with nothing of what was on it, and counts its reports from one.
+    pub(super) fn begins_anew(&mut self, id: &MachineId) {
+        let Some(lead) = &mut self.lead else { return };
+        let term = lead.term;
+        let Some(m) = lead.machines.get_mut(id) else {
+            return;
+        };
+        tracing::warn!(machine = %id, "machine {id} has begun anew");
+        (m.session, m.seq, m.shown) = (0, 0, 0);
+        (m.doubt, m.answered, m.session_over) = (None, false, false);
+        m.exited.clear();
+        m.images.clear();
+        m.not_heard_by(term);
+        let tasks = m.tasks.keys().cloned().collect();
+        self.lose(id, tasks, "it has begun anew");
+    }
+
     /// Shows a machine the new token and asks what it has.
     fn ask_machine(&mut self, id: &MachineId) {
         let Some(until) = self.leader_until() else {
--- a/src/core/reports.rs
+++ b/src/core/reports.rs
@@ -1,6 +1,6 @@
 //! Reports: what machines say, compared with what is known, and what follows for their tasks.
 
-use super::machine::{EPOCH_BITS, Machine, Phase, Placement, StopReason};
+use super::machine::{EPOCH_BITS, Exited, Machine, Phase, Placement, StopReason};
 use super::mirror::MachineValue;
 use super::{Core, Ticket, note};
 use crate::board::image_tag;
@@ -62,11 +62,8 @@
             // Sent before the machine was deleted, and held up on the way.
             return Err(Answer::busy("this machine is gone", 30));
         }
-        lead.last_report = Some(now);
-        if via.is_none() {
-            (lead.touched, lead.missed) = (now, 0);
-        }
         let term = lead.term;
+        let proven = report.token >= term << EPOCH_BITS;
         if !lead.unresolved.contains(&id)
             && let Some(m) = lead.machines.get_unnoted(&id)
             && m.tells_nothing_new(&report, term)
@@ -74,6 +71,8 @@
             m.seq = report.seq;
             m.seen = now;
             m.lease_from = now;
+            m.shown = m.shown.max(report.token);
+            lead.heard_one(via, now);
             lead.came_by(&id, via);
             if via.is_none()
                 && let Some(to) = lead.move_one(&id)
@@ -82,6 +81,12 @@
             }
             return Ok(id);
         }
+        // A report that tells of a machine on nobody's record may be a copy that comes late, of one that
+        // is long gone. The answer shows the token; the next report proves that it is there. Where the
+        // store has lost data, whatever may be there counts at once.
+        if !proven && lead.rebuild.is_none() && lead.machines.get(&id).is_none() {
+            return Ok(id);
+        }
         lead.machines.get_or_add(&id, || {
             tracing::info!(machine = %id, "machine {id}: unexpected, taken on");
             Machine::new(id.clone(), &report.kind, &report.zone, report.spot, now)
@@ -90,19 +95,37 @@
         // known, and nothing newer is.
         let again = via.is_some()
             && lead.machines.get(&id).is_some_and(|m| {
-                (m.session, m.seq) == (report.session, report.seq) && !m.session_over
+                // By way of anybody else it is a copy.
+                let same = (m.session, m.seq) == (report.session, report.seq);
+                same && m.via.as_ref() == via && !m.session_over
             });
         if !again && !self.absorb(&id, report, true) {
+            self.ask_whether_it_began_anew(&id);
             return Err(Answer::busy("an older report", 1));
         }
+        let lease = self.settings.lease;
         let lead = self.lead.as_mut().ok_or_else(no_leader)?;
+        let unaware = lead.unresolved.contains(&id);
         let m = (lead.machines.get_mut(&id)).ok_or_else(no_leader)?;
+        if unaware && !proven {
+            // Old tasks wait for what it has. If no answer of ours comes to it, its lease runs out from
+            // the last one on: so there is a last one.
+            let since = *m.answered_since.get_or_insert(now);
+            if now > since + lease / 2 {
+                return Err(Answer::busy("this machine does not take its answers", 1));
+            }
+        }
         m.lease_from = now;
         if !m.recorded {
             // Before its first task: a later leader must know every place a task may be.
             let value = MachineValue::from(&*m);
             lead.writes.records.add(&id, value);
         }
+        if proven || !unaware {
+            // What does not show our token may be of any age: it tells what may be there, and not that
+            // a worker is heard.
+            lead.heard_one(via, now);
+        }
         lead.came_by(&id, via);
         Ok(id)
     }
@@ -144,6 +167,10 @@
                 tracing::info!(machine = %id, "machine {id}: session {} begins", report.session);
                 lost = m.tasks.keys().cloned().collect();
             }
+            if m.session > 0 && !lead.unresolved.contains(id) {
+                // Its lease ran out while it was answered: it may not hear what it is told.
+                m.not_heard_by(term);
+            }
             m.session_over = false;
             m.doubt = None;
             m.answered = false;
@@ -164,6 +191,9 @@
         m.session = report.session;
         m.seq = report.seq;
         m.seen = now;
+        // With our term's token seen, whatever the predecessors sent is refused from now on.
+        let knows_us = report.token >= term << EPOCH_BITS;
+        m.shown = m.shown.max(report.token);
         m.addr = report.addr;
         m.spot = report.spot;
         m.notice = report
@@ -173,6 +203,11 @@
         if m.doubt.is_some_and(|token| report.token >= token) {
             m.doubt = None;
         }
+        if m.unheard.is_some_and(|token| report.token >= token) {
+            m.unheard = None;
+        }
+        // Starts in the answer before this report, which was not taken, as it would show them.
+        let untaken = answered && m.answered && m.unanswered > 0;
         if noticed {
             let offer = (m.kind.clone(), m.zone.clone(), m.spot);
             lead.bidding.beliefs.lost(&offer, 1, now);
@@ -180,8 +215,6 @@
         if answered {
             m.answered = false;
         }
-        // With our term's token seen, whatever the predecessors sent is refused from now on.
-        let knows_us = report.token >= term << EPOCH_BITS;
         // A report that answers direct commands may have been made before the worker read our
         // last answer, so what that one started may be yet to come.
         let complete = m.settled() && !m.answered;
@@ -207,7 +240,27 @@
         let Some(m) = lead.machines.get_mut(id) else {
             return false;
         };
-        m.exited = exited;
+        let before = std::mem::take(&mut m.exited);
+        let told_under = m.told_under;
+        let exited = exited.into_iter().map(|(key, attempt)| {
+            let known = before.iter().find(|e| e.key == key && e.attempt == attempt);
+            Exited {
+                told_under: known.map_or(told_under, |e| e.told_under),
+                key,
+                attempt,
+            }
+        });
+        m.exited = exited.collect();
+        let absent = |m: &Machine| {
+            let mut tasks = m.tasks.iter();
+            tasks
+                .any(|(k, t)| t.phase == Phase::Unseen && t.stopping.is_none() && !seen.contains(k))
+        };
+        if untaken && m.unheard.is_none() && absent(m) {
+            tracing::info!(machine = %id, "machine {id}: neither answers nor calls reach it");
+            m.not_heard_by(term);
+        }
+        let unheard = m.unheard.is_some();
         let missing: Vec<TaskKey> = m
             .tasks
             .iter()
@@ -215,17 +268,13 @@
                 !seen.contains(*k)
                     && match t.phase {
                         // It is not there and nothing is left that could start it.
-                        Phase::Unseen => complete && t.stopping.is_some(),
+                        Phase::Unseen => complete && (t.stopping.is_some() || unheard),
                         _ => true,
                     }
             })
             .map(|(k, _)| k.clone())
             .collect();
-        if m.tasks
-            .iter()
-            .any(|(_, t)| t.phase == Phase::Unseen && t.stopping.is_none())
-            && complete
-        {
+        if !unheard && complete && absent(m) {
             m.push = true;
         }
         self.lose(id, missing, "it is not on the machine any more");
--- a/src/core/scheduling.rs
+++ b/src/core/scheduling.rs
@@ -40,6 +40,8 @@
     pub facts: JobFacts,
     /// Its own, or that of a job that needs it.
     rank: Rank,
+    /// It was passed for too long, and comes first with one task.
+    overdue: bool,
     order: f64,
 }
 
@@ -282,6 +284,7 @@
             spot: spec.spot,
             slack: deadline_left.map_or(NO_DEADLINE_S, |d| d - estimate.as_secs_f64()),
             pipeline: urgency.needed || !spec.awaits.is_empty(),
+            begun: job.done.len() > 0 || !run.placed.is_empty(),
         }
     }
 
@@ -311,7 +314,9 @@
             let urgency = lead.urgency_of(id, job);
             let facts = self.facts(job, run, &urgency, estimate, guaranteed.contains(id));
             let order = self.policy.number(Entry::Order, &facts);
+            let overdue = self.policy.truth(Entry::Overdue, &facts);
             line.push(InLine {
+                overdue,
                 rank: urgency.rank,
                 id,
                 job,
@@ -324,7 +329,8 @@
         }
         line.sort_by(|a, b| {
             // A suspect job is never the head for which room is kept.
-            let precedence = |x: &InLine| (x.run.suspect(), !x.facts.guaranteed, x.rank);
+            let precedence =
+                |x: &InLine| (x.run.suspect(), !x.overdue, !x.facts.guaranteed, x.rank);
             precedence(a)
                 .cmp(&precedence(b))
                 .then(a.order.total_cmp(&b.order))
@@ -456,7 +462,7 @@
                 queued: &run.queued,
                 held: &run.held,
                 whole,
-                probe: run.suspect(),
+                probe: run.suspect() || (entry.overdue && job.spec.kind == Kind::Array),
                 estimate: entry.estimate,
                 zones,
                 avoid,
@@ -593,7 +599,9 @@
         for m in lead.machines.values().filter(|m| m.session > 0) {
             let z = zones.entry(&m.zone).or_default();
             z.0 += 1;
-            z.1 += u32::from(now.saturating_duration_since(m.seen) < self.settings.report * 2);
+            // Machines that do not hear what they are told are of no more use than silent ones.
+            let fresh = now.saturating_duration_since(m.seen) < self.settings.report * 2;
+            z.1 += u32::from(fresh && m.unheard.is_none());
         }
         let zones = zones.into_iter();
         let cut: Vec<String> = zones
--- a/src/core/world.rs
+++ b/src/core/world.rs
@@ -136,6 +136,17 @@
         }
     }
 
+    /// The machines that are on record.
+    fn recorded(&self) -> BTreeSet<MachineId> {
+        let pages = self
+            .keys
+            .iter()
+            .filter(|(k, _)| k.starts_with("burlusher/p/"));
+        let ids = pages.filter_map(|(_, e)| e.value.get("machines")?.as_object());
+        ids.flat_map(|m| m.keys().map(|id| id.as_str().into()))
+            .collect()
+    }
+
     /// All that is under our prefix.
     fn items(&self) -> Vec<Item> {
         let keys = self.keys.iter().filter(|(k, _)| k.starts_with(PREFIX));
@@ -265,6 +276,8 @@
     pub sick: bool,
     /// Nodes it cannot talk to, in either direction.
     pub cut: BTreeSet<usize>,
+    /// Its reports arrive; answers and commands do not reach it.
+    pub deaf: bool,
 }
 
 pub struct Node {
@@ -314,6 +327,10 @@
     /// Questions between controllers of what they remember.
     recalls: BTreeMap<Ticket, (usize, String, Recall)>,
     answers: BTreeMap<Ticket, Answer>,
+    /// Reports and commands arrive once more this much later, at any node, if that is above 0.
+    pub copies: Duration,
+    late_reports: Vec<(Instant, usize, Report)>,
+    late_commands: Vec<(Instant, MachineId, DirectBody)>,
     /// What the network keeps for later delivery.
     pub held_txns: Vec<Txn>,
     pub held_commands: Vec<(MachineId, DirectBody)>,
@@ -337,6 +354,9 @@
     owed: BTreeMap<String, bool>,
     /// Those that have not been ended since it lost data last.
     pub witnesses: BTreeSet<usize>,
+    /// Machines whose record the store has lost. If nobody remembers them either, what they hold may be
+    /// started once more, whatever is done: a list of the cloud comes too late to tell of all.
+    unrecorded: BTreeSet<MachineId>,
     /// All that remember it were ended: what was told then is known to nobody, and may be unsaid.
     pub amnesia: bool,
     /// Jobs whose users asked to cancel them.
@@ -404,6 +424,9 @@
             syncs: BTreeMap::new(),
             recalls: BTreeMap::new(),
             answers: BTreeMap::new(),
+            copies: Duration::ZERO,
+            late_reports: Vec::new(),
+            late_commands: Vec::new(),
             held_txns: Vec::new(),
             held_commands: Vec::new(),
             hold_commands: false,
@@ -420,6 +443,7 @@
             memories: None,
             owed: BTreeMap::new(),
             witnesses: (0..3).collect(),
+            unrecorded: BTreeSet::new(),
             amnesia: false,
             asked: BTreeSet::new(),
             cancelled: BTreeMap::new(),
@@ -523,6 +547,7 @@
                 hung: false,
                 sick: false,
                 cut: BTreeSet::new(),
+                deaf: false,
             },
         );
         id
@@ -728,6 +753,8 @@
             Some(memories) => memories.retain(|i| self.nodes[*i].up),
             None => self.memories = Some(up.collect()),
         }
+        let before = self.state.recorded();
+        self.unrecorded.extend(&before - &backup.0.recorded());
         let nobody = self.memories.as_ref().is_some_and(BTreeSet::is_empty);
         self.amnesia |= nobody && !self.owed.is_empty();
         self.state = backup.0.clone();
@@ -914,6 +941,7 @@
             self.deliver_watch(i);
         }
         self.give_up_syncs();
+        self.deliver_copies();
         self.tend_workers();
         for i in 0..self.nodes.len() {
             if !self.nodes[i].up || self.nodes[i].frozen {
@@ -1142,7 +1170,7 @@
             if let Some((node, ticket, session, sent)) = w.waiting {
                 if let Some(answer) = self.answers.remove(&ticket) {
                     w.waiting = None;
-                    if w.cut.contains(&node) {
+                    if w.cut.contains(&node) || w.deaf {
                         continue;
                     }
                     let read = |a: &Answer| serde_json::from_slice::<ReportAnswer>(&a.body).ok();
@@ -1173,6 +1201,11 @@
                     continue;
                 }
                 let report = Box::new(World::report(w, &id));
+                if !self.copies.is_zero() {
+                    let at = now + self.copies.mul_f64(self.rng.random_range(0.1..1.0));
+                    let to = self.rng.random_range(0..3);
+                    self.late_reports.push((at, to, (*report).clone()));
+                }
                 self.reports += 1;
                 let ticket = self.next_ticket;
                 self.next_ticket += 1;
@@ -1213,6 +1246,13 @@
                 orders: Vec::new(),
             },
         };
+        if w.deaf {
+            return DirectOutcome::NotSent("timeout".into());
+        }
+        if !self.copies.is_zero() {
+            let at = self.now + self.copies.mul_f64(self.rng.random_range(0.1..1.0));
+            self.late_commands.push((at, id.clone(), body.clone()));
+        }
         if w.hung || w.cut.contains(&i) || self.hold_commands {
             // Held by the network, or by the machine until it resumes.
             self.held_commands.push((id.clone(), body));
@@ -1221,6 +1261,45 @@
         self.direct(id, &body).unwrap_or(unknown)
     }
 
+    /// Copies whose time has come.
+    fn deliver_copies(&mut self) {
+        let now = self.now;
+        let due = self.late_reports.extract_if(.., |(at, ..)| *at <= now);
+        for (_, node, report) in due.collect::<Vec<_>>() {
+            if self.nodes[node].up {
+                self.deliver(node, report);
+            }
+        }
+        let due = self.late_commands.extract_if(.., |(at, ..)| *at <= now);
+        for (_, id, body) in due.collect::<Vec<_>>() {
+            if self.workers.get(&id).is_some_and(|w| !w.hung && !w.deaf) {
+                self.direct(&id, &body);
+            }
+        }
+    }
+
+    /// Commands of which copies are under way.
+    pub fn copied_commands(&self) -> Vec<(MachineId, DirectBody)> {
+        let all = self.late_commands.iter();
+        all.map(|(_, id, body)| (id.clone(), body.clone()))
+            .collect()
+    }
+
+    /// A machine is back within a moment, empty, and counts from one; or goes on counting.
+    pub fn reboot(&mut self, id: &MachineId, from_one: bool) {
+        let now = self.now;
+        if let Some(w) = self.workers.get_mut(id) {
+            w.tasks.clear();
+            w.waiting = None;
+            (w.lease_from, w.next_report) = (now, now + TICK * 4);
+            if from_one {
+                (w.session, w.seq, w.token) = (1, 0, 0);
+            } else {
+                w.session += 1;
+            }
+        }
+    }
+
     /// Lets everything through that was held.
     pub fn release(&mut self) {
         for txn in std::mem::take(&mut self.held_txns) {
@@ -1489,7 +1568,8 @@
             }
             let mut room = 0.0;
             for (key, t) in &w.tasks {
-                if t.state == RowState::Exited {
+                let beyond = self.amnesia && self.unrecorded.contains(id);
+                if t.state == RowState::Exited || beyond {
                     continue;
                 }
                 if let Some(other) = at.insert(key, id) {
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -40,6 +40,7 @@
     SpotPatience,
     Dearest,
     Preempt,
+    Overdue,
     Worth,
     Haste,
     IdleKeep,
@@ -49,7 +50,7 @@
     Delegate,
 }
 
-const ENTRIES: [(Entry, &str, Type, About); 13] = [
+const ENTRIES: [(Entry, &str, Type, About); 14] = [
     (Entry::Merit, "merit", Type::Number, About::Job),
     (Entry::Order, "order", Type::Number, About::Job),
     (Entry::Patience, "patience", Type::Number, About::Job),
@@ -61,6 +62,7 @@
     ),
     (Entry::Dearest, "dearest", Type::Number, About::Job),
     (Entry::Preempt, "preempt", Type::Truth, About::Job),
+    (Entry::Overdue, "overdue", Type::Truth, About::Job),
     (Entry::Worth, "worth", Type::Number, About::Job),
     (Entry::Haste, "haste", Type::Number, About::Job),
     (Entry::IdleKeep, "idle_keep", Type::Number, About::Machine),
@@ -70,7 +72,7 @@
     (Entry::Delegate, "delegate", Type::Truth, About::Fleet),
 ];
 
-const JOB_NAMES: [(&str, Type); 18] = [
+const JOB_NAMES: [(&str, Type); 19] = [
     ("wait", Type::Number),
     ("estimate", Type::Number),
     ("tasks", Type::Number),
@@ -89,6 +91,7 @@
     ("spot", Type::Truth),
     ("slack", Type::Number),
     ("pipeline", Type::Truth),
+    ("begun", Type::Truth),
 ];
 
 const MACHINE_NAMES: [(&str, Type); 7] = [
@@ -139,6 +142,8 @@
     pub slack: f64,
     /// It awaits others, or others await it.
     pub pipeline: bool,
+    /// Something of it is done, or on a machine.
+    pub begun: bool,
 }
 
 impl JobFacts {
@@ -163,6 +168,7 @@
             t(self.spot),
             self.slack,
             t(self.pipeline),
+            t(self.begun),
         ]
     }
 }
