Answers of freed machines wait for the next plan; look-ups by mark; work is counted

Now the answer to a report of a machine on which something ended waits for that plan (60 ms at most) and carries the start. Machines not heard yet are known by a mark on them instead of a set of names, and guarantees are judged when a job comes, becomes ready or ends, not at each plan.

--- a/src/core/commands.rs
+++ b/src/core/commands.rs
@@ -7,7 +7,7 @@
 
 use super::losses::ASKED_IN_VAIN;
 use super::machine::{EPOCH_BITS, Exited, Machine, Phase, Placement, StopReason};
-use super::{Core, Effect, Pending, Ticket};
+use super::{Core, Effect, Pending, Ticket, Work};
 use crate::http::Answer;
 use crate::job::{MachineId, TaskKey};
 use crate::wire::{DirectBody, Order, ReportAnswer, to_json};
@@ -130,7 +130,7 @@
             token: m.token(lead.term),
             orders: self.orders(m, true),
         };
-        let unaware = lead.unresolved.contains(id);
+        let unaware = m.unresolved;
         let starts = body.orders.iter().any(|o| matches!(o, Order::Start { .. }));
         if (m.answered, m.push) != (starts, false)
             && let Some(m) = self.lead.as_mut().and_then(|l| l.machines.get_mut(id))
@@ -138,6 +138,14 @@
             m.answered = starts;
             m.push = false;
         }
+        if let Some(m) = (self.lead.as_mut()).and_then(|l| l.machines.get_unnoted(id)) {
+            m.freed = false;
+        }
+        let starts = body
+            .orders
+            .iter()
+            .filter(|o| matches!(o, Order::Start { .. }));
+        self.stats.work[Work::StartInAnswer as usize] += starts.count() as u64;
         // A worker that sees a new token reports it within half a second, on the connection that it
         // has: that costs less than asking it.
         if unaware && let Some(m) = (self.lead.as_mut()).and_then(|l| l.machines.get_unnoted(id)) {
@@ -200,9 +208,12 @@
                 && let Some(m) = lead.machines.get_mut(&id)
             {
                 m.call = Some(call);
-                if (body.orders.iter()).any(|o| matches!(o, Order::Start { .. })) {
+                let starts = body.orders.iter();
+                let starts = starts.filter(|o| matches!(o, Order::Start { .. })).count();
+                if starts > 0 {
                     m.told_under = body.token;
                 }
+                self.stats.work[Work::StartByCall as usize] += starts as u64;
                 lead.calls_out += 1;
             }
             self.out.push(Effect::Direct {
@@ -247,7 +258,7 @@
         } else {
             lead.missed += 1;
         }
-        if !answers && lead.unresolved.contains(&id) && m.unanswered < ASKED_IN_VAIN {
+        if !answers && m.unresolved && m.unanswered < ASKED_IN_VAIN {
             lead.ask_again.insert((now + ASK_PAUSE, id.clone()));
         }
         match outcome {
--- a/src/core/delegation.rs
+++ b/src/core/delegation.rs
@@ -54,6 +54,15 @@
     reports: Vec<(u64, Result<MachineId, Answer>)>,
 }
 
+impl SyncWork {
+    /// The machines whose reports it answers.
+    pub(super) fn machines(&self) -> impl Iterator<Item = &MachineId> {
+        self.reports
+            .iter()
+            .filter_map(|(_, taken)| taken.as_ref().ok())
+    }
+}
+
 impl Lead {
     /// Takes a machine back from the controller that may answer its reports.
     pub(super) fn recall(&mut self, id: &MachineId) {
@@ -199,16 +208,16 @@
             }
         }
         for id in &sync.mine {
-            if lead.unresolved.contains(id)
-                && let Some(m) = lead.machines.get_unnoted(id)
+            if let Some(m) = lead.machines.get_unnoted(id)
+                && m.unresolved
             {
                 m.claimed_until = Some(now + CLAIM);
                 m.via = Some(from.clone());
             }
         }
         for id in &sync.failed {
-            if lead.unresolved.contains(id)
-                && let Some(m) = lead.machines.get_unnoted(id)
+            if let Some(m) = lead.machines.get_unnoted(id)
+                && m.unresolved
             {
                 m.unanswered += 1;
                 m.claimed_until = None;
@@ -338,12 +347,12 @@
         let Some(lead) = &mut self.lead else {
             return false;
         };
-        if lead.unresolved.contains(id) {
-            return false;
-        }
         let Some(m) = lead.machines.get_unnoted(id) else {
             return false;
         };
+        if m.unresolved {
+            return false;
+        }
         let free = m.lent_to.as_ref().is_none_or(|t| t == to) && !m.recalled;
         if !free || !m.calm() {
             return false;
--- a/src/core/delegation_stories.rs
+++ b/src/core/delegation_stories.rs
@@ -106,7 +106,7 @@
     });
     let next = w.leader().unwrap();
     w.until(1.0, "all machines known", |w| {
-        (w.nodes[next].core.lead.as_ref()).is_some_and(|l| l.unresolved.is_empty())
+        (w.nodes[next].core.lead.as_ref()).is_some_and(|l| l.unresolved == 0)
     });
     w.run(5.0);
     for (n, before) in others {
@@ -134,7 +134,7 @@
     w.until(8.0, "a leader", |w| w.leader().is_some());
     let leader = w.leader().unwrap();
     w.until(3.0, "all machines known", |w| {
-        (w.nodes[leader].core.lead.as_ref()).is_some_and(|l| l.unresolved.is_empty())
+        (w.nodes[leader].core.lead.as_ref()).is_some_and(|l| l.unresolved == 0)
     });
     for n in 0..3 {
         assert!(w.nodes[n].calls > 80, "{n}: {}", w.nodes[n].calls);
--- a/src/core/figures.rs
+++ b/src/core/figures.rs
@@ -1,6 +1,6 @@
 //! What monitoring is told; see `metrics`.
 
-use super::{Core, Ticket};
+use super::{Core, Ticket, WORK};
 use crate::http::Answer;
 use crate::metrics::Page;
 use burlusher_membership::view::{Abilities, Standing};
@@ -52,6 +52,10 @@
                 QUANTILES.map(|(l, q)| (l, value(q))),
             );
         }
+        for (work, name) in WORK {
+            let help = "What the owner has done since this process began";
+            page.counter(name, help, self.stats.work[work as usize]);
+        }
         let [losses, incomplete, owed, held] = self.rebuild_figures();
         page.gauge(
             "state_losses",
@@ -150,7 +154,7 @@
         page.gauge(
             "machines_to_hear",
             "Machines that may hold tasks of an earlier term and have not shown the new token",
-            lead.unresolved.len() as f64,
+            lead.unresolved as f64,
         );
         page.gauge("jobs", "Jobs that are not over", lead.runs.len() as f64);
         let tasks = |f: fn(&super::run::Run) -> usize| -> f64 {
--- a/src/core/jobs.rs
+++ b/src/core/jobs.rs
@@ -722,11 +722,13 @@
         if !lead.runs.contains_key(id) {
             let queued = (0..job.spec.tasks).filter(|r| !job.done.contains(*r));
             let run = Run {
+                team: self.settings.team_index(&job.spec.team),
                 queued: queued.collect(),
                 succeeded: job.done.len() > 0,
                 ..Run::default()
             };
             lead.runs.insert(id.clone(), run);
+            lead.judge_guarantees = true;
             if job.version > lead.key_version {
                 lead.arrivals.note(self.now.mono, 1);
                 let pace = lead.pace.get(&job.spec.class).map_or(1.0, Pace::factor);
@@ -751,6 +753,7 @@
             };
             if run.ready.is_none() {
                 run.ready = Some(self.now);
+                lead.judge_guarantees = true;
                 lead.plan_again = true;
                 tracing::info!(job = %id, "job {id}: all that it awaits is done");
             }
@@ -779,6 +782,7 @@
         lead.writes.progress.remove(id);
         lead.in_doubt.remove(id);
         lead.urgency.remove(id);
+        lead.judge_guarantees = true;
         lead.plan_again = true;
         if let Some(end) = self.mirror.finished.get(id) {
             tracing::info!(job = %id, "job {id} is over: {end:?}");
--- a/src/core/lead.rs
+++ b/src/core/lead.rs
@@ -1,13 +1,14 @@
 //! What only a leader has: its lease and term, the machines and runs that it knows, what it writes, what
 //! is under way at the cloud, and what it has lent. Data; what is done with it is in the modules above.
 
-use super::CallId;
+use super::delegation::SyncWork;
 use super::expectation::Bidding;
 use super::keys::{Stem, named};
 use super::machine::{Machine, Machines};
 use super::rebuild::Rebuild;
 use super::records::Records;
 use super::run::{Arrivals, Pace, Run, Urgency};
+use super::{CallId, Ticket};
 use crate::board::Board;
 use crate::job::{Final, JobId, MachineId};
 use crate::wire::{Condition, RentBody, Txn};
@@ -45,8 +46,8 @@
     pub board: Board,
     /// Machines that are gone; what still arrives from them is old.
     pub gone: BTreeSet<MachineId>,
-    /// Machines that an earlier leader may have given tasks that we have not seen yet.
-    pub unresolved: BTreeSet<MachineId>,
+    /// How many machines there are that an earlier leader may have given tasks that we have not seen yet.
+    pub unresolved: usize,
     /// Those of them that are still to be asked, the next one last.
     pub to_ask: Vec<MachineId>,
     /// Those that did not answer and are asked once more, and when.
@@ -83,6 +84,13 @@
     pub deaf_after: Duration,
     pub planned: Option<Instant>,
     pub plan_again: bool,
+    /// Which jobs lie within their team's guarantee is to be found out again.
+    pub judge_guarantees: bool,
+    /// Work waited for room at the last plan.
+    pub wanting: bool,
+    /// Reports of machines that were freed, and frames with such: their answers wait for the next plan,
+    /// so that they say what to start.
+    pub held: Held,
     pub fleet_at: Option<Instant>,
     pub tended: Option<Instant>,
     pub told: Option<Instant>,
@@ -118,10 +126,16 @@
 
     /// Whether a machine may be given tasks now.
     pub fn takes_tasks(&self, m: &Machine, now: Instant, report: Duration) -> bool {
-        m.usable(now, report * 9 / 4) && !m.avoided(now) && !self.unresolved.contains(&m.id)
+        m.usable(now, report * 9 / 4) && !m.avoided(now) && !m.unresolved
     }
 }
 
+#[derive(Default)]
+pub struct Held {
+    pub reports: Vec<(Ticket, MachineId)>,
+    pub syncs: Vec<SyncWork>,
+}
+
 /// One durable change of the leader's.
 #[derive(Clone, Debug)]
 pub enum WriteOp {
--- a/src/core/leadership.rs
+++ b/src/core/leadership.rs
@@ -239,7 +239,7 @@
                 // foremost, does not get through.
                 let unheeded = l.missed >= MOST_MISSED
                     && now.saturating_duration_since(l.touched.max(l.deaf_until)) > after;
-                (known || !l.unresolved.is_empty()) && (waited > after || unheeded)
+                (known || l.unresolved > 0) && (waited > after || unheeded)
             });
             // Where no other controller hears them either, passing leadership around would only
             // keep all of them from finding out that the machines are gone.
@@ -320,7 +320,7 @@
             machines: Machines::default(),
             board: Board::default(),
             gone: BTreeSet::new(),
-            unresolved: BTreeSet::new(),
+            unresolved: 0,
             to_ask: Vec::new(),
             ask_again: BTreeSet::new(),
             to_hear: 0,
@@ -341,6 +341,9 @@
             deaf_after: self.settings.report * 2,
             planned: None,
             plan_again: true,
+            judge_guarantees: true,
+            wanting: false,
+            held: Default::default(),
             fleet_at: None,
             tended: None,
             told: None,
@@ -387,6 +390,12 @@
         );
         self.relay.succeed(&lead);
         self.candidate_after = self.now.mono + Duration::from_millis(200);
+        for (ticket, _) in lead.held.reports {
+            self.redirect(ticket);
+        }
+        for work in lead.held.syncs {
+            self.refuse_sync(work.ticket, work.number);
+        }
         let waiting: Vec<Ticket> = lead
             .runs
             .into_values()
--- a/src/core/losses.rs
+++ b/src/core/losses.rs
@@ -48,7 +48,7 @@
         for m in lead
             .machines
             .values()
-            .filter(|m| m.session > 0 || lead.unresolved.contains(&m.id))
+            .filter(|m| m.session > 0 || m.unresolved)
         {
             let z = zones.entry(&m.zone).or_insert((0, 0, lead.since));
             z.0 += 1;
@@ -88,7 +88,7 @@
         let mut over = Vec::new();
         let mut silent = Vec::new();
         for m in lead.machines.values() {
-            if (m.session > 0 || lead.unresolved.contains(&m.id))
+            if (m.session > 0 || m.unresolved)
                 && !m.session_over
                 && now > m.lease_from + run_out
                 // Who may answer it in our name may have renewed its lease since.
@@ -100,7 +100,7 @@
             // Its controller is not heard: the worker has to find another one first.
             let since = excused.map_or(since, |t| since.max(t));
             let quiet = now.saturating_duration_since(since);
-            let expected = m.session > 0 || lead.unresolved.contains(&m.id);
+            let expected = m.session > 0 || m.unresolved;
             let heard = heard_for(&m.zone).min(now.saturating_duration_since(lead.deaf_until));
             let all_heard = heard >= (report * 5 / 4).max(WORKER_RETRY);
             if expected && m.deleting.is_none() && quiet > report * 5 / 2 && all_heard {
@@ -113,7 +113,7 @@
             // gets through, a zone cut off one way.
             let untold = m.answered_since;
             let deaf = untold.is_some_and(|t| now > t + report * 5 / 2 + WORKER_RETRY);
-            let in_vain = lead.unresolved.contains(&m.id)
+            let in_vain = m.unresolved
                 && (m.session == 0 || deaf)
                 && m.unanswered >= ASKED_IN_VAIN
                 && lead.answering.contains(&m.zone);
--- a/src/core/machine.rs
+++ b/src/core/machine.rs
@@ -111,6 +111,10 @@
     pub unheard: Option<u64>,
     /// It has yet to show this term's token, and since when it has been answered with it.
     pub answered_since: Option<Instant>,
+    /// An earlier leader may have given it tasks that we have not seen yet.
+    pub unresolved: bool,
+    /// Something ended on it, or it came up, since it was last told anything.
+    pub freed: bool,
     /// Its session and sequence when a call was made to find out whether it has begun anew, and that
     /// call.
     pub asked: Option<((u64, u64), u64)>,
@@ -284,6 +288,8 @@
             told_under: 0,
             unheard: None,
             answered_since: None,
+            unresolved: false,
+            freed: false,
             asked: None,
             recorded: false,
             epoch: 0,
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -346,8 +346,42 @@
     pub stats: Stats,
 }
 
+/// What the owner does, as it is counted: what it takes in, what it decides, and what it sends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Work {
+    Step,
+    Report,
+    Question,
+    Change,
+    FrameIn,
+    FrameOut,
+    StateCall,
+    CloudCall,
+    DirectCall,
+    Plan,
+    StartInAnswer,
+    StartByCall,
+}
+
+pub const WORK: [(Work, &str); 12] = [
+    (Work::Step, "steps"),
+    (Work::Report, "reports"),
+    (Work::Question, "requests"),
+    (Work::Change, "changes"),
+    (Work::FrameIn, "frames_in"),
+    (Work::FrameOut, "frames_out"),
+    (Work::StateCall, "state_calls"),
+    (Work::CloudCall, "cloud_calls"),
+    (Work::DirectCall, "direct_calls"),
+    (Work::Plan, "plans"),
+    (Work::StartInAnswer, "starts_in_answers"),
+    (Work::StartByCall, "starts_by_calls"),
+];
+
 /// Figures for the on-call person.
 pub struct Stats {
+    /// What was done so far, by `Work`.
+    pub work: [u64; WORK.len()],
     pub accept: hdrhistogram::Histogram<u64>,
     pub start: hdrhistogram::Histogram<u64>,
     pub step: hdrhistogram::Histogram<u64>,
@@ -363,6 +397,7 @@
             h
         };
         Stats {
+            work: [0; WORK.len()],
             accept: new(),
             start: new(),
             step: new(),
@@ -370,6 +405,44 @@
     }
 }
 
+impl Stats {
+    fn note_command(&mut self, command: &Command) {
+        let work = match command {
+            Command::Report { .. } => Work::Report,
+            Command::User(_) => Work::Question,
+            Command::Sync { .. } | Command::Synced { .. } | Command::Recall { .. } => Work::FrameIn,
+            Command::Changed { events, .. } => {
+                self.work[Work::Change as usize] += events.len() as u64;
+                return;
+            }
+            _ => return,
+        };
+        self.work[work as usize] += 1;
+    }
+
+    fn note_effect(&mut self, effect: &Effect) {
+        let work = match effect {
+            Effect::State { .. } => Work::StateCall,
+            Effect::Cloud { .. } => Work::CloudCall,
+            Effect::Direct { .. } => Work::DirectCall,
+            Effect::Sync { .. } | Effect::Forward { .. } | Effect::Recall { .. } => Work::FrameOut,
+            _ => return,
+        };
+        self.work[work as usize] += 1;
+    }
+
+    /// What was done since the last call, for the log.
+    pub fn work_since(&self, last: &mut [u64; WORK.len()]) -> String {
+        let mut out = String::new();
+        for (work, name) in WORK {
+            let n = self.work[work as usize];
+            out.push_str(&format!(" {name} {}", n - last[work as usize]));
+        }
+        *last = self.work;
+        out
+    }
+}
+
 /// Records a value; one beyond the histogram's range counts as the largest.
 pub fn note(h: &mut hdrhistogram::Histogram<u64>, value: u128) {
     h.saturating_record(u64::try_from(value).unwrap_or(u64::MAX));
@@ -444,6 +517,7 @@
         let mut reports = Vec::new();
         let mut syncs = Vec::new();
         for command in commands {
+            self.stats.note_command(&command);
             match command {
                 Command::User(request) => self.user(request),
                 Command::Status(ticket) => self.answer_status(ticket),
@@ -491,15 +565,22 @@
             self.tend_rebuild();
             self.tend_machines();
             self.schedule();
-            for (ticket, machine) in reports {
+            let mut due = lead::Held { reports, syncs };
+            self.hold_answers(&mut due);
+            for (ticket, machine) in due.reports {
                 self.answer_report(ticket, &machine);
             }
-            for work in syncs {
+            for work in due.syncs {
                 self.answer_sync(work);
             }
             self.push_commands();
             self.flush_writes();
         } else {
+            if let Some(lead) = &mut self.lead {
+                let held = std::mem::take(&mut lead.held);
+                reports.extend(held.reports);
+                syncs.extend(held.syncs);
+            }
             for (ticket, _) in reports {
                 self.redirect(ticket);
             }
@@ -512,13 +593,17 @@
         self.tend_types();
         self.probe_peers();
         self.tend_readiness();
+        for effect in &self.out {
+            self.stats.note_effect(effect);
+        }
         std::mem::take(&mut self.out)
     }
 
     /// How long the owner may sleep when no command comes.
     pub fn idle_for(&self) -> Duration {
         if self.lead.is_some() {
-            Duration::from_millis(100)
+            let most = Duration::from_millis(100);
+            self.plan_in().map_or(most, |d| d.min(most))
         } else {
             self.relay
                 .idle_for(self.now.mono)
--- a/src/core/rebuild.rs
+++ b/src/core/rebuild.rs
@@ -192,7 +192,7 @@
     pub(super) fn may_start(&self, lead: &Lead) -> bool {
         let Some(r) = &lead.rebuild else { return true };
         let up = |id: &MachineId| lead.machines.get(id).is_none_or(|m| m.session > 0);
-        let heard = lead.unresolved.is_empty() && r.booting.iter().all(up);
+        let heard = lead.unresolved == 0 && r.booting.iter().all(up);
         let seen_all = r.complete() && r.listed && heard;
         seen_all || self.leases_run_out(lead)
     }
@@ -630,7 +630,7 @@
         }
         // Nobody but this leader has answered it since.
         m.lease_from = since;
-        self.unresolved.insert(id.clone());
+        self.unresolved += usize::from(!std::mem::replace(&mut m.unresolved, true));
         self.to_ask.push(id.clone());
     }
 }
--- a/src/core/recovery.rs
+++ b/src/core/recovery.rs
@@ -29,7 +29,7 @@
                 self.ask_again.pop_first().map(|(_, id)| id)
             })?;
             let m = self.machines.get(&id);
-            let Some(m) = m.filter(|_| self.unresolved.contains(&id)) else {
+            let Some(m) = m.filter(|m| m.unresolved) else {
                 continue;
             };
             if let Some(later) = m.claimed_until.filter(|t| now < *t) {
@@ -63,8 +63,9 @@
             // machine's lease runs from now at the latest; or, if it gave its lease back, from when its
             // last grant to another controller ran out.
             m.lease_from = now + LEASE_TTL;
+            m.unresolved = true;
             lead.machines.get_or_add(id, || m);
-            lead.unresolved.insert(id.clone());
+            lead.unresolved += 1;
         }
         // Zones take turns, so that one that is cut off does not hold up the others.
         let mut zones: BTreeMap<&str, Vec<&MachineId>> = BTreeMap::new();
@@ -92,7 +93,7 @@
             let later = now + OTHERS_FIRST;
             lead.ask_again = others.into_iter().map(|id| (later, id)).collect();
         }
-        lead.to_hear = lead.unresolved.len();
+        lead.to_hear = lead.unresolved;
         lead.to_ask = turns;
         self.ask_machines();
     }
@@ -179,12 +180,14 @@
     /// A machine has shown everything, or has nothing.
     pub(super) fn resolve(&mut self, id: &MachineId, how: &str) {
         let Some(lead) = &mut self.lead else { return };
-        if lead.unresolved.remove(id) {
+        let machine = lead.machines.get_mut(id);
+        if machine.is_some_and(|m| std::mem::take(&mut m.unresolved)) {
+            lead.unresolved -= 1;
             lead.plan_again = true;
             tracing::debug!(term = lead.term, machine = %id, "term {}: machine {id} is known: {how}", lead.term);
             let took = (self.now.mono - lead.since).as_millis();
             // What is left then are machines that died with the last leader.
-            if lead.to_hear > 0 && lead.unresolved.len() * 100 <= lead.to_hear {
+            if lead.to_hear > 0 && lead.unresolved * 100 <= lead.to_hear {
                 let all = std::mem::take(&mut lead.to_hear);
                 tracing::info!(
                     term = lead.term,
@@ -192,7 +195,7 @@
                     lead.term
                 );
             }
-            if lead.unresolved.is_empty() {
+            if lead.unresolved == 0 {
                 tracing::info!(
                     term = lead.term,
                     "term {}: all machines are known after {} ms",
--- a/src/core/reports.rs
+++ b/src/core/reports.rs
@@ -64,8 +64,8 @@
         }
         let term = lead.term;
         let proven = report.token >= term << EPOCH_BITS;
-        if !lead.unresolved.contains(&id)
-            && let Some(m) = lead.machines.get_unnoted(&id)
+        if let Some(m) = lead.machines.get_unnoted(&id)
+            && !m.unresolved
             && m.tells_nothing_new(&report, term)
         {
             m.seq = report.seq;
@@ -105,8 +105,8 @@
         }
         let lease = self.settings.lease;
         let lead = self.lead.as_mut().ok_or_else(no_leader)?;
-        let unaware = lead.unresolved.contains(&id);
         let m = (lead.machines.get_mut(&id)).ok_or_else(no_leader)?;
+        let unaware = m.unresolved;
         if unaware && !proven {
             // Old tasks wait for what it has. If no answer of ours comes to it, its lease runs out from
             // the last one on: so there is a last one.
@@ -167,7 +167,7 @@
                 tracing::info!(machine = %id, "machine {id}: session {} begins", report.session);
                 lost = m.tasks.keys().cloned().collect();
             }
-            if m.session > 0 && !lead.unresolved.contains(id) {
+            if m.session > 0 && !m.unresolved {
                 // Its lease ran out while it was answered: it may not hear what it is told.
                 m.not_heard_by(term);
             }
@@ -177,6 +177,7 @@
             m.images.clear();
         }
         if m.up_since.is_none() {
+            m.freed = true;
             m.up_since = Some(now);
             m.idle_since = now;
             let took = m.age + now.saturating_duration_since(m.known_since);
@@ -390,6 +391,7 @@
             return;
         }
         let Some(t) = m.tasks.remove(key) else { return };
+        m.freed = true;
         if m.tasks.is_empty() {
             m.idle_since = now;
         }
--- a/src/core/run.rs
+++ b/src/core/run.rs
@@ -11,6 +11,9 @@
 /// A live job as its leader knows it.
 #[derive(Default)]
 pub struct Run {
+    /// Its team, by its place in the settings, and whether it lies within that team's guarantee.
+    pub team: Option<usize>,
+    pub guaranteed: bool,
     pub queued: BTreeSet<u32>,
     pub placed: BTreeMap<u32, MachineId>,
     /// Rows that are not to be started again before some moment.
--- a/src/core/scale.rs
+++ b/src/core/scale.rs
@@ -77,7 +77,7 @@
         assert!(w.now < end, "{machines} machines take too long");
         w.tick();
         let passed = (w.now - since).as_millis().max(1);
-        let left = (w.nodes[next].core.lead.as_ref()).map_or(usize::MAX, |l| l.unresolved.len());
+        let left = (w.nodes[next].core.lead.as_ref()).map_or(usize::MAX, |l| l.unresolved);
         if row.known_ms == 0 && left * 100 <= machines {
             row.known_ms = passed;
             row.leader_ms = w.nodes[next].busy.as_millis();
--- a/src/core/scheduling.rs
+++ b/src/core/scheduling.rs
@@ -1,10 +1,11 @@
 //! Snapshots for `plan` and `fleet`, and their decisions carried out.
 
-use super::Core;
-use super::lead::Lead;
+use super::delegation::SyncWork;
+use super::lead::{Held as Waiters, Lead};
 use super::machine::{Machine, Phase, Placement, StopReason};
 use super::mirror::Job;
 use super::run::{Pace, Run, Urgency};
+use super::{Core, Work};
 use crate::board::{Board, Held, Host, Offer, Use, image_tag};
 use crate::fleet;
 use crate::forecast::{Coming, Unmet};
@@ -13,7 +14,7 @@
 use crate::policy::{Entry, JobFacts, MachineFacts};
 use crate::settings::Team;
 use burlusher_market::Spread;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::time::{Duration, Instant, SystemTime};
 
 /// Steps are this far apart at least, so that a flood of small changes is planned together.
@@ -110,6 +111,34 @@
         }
     }
 
+    /// Answers that wait for the next plan, and those of this step that will: what is placed on a
+    /// machine that something just ended on then goes into the answer to its report, and takes no call
+    /// to it. They wait no longer than plans are apart at least.
+    pub(super) fn hold_answers(&mut self, now_due: &mut Waiters) {
+        let Some(lead) = &mut self.lead else { return };
+        let before = std::mem::take(&mut lead.held);
+        if lead.planned == Some(self.now.mono) || !lead.plan_again || !lead.wanting {
+            now_due.reports.extend(before.reports);
+            now_due.syncs.extend(before.syncs);
+            return;
+        }
+        let machines = &lead.machines;
+        let freed = |id: &MachineId| machines.get(id).is_some_and(|m| m.freed);
+        let mut held = before;
+        (held.reports).extend(now_due.reports.extract_if(.., |(_, id)| freed(id)));
+        let some = |w: &mut SyncWork| w.machines().any(freed);
+        held.syncs.extend(now_due.syncs.extract_if(.., some));
+        lead.held = held;
+    }
+
+    /// Until the next plan, if answers wait for it.
+    pub(super) fn plan_in(&self) -> Option<Duration> {
+        let lead = self.lead.as_ref()?;
+        let held = !lead.held.reports.is_empty() || !lead.held.syncs.is_empty();
+        let at = lead.planned? + PLAN_PAUSE;
+        held.then(|| at.saturating_duration_since(self.now.mono))
+    }
+
     pub(super) fn schedule(&mut self) {
         let now = self.now.mono;
         let Some(lead) = &self.lead else { return };
@@ -119,6 +148,7 @@
             Some(d) => (lead.plan_again && d >= PLAN_PAUSE) || d >= PLAN_EVERY,
         };
         if due {
+            self.stats.work[Work::Plan as usize] += 1;
             self.regroup_gangs();
             self.place();
         }
@@ -160,25 +190,25 @@
                 team.gpus += held.gpus;
             }
         }
-        if lead.unresolved.is_empty() {
+        if lead.unresolved == 0 {
             return used;
         }
         // Old tasks that nobody has shown yet may run on machines that have not reported: no
         // more than those machines hold, and no more than there are.
         let hidden = self.hidden(lead);
-        for (i, team) in teams.iter().enumerate() {
-            let mut unseen = Resources::default();
-            for (id, run) in &lead.runs {
-                if let Some(job) = self.mirror.jobs.get(id)
-                    && job.spec.team == team.name
-                    && job.version < lead.key_version
-                    && self.mirror.ready(id)
-                {
-                    unseen.add(&job.spec.needs.times(run.queued.len() as f64));
-                }
+        let mut unseen = vec![Resources::default(); teams.len()];
+        for (id, run) in lead.runs.iter().filter(|(_, r)| !r.queued.is_empty()) {
+            if let Some(job) = self.mirror.jobs.get(id)
+                && job.version < lead.key_version
+                && let Some(team) = run.team
+                && self.mirror.ready(id)
+            {
+                unseen[team].add(&job.spec.needs.times(run.queued.len() as f64));
             }
-            used[i].cpus += unseen.cpus.min(hidden.cpus);
-            used[i].gpus += unseen.gpus.min(hidden.gpus);
+        }
+        for (team, unseen) in used.iter_mut().zip(unseen) {
+            team.cpus += unseen.cpus.min(hidden.cpus);
+            team.gpus += unseen.gpus.min(hidden.gpus);
         }
         used
     }
@@ -186,10 +216,10 @@
     /// What machines hold, or may hold, that the leader has not heard of yet.
     fn hidden(&self, lead: &Lead) -> Resources {
         let mut hidden = Resources::default();
-        for id in &lead.unresolved {
-            let Some(m) = lead.machines.get(id) else {
-                continue;
-            };
+        if lead.unresolved == 0 {
+            return hidden;
+        }
+        for m in lead.machines.values().filter(|m| m.unresolved) {
             match self.type_of(&m.kind) {
                 Some(t) => hidden.add(&t.room()),
                 None => {
@@ -205,30 +235,36 @@
         hidden
     }
 
-    /// Jobs that fit into their team's guarantee together with the team's earlier unfinished ones.
-    fn guaranteed(&self, lead: &Lead) -> BTreeSet<JobId> {
-        let mut jobs: Vec<(&JobId, &Job)> = self
-            .mirror
-            .jobs
-            .iter()
-            .filter(|(id, _)| lead.runs.contains_key(*id) && self.mirror.ready(id))
-            .collect();
-        jobs.sort_by(|a, b| (a.1.submitted, a.0).cmp(&(b.1.submitted, b.0)));
-        let mut out = BTreeSet::new();
-        for team in &self.settings.teams {
-            if team.cpus <= 0.0 && team.gpus <= 0.0 {
-                continue;
-            }
-            let mut sum = Resources::default();
-            for (id, job) in jobs.iter().filter(|(_, j)| j.spec.team == team.name) {
-                sum.add(&job.spec.needs.times(f64::from(job.spec.tasks)));
-                if sum.cpus > team.cpus + 1e-6 || sum.gpus > team.gpus + 1e-6 {
-                    break;
-                }
-                out.insert((*id).clone());
+    /// Finds the jobs that fit into their team's guarantee together with the team's earlier unfinished
+    /// ones. That changes only when a job comes, becomes ready or ends.
+    fn judge_guarantees(&mut self) {
+        let Some(lead) = &mut self.lead else { return };
+        if !std::mem::take(&mut lead.judge_guarantees) {
+            return;
+        }
+        let mut jobs: Vec<(SystemTime, &JobId, &Job, &mut Run)> = Vec::new();
+        for (id, run) in &mut lead.runs {
+            run.guaranteed = false;
+            if let Some(job) = self.mirror.jobs.get(id)
+                && self.mirror.ready(id)
+            {
+                jobs.push((job.submitted, id, job, run));
             }
         }
-        out
+        jobs.sort_by(|a, b| (a.0, a.1).cmp(&(b.0, b.1)));
+        // What is left of each team's guarantee; nothing, once a job of it does not fit.
+        let teams = self.settings.teams.iter();
+        let own = |t: &Team| (t.cpus > 0.0 || t.gpus > 0.0).then_some((t.cpus, t.gpus));
+        let mut left: Vec<Option<(f64, f64)>> = teams.map(own).collect();
+        for (_, _, job, run) in jobs {
+            let Some(left) = run.team.and_then(|t| left.get_mut(t)) else {
+                continue;
+            };
+            let needs = job.spec.needs.times(f64::from(job.spec.tasks));
+            let rest = left.map(|(cpus, gpus)| (cpus - needs.cpus, gpus - needs.gpus));
+            *left = rest.filter(|(cpus, gpus)| *cpus >= -1e-6 && *gpus >= -1e-6);
+            run.guaranteed = left.is_some();
+        }
     }
 
     /// The tightest aim of a kind that the users state for a class, in seconds; 0 for none.
@@ -290,14 +326,13 @@
 
     /// Whether the job's unseen tasks may run somewhere that has not reported yet.
     pub(super) fn held_by_recovery(lead: &Lead, job: &Job) -> bool {
-        !lead.unresolved.is_empty() && job.version < lead.key_version
+        lead.unresolved > 0 && job.version < lead.key_version
     }
 
     /// Jobs with waiting tasks that may be started, in the queue's order: within the guarantee
     /// first, then by rank, then by the policy.
     fn line<'a>(&'a self, view: &View<'a>, with_held: bool) -> Vec<InLine<'a>> {
         let lead = view.lead;
-        let guaranteed = self.guaranteed(lead);
         let mut line = Vec::new();
         for (id, run) in &lead.runs {
             let Some(job) = view.jobs.get(id) else {
@@ -307,12 +342,12 @@
             if run.ending.is_some() || run.queued.is_empty() || held || !self.mirror.ready(id) {
                 continue;
             }
-            let Some(team) = self.settings.team_index(&job.spec.team) else {
+            let Some(team) = run.team else {
                 continue;
             };
             let estimate = view.estimate(job);
             let urgency = lead.urgency_of(id, job);
-            let facts = self.facts(job, run, &urgency, estimate, guaranteed.contains(id));
+            let facts = self.facts(job, run, &urgency, estimate, run.guaranteed);
             let order = self.policy.number(Entry::Order, &facts);
             let overdue = self.policy.truth(Entry::Overdue, &facts);
             line.push(InLine {
@@ -375,7 +410,7 @@
         for task in m.tasks.values() {
             free.sub(&task.needs);
         }
-        let unresolved = view.lead.unresolved.contains(&m.id);
+        let unresolved = m.unresolved;
         let usage = if view.lead.takes_tasks(m, now, self.settings.report) {
             Use::Open
         } else if m.deleting.is_some() || m.notice.is_some() || m.session_over {
@@ -498,6 +533,7 @@
 
     fn place(&mut self) {
         let now = self.now.mono;
+        self.judge_guarantees();
         self.refresh_board();
         let Some(lead) = &mut self.lead else { return };
         let mut board = std::mem::take(&mut lead.board);
@@ -516,6 +552,7 @@
         lead.planned = Some(now);
         // A step repeats at once while it starts tasks.
         lead.plan_again = !decided.starts.is_empty();
+        lead.wanting = !jobs.is_empty();
         lead.head = decided.head.map(|(j, after)| (jobs[j].0.id.clone(), after));
         let mut gang_attempt = None;
         for s in decided.starts {
@@ -573,6 +610,7 @@
 
     fn tend_fleet(&mut self) {
         let now = self.now.mono;
+        self.judge_guarantees();
         self.refresh_board();
         let Some(lead) = &mut self.lead else { return };
         lead.fleet_at = Some(now);
@@ -586,8 +624,7 @@
         let facts = self.fleet_facts(lead);
         let bidding = self.policy.fleet_truth(Entry::Bidding, &facts);
         // A new leader bids when it knows what is there: until then all that runs seems to wait.
-        let known =
-            lead.unresolved.is_empty() || now.saturating_duration_since(lead.since) > RECOVERY;
+        let known = lead.unresolved == 0 || now.saturating_duration_since(lead.since) > RECOVERY;
         let mut asked = Vec::new();
         let unmet = self.unmet(&view, |entry, unmet| {
             if bidding {
@@ -626,7 +663,7 @@
         };
         let Some(lead) = &self.lead else { return };
         // A new leader first learns what there is.
-        let settled = lead.unresolved.is_empty()
+        let settled = lead.unresolved == 0
             && now.saturating_duration_since(lead.since) > self.settings.report * 2;
         let returns = if settled {
             fleet::give_back(&lead.board, &unmet, now, |id| self.idle_keep(lead, id))
--- a/src/core/status.rs
+++ b/src/core/status.rs
@@ -64,7 +64,7 @@
             "leader": self.settings.name,
             "term": lead.term,
             "leads_s": self.since(lead.since),
-            "machines_not_heard_yet": lead.unresolved.len(),
+            "machines_not_heard_yet": lead.unresolved,
             "refused_offers": refused,
             "bidding": self.markets_view(lead),
             "members": self.members_view(),
@@ -77,13 +77,9 @@
     }
 
     fn machine_view(&self, m: &Machine) -> Value {
-        let unresolved = self
-            .lead
-            .as_ref()
-            .is_some_and(|l| l.unresolved.contains(&m.id));
         let state = if let Some(why) = m.deleting {
             format!("being returned: {why}")
-        } else if unresolved {
+        } else if m.unresolved {
             "not heard of yet".into()
         } else if m.session == 0 {
             "booting".into()
@@ -173,7 +169,7 @@
         if Self::held_by_recovery(lead, job) {
             return format!(
                 "its tasks may be on {} machines that have not reported to this leader",
-                lead.unresolved.len()
+                lead.unresolved
             );
         }
         let failures: u32 = run.failures.values().sum();
--- a/src/core/stories.rs
+++ b/src/core/stories.rs
@@ -728,7 +728,7 @@
     assert_eq!(lead.machines.values().count(), 1000);
     w.until(5.0, "all machines known", |w| {
         let lead = w.nodes[leader].core.lead.as_ref();
-        lead.is_some_and(|l| l.unresolved.is_empty())
+        lead.is_some_and(|l| l.unresolved == 0)
     });
 }
 
--- a/src/service.rs
+++ b/src/service.rs
@@ -7,7 +7,7 @@
 
 use crate::archivist::{self, Archivist};
 use crate::cloud::{CloudClient, CloudOutcome, CloudRequest};
-use crate::core::{Ask, Command, Core, Effect, Now, Stand, Ticket, UserRequest, note};
+use crate::core::{Ask, Command, Core, Effect, Now, Stand, Ticket, UserRequest, Work, note};
 use crate::http::{self, Answer, Request};
 use crate::link;
 use crate::peer::{self, PeerAnswer, PeerRequest};
@@ -410,6 +410,7 @@
 fn own(mut core: Core, inbox: &Inbox, outbox: Outbox) -> ! {
     let mut waiting: BTreeMap<Ticket, SyncSender<Answer>> = BTreeMap::new();
     let mut told = Instant::now();
+    let mut worked = core.stats.work;
     loop {
         let mut commands = Vec::new();
         for e in inbox.next(core.idle_for()) {
@@ -423,8 +424,10 @@
             carry_out(effect, &outbox, &mut waiting);
         }
         note(&mut core.stats.step, begun.elapsed().as_micros());
+        core.stats.work[Work::Step as usize] += 1;
         if told.elapsed() > Duration::from_secs(60) {
             told = Instant::now();
+            tracing::info!("work:{}", core.stats.work_since(&mut worked));
             let s = &core.stats;
             tracing::info!(
                 "leads {}; accepted {} (p95 {} ms), started {} (p95 {} ms), steps {} (p99 {} us)",
