A quota that is absent, odd or too small; connections by measured memory and threads

Settings: without a quota 256 MB and 1,024 sockets are assumed; what is not above 0 or too little to start with is refused with its field. A connection was measured to take 0.025 MB with its thread (18 MB with 308 of them, 40 MB with 1,191), so 0.03 instead of 0.05 is set aside, and no more than 1,900 threads are used whatever the memory. check tells what follows from the quota.

--- a/src/core/jobs.rs
+++ b/src/core/jobs.rs
@@ -11,6 +11,7 @@
 use crate::http::Answer;
 use crate::job::{Final, JobId, JobSpec, Kind, MachineId, TaskKey};
 use crate::peer::{PeerAnswer, PeerRequest};
+use crate::settings::Settings;
 use crate::state::{StateOutcome, StateRequest};
 use crate::wire::{Change, JobAnswer, JobState, Txn, to_json};
 use std::time::{Duration, Instant, SystemTime};
@@ -64,6 +65,11 @@
     Answer::busy("the state service has lost data and is being rebuilt", 1)
 }
 
+/// How many tasks unfinished jobs may have.
+pub fn most_tasks(settings: &Settings) -> u64 {
+    (settings.memory_mb * 1e6 * JOBS_SHARE / BYTES_PER_TASK) as u64
+}
+
 impl Core {
     fn final_answer(&self, id: &str) -> Option<Answer> {
         let end = self.mirror.end_of(id)?;
@@ -398,7 +404,7 @@
             .values()
             .map(|j| u64::from(j.spec.tasks))
             .sum();
-        let most = (self.settings.memory_mb * 1e6 * JOBS_SHARE / BYTES_PER_TASK) as u64;
+        let most = most_tasks(&self.settings);
         if !self.mirror.jobs.is_empty() && live + u64::from(spec.tasks) > most {
             return self.answer(ticket, Answer::busy("too many unfinished tasks", 30));
         }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -65,7 +65,7 @@
 #[cfg(test)]
 mod world;
 
-pub use jobs::{Ask, UserRequest};
+pub use jobs::{Ask, UserRequest, most_tasks};
 pub use leadership::LEASE_TTL;
 pub use mirror::Mirror;
 
--- a/src/main.rs
+++ b/src/main.rs
@@ -366,11 +366,15 @@
         Command::Check(files) => {
             let (settings, policy) = files.load()?;
             println!(
-                "settings: {} in {}, {} peers, {} teams: good\npolicy in force:\n{}",
+                "settings: {} in {}, {} peers, {} teams: good\nby its quota of {} MB and {} sockets it serves {} connections at a time, and accepts {} tasks of unfinished jobs\npolicy in force:\n{}",
                 settings.name,
                 settings.zone,
                 settings.peers.len(),
                 settings.teams.len(),
+                settings.memory_mb,
+                settings.sockets,
+                service::most_connections(&settings),
+                burlusher::core::most_tasks(&settings),
                 policy.describe()
             );
             Ok(())
--- a/src/service.rs
+++ b/src/service.rs
@@ -50,9 +50,12 @@
 /// Sockets for the lease, the watch, the listeners and the process's own files.
 const SPARE_SOCKETS: usize = 32;
 /// Memory that is kept for everything but connections, and what one takes with its thread: both
-/// measured at a thousand machines, with a margin.
-const BASE_MB: f64 = 48.0;
-const CONNECTION_MB: f64 = 0.05;
+/// measured at a thousand machines, with a margin (`docs/footprint.md`). Where there is little, half is
+/// kept.
+const BASE_MB: f64 = 40.0;
+const CONNECTION_MB: f64 = 0.03;
+/// Each connection has a thread, and a process may not have 2,000.
+const MOST_THREADS: usize = 1900;
 
 /// A command, and where its answer goes if it has one.
 struct Envelope {
@@ -396,13 +399,16 @@
 
 /// Connections to serve at a time: every worker keeps one open to the leader, so as many as the
 /// process may have, less what it opens itself and what its memory allows for threads.
-fn most_connections(settings: &Settings) -> usize {
+pub fn most_connections(settings: &Settings) -> usize {
     let peers = settings.peers.len() * PEER_THREADS + MOST_PEER_CONNECTIONS;
     let own = STATE_THREADS + CLOUD_THREADS + DIRECT_THREADS + peers + SPARE_SOCKETS;
-    let by_memory = (settings.memory_mb - BASE_MB).max(1.0) / CONNECTION_MB;
+    let base = BASE_MB.min(settings.memory_mb / 2.0);
+    let by_memory = (settings.memory_mb - base) / CONNECTION_MB;
+    let by_threads = MOST_THREADS - own.min(MOST_THREADS - 16);
     settings
         .sockets
         .saturating_sub(own)
+        .min(by_threads)
         .clamp(16, by_memory.max(16.0) as usize)
 }
 
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -98,6 +98,7 @@
     workers: RawWorkers,
     state: RawState,
     cloud: RawCloud,
+    #[serde(default)]
     quota: RawQuota,
 }
 
@@ -166,10 +167,36 @@
     list_lag_s: f64,
 }
 
+/// What the process may use. A file that says nothing of it means a machine of its own.
 #[derive(Deserialize)]
+#[serde(default)]
 struct RawQuota {
+    cores: f64,
     mem_mb: f64,
-    fd_limit: usize,
+    fd_limit: i64,
+}
+
+impl Default for RawQuota {
+    fn default() -> RawQuota {
+        RawQuota {
+            cores: 1.0,
+            mem_mb: 256.0,
+            fd_limit: 1024,
+        }
+    }
+}
+
+/// A process that has just begun holds this much, and a little to work with.
+const LEAST_MB: f64 = 32.0;
+const LEAST_SOCKETS: i64 = 96;
+
+fn at_least(field: &str, x: f64, least: f64) -> Result<f64, String> {
+    match positive(field, x) {
+        Ok(x) if x < least => Err(format!(
+            "{field}: {x} is too little, at least {least} are needed"
+        )),
+        checked => checked,
+    }
 }
 
 fn addr(field: &str, text: &str) -> Result<SocketAddrV4, String> {
@@ -259,8 +286,12 @@
                 ));
             }
         }
-        if p.quota.fd_limit < 64 {
-            return Err("params.quota.fd_limit: at least 64 are needed".into());
+        positive("params.quota.cores", p.quota.cores)?;
+        if p.quota.fd_limit < LEAST_SOCKETS {
+            let (given, least) = (p.quota.fd_limit, LEAST_SOCKETS);
+            return Err(format!(
+                "params.quota.fd_limit: {given} is too little, at least {least} are needed"
+            ));
         }
         if raw.host_name.is_empty() {
             return Err("host_name: must not be empty".into());
@@ -285,8 +316,8 @@
             txn_ops: p.state.txn_ops.min(next.txn_ops.unwrap_or(usize::MAX)),
             cloud_rps: positive("params.cloud.rps", p.cloud.rps)?,
             list_lag: seconds("params.cloud.list_lag_s", p.cloud.list_lag_s, 0.0, 3600.0)?,
-            memory_mb: positive("params.quota.mem_mb", p.quota.mem_mb)?,
-            sockets: p.quota.fd_limit,
+            memory_mb: at_least("params.quota.mem_mb", p.quota.mem_mb, LEAST_MB)?,
+            sockets: p.quota.fd_limit as usize,
         })
     }
 
@@ -298,3 +329,45 @@
         self.team_index(name).map(|i| &self.teams[i])
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn with(quota: &str) -> Result<Settings, String> {
+        let text = format!(
+            r#"{{"host_name": "n0", "zone": "a", "public_addr": "127.0.0.1:1", "back": "127.0.0.1:2",
+            "services": {{"cloud": "127.0.0.1:4", "state": "127.0.0.1:5"}}, "new": 1,
+            "params": {{"teams": [{{"name": "t"}}], "cloud": {{"rps": 10.0, "list_lag_s": 1.0}},
+                "workers": {{"report_s": 1.0, "lease_s": 10.0, "cancel_s": 20.0}},
+                "state": {{"rps": 100.0, "write_rps": 50.0, "value_kb": 8.0, "txn_ops": 16}}
+                {quota}}}}}"#
+        );
+        Settings::parse(&text)
+    }
+
+    #[test]
+    fn a_quota_is_taken_as_it_is_by_default_or_refused_with_its_field() {
+        let s = with("").unwrap();
+        assert_eq!((s.memory_mb, s.sockets), (256.0, 1024));
+        let s = with(r#", "quota": {"mem_mb": 98, "other": [1]}"#).unwrap();
+        assert_eq!((s.memory_mb, s.sockets), (98.0, 1024));
+        for (quota, field) in [
+            (r#""mem_mb": 0"#, "mem_mb"),
+            (r#""mem_mb": -5"#, "mem_mb"),
+            (r#""mem_mb": 8"#, "mem_mb"),
+            (r#""cores": 0"#, "cores"),
+            (r#""fd_limit": -1"#, "fd_limit"),
+            (r#""fd_limit": 20"#, "fd_limit"),
+        ] {
+            let told = with(&format!(r#", "quota": {{{quota}}}"#)).unwrap_err();
+            assert!(
+                told.starts_with(&format!("params.quota.{field}: ")),
+                "{told}"
+            );
+        }
+        let told = with(r#", "quota": {"mem_mb": "much"}"#).unwrap_err();
+        assert!(told.contains("much") && told.contains("line"), "{told}");
+        assert!(with(r#", "quota": {"mem_mb": 1e999}"#).is_err());
+    }
+}
