--- a/src/core/scheduling.rs
+++ b/src/core/scheduling.rs
@@ -117,7 +117,9 @@
     pub(super) fn hold_answers(&mut self, now_due: &mut Waiters) {
         let Some(lead) = &mut self.lead else { return };
         let before = std::mem::take(&mut lead.held);
-        if lead.planned == Some(self.now.mono) || !lead.plan_again || !lead.wanting {
+        // At a takeover all machines are new, and their answers show them the token: no time to lose.
+        let planned = lead.planned == Some(self.now.mono) || !lead.plan_again;
+        if planned || !lead.wanting || lead.unresolved > 0 {
             now_due.reports.extend(before.reports);
             now_due.syncs.extend(before.syncs);
             return;
