A leader key on no lease is taken away; clears raise the token themselves; sharper stories

A leader key restored without its lease kept everybody from leading for ever: where no leader is heard its lease is asked for, and once that is unknown for a lease's time the key goes, on the condition of its version. Not covered by a story of their own: the same controller for a report passed on again, the token raised with the question whether a machine began anew, terms from the time of day, tasks held that were being stopped (generated histories found the latter two).

--- a/src/core/added_stories.rs
+++ b/src/core/added_stories.rs
@@ -51,6 +51,10 @@
     // What runs there is gone when its lease has run out, and only then starts elsewhere.
     w.run(9.0);
     assert_eq!(w.starts, before);
+    w.run(4.0);
+    let lead = w.nodes[leader].core.lead.as_ref().unwrap();
+    let unheard = |id: &MachineId| lead.machines.get(id).unwrap().unheard.is_some();
+    assert!(here(&w, "b").iter().all(unheard), "a new session says so");
     w.until_done("wk-000001", 40.0);
     // Work that comes now is not tried there for long.
     let calls: u32 = w.nodes.iter().map(|n| n.calls).sum();
@@ -71,6 +75,16 @@
     assert_eq!(used.count(), 4, "it is used again");
 }
 
+/// What was placed on them waited for a new session, a whole lease.
+#[test]
+fn starts_that_do_not_come_to_be_are_taken_back_before_the_lease_runs_out() {
+    let (mut w, leader) = begin(70);
+    deafen(&mut w, "b", true);
+    assert_eq!(w.submit(leader, &job("wk-000001", 8, 4.0, 1)), 201);
+    w.until_done("wk-000001", 8.0);
+    assert_eq!(w.starts, 8);
+}
+
 /// The new leader waited for ever for machines to show its token whose reports kept coming: none of the
 /// old tasks that nobody had shown was started again.
 #[test]
@@ -143,6 +157,9 @@
     let next = w.leader().unwrap();
     // It comes before the one that has the task now reports.
     w.deliver(next, copy.clone());
+    w.run(0.2);
+    let lead = w.nodes[next].core.lead.as_ref().unwrap();
+    assert!(lead.machines.get(&id).is_none());
     w.run(5.0);
     w.deliver(next, copy);
     w.run(5.0);
--- a/src/core/commands.rs
+++ b/src/core/commands.rs
@@ -49,8 +49,7 @@
             });
         }
         if in_answer && m.settled() {
-            for e in m.exited.iter().filter(|e| m.may_clear(e)) {
-                let Exited { key, attempt, .. } = e;
+            for Exited { key, attempt, .. } in &m.exited {
                 // A completed task is kept in the reports until a later leader would know it
                 // without them.
                 let unwritten = lead
@@ -117,7 +116,8 @@
             let (token, orders) = (lead.term << EPOCH_BITS, Vec::new());
             return (!lead.gone.contains(id)).then_some(ReportAnswer { token, orders });
         };
-        // What is to be cleared has to be out of the reach of the commands that started it.
+        // After a `clear`, a copy of the direct command that started the task would start it anew. The answer
+        // that clears carries a higher token than that came with, which the worker heeds first.
         let token = m.token(lead.term);
         if m.exited.iter().any(|e| e.told_under >= token)
             && let Some(m) = self.lead.as_mut().and_then(|l| l.machines.get_mut(id))
--- a/src/core/delegation_stories.rs
+++ b/src/core/delegation_stories.rs
@@ -4,7 +4,7 @@
 
 use super::stories::chaos;
 use super::world::World;
-use super::{Command, Effect, Now};
+use super::{Command, Effect, Now, Work};
 use crate::job::{JobSpec, Kind, MachineId, sample};
 use crate::policy::Policy;
 use std::collections::BTreeMap;
@@ -71,6 +71,24 @@
     assert_eq!(w.clears, 40);
 }
 
+/// Plans are some time apart, and reports were answered before the next one: each start took a call.
+#[test]
+fn what_is_placed_on_a_machine_that_reports_an_end_goes_into_the_answer() {
+    let (mut w, leader) = begin(503, 20);
+    assert_eq!(w.submit(leader, &job("wk-1", 300, 4.0, 2)), 201);
+    w.until_done("wk-1", 90.0);
+    let work = w.nodes[leader].core.stats.work;
+    let (told, called) = (
+        work[Work::StartInAnswer as usize],
+        work[Work::StartByCall as usize],
+    );
+    assert_eq!(w.starts, 300);
+    assert!(
+        told > 250 && called < 50,
+        "{told} in answers, {called} by calls"
+    );
+}
+
 #[test]
 fn workers_come_to_be_spread_over_all_controllers_and_stay_where_they_are() {
     let (mut w, leader) = begin(502, 200);
--- a/src/core/leadership.rs
+++ b/src/core/leadership.rs
@@ -47,6 +47,19 @@
 /// What the service refuses by itself is tried again after this long.
 const ASIDE: Duration = Duration::from_secs(30);
 
+/// A leader that is not heard for this long has its lease asked for, so often at most.
+const DEAD_KEY: Duration = Duration::from_secs(4);
+
+/// A leader key of which it is not sure whether anybody stands behind it.
+#[derive(Clone, Copy, Debug)]
+pub struct DeadKey {
+    version: u64,
+    since: Instant,
+    asked: Option<Instant>,
+    /// When it was found that the state service does not know its lease.
+    gone: Option<Instant>,
+}
+
 /// A transaction in the making.
 #[derive(Default)]
 struct Batch {
@@ -250,6 +263,7 @@
             }
             return;
         }
+        self.tend_dead_key();
         let free = self.mirror.loaded && self.mirror.leader.is_none() && self.lead.is_none();
         let lease_fresh = self.lease.is_some_and(|l| now < l.kept + LEASE_TTL / 2);
         let trying = self
@@ -286,6 +300,71 @@
         self.ask_state(Pending::TakeOver, StateRequest::Txn(txn));
     }
 
+    /// A leader key whose lease the state service does not know, restored without it, say, would stay for
+    /// ever, and nobody could lead. Where no leader is heard for long, its lease is asked for. Once that
+    /// is not known, nobody can renew it, so whoever it belonged to ceases to act within a lease's time;
+    /// after that the key is taken away, unless it is another one by then.
+    fn tend_dead_key(&mut self) {
+        let now = self.now.mono;
+        let Some((value, version)) = &self.mirror.leader else {
+            self.dead_key = None;
+            return;
+        };
+        if !self.mirror.loaded || self.state_is_stale() {
+            return;
+        }
+        let (lease, version) = (value.lease, *version);
+        if self.dead_key.is_none_or(|d| d.version != version) {
+            self.dead_key = Some(DeadKey {
+                version,
+                since: now,
+                asked: None,
+                gone: None,
+            });
+        }
+        let heard = self.relay.grant.map(|g| g.until);
+        let Some(d) = &mut self.dead_key else { return };
+        if let Some(gone) = d.gone {
+            if now < gone + LEASE_TTL || d.asked.is_some_and(|t| now < t + LEASE_TTL) {
+                return;
+            }
+            d.asked = Some(now);
+            tracing::warn!("the leader key hangs on no lease any more, and is taken away");
+            let condition = Condition {
+                key: key(LEADER),
+                version,
+            };
+            let txn = Txn {
+                conditions: vec![condition],
+                changes: vec![Change::Delete { key: key(LEADER) }],
+            };
+            self.ask_state(Pending::Bury, StateRequest::Txn(txn));
+            return;
+        }
+        // Whoever leads is heard, where controllers work together; an earlier version is not.
+        let silent = heard.map_or(d.since, |t| d.since.max(t));
+        let every = if heard.is_some() {
+            DEAD_KEY
+        } else {
+            DEAD_KEY * 3
+        };
+        let due = now >= silent + every && d.asked.is_none_or(|t| now >= t + every);
+        if due && self.lead.is_none() {
+            d.asked = Some(now);
+            self.ask_state(Pending::LeaseOf(version), StateRequest::LeaseRuns(lease));
+        }
+    }
+
+    /// Whether the lease of a leader key of this version runs.
+    pub(super) fn lease_of_leader(&mut self, version: u64, outcome: StateOutcome) {
+        let now = self.now.mono;
+        if let (Some(d), StateOutcome::Runs(false)) = (&mut self.dead_key, outcome)
+            && d.version == version
+        {
+            d.gone.get_or_insert(now);
+        }
+    }
+
     /// The watch tells the outcome with everything that came before it; this only paces retries.
     pub(super) fn took_over(&mut self, outcome: StateOutcome) {
         let pause = match outcome {
@@ -301,9 +380,10 @@
                 Duration::from_millis(500)
             }
             StateOutcome::Refused(_) | StateOutcome::Unknown(_) => Duration::from_millis(400),
-            StateOutcome::Found(_) | StateOutcome::Missing { .. } | StateOutcome::Page { .. } => {
-                Duration::ZERO
-            }
+            StateOutcome::Found(_)
+            | StateOutcome::Missing { .. }
+            | StateOutcome::Page { .. }
+            | StateOutcome::Runs(_) => Duration::ZERO,
         };
         self.candidate_after = self.candidate_after.max(self.now.mono + pause);
     }
@@ -417,6 +497,8 @@
                     | Pending::LookAtName(_)
                     | Pending::LookAtRevision
                     | Pending::Mark
+                    | Pending::LeaseOf(_)
+                    | Pending::Bury
                     | Pending::Audit { .. }
             )
         });
@@ -691,7 +773,10 @@
                 tracing::info!("write without an answer: {e}");
                 retry(lead, Duration::from_millis(50));
             }
-            StateOutcome::Found(_) | StateOutcome::Missing { .. } | StateOutcome::Page { .. } => {
+            StateOutcome::Found(_)
+            | StateOutcome::Missing { .. }
+            | StateOutcome::Page { .. }
+            | StateOutcome::Runs(_) => {
                 retry(lead, Duration::from_millis(250));
             }
         }
--- a/src/core/loss_stories.rs
+++ b/src/core/loss_stories.rs
@@ -493,6 +493,23 @@
     assert_eq!(w.stored("burlusher/j/").len(), 1);
 }
 
+/// The leader key came back with a restored store and its lease did not: it stayed for ever, and nobody
+/// led until an operator deleted it.
+#[test]
+fn a_leader_key_that_hangs_on_no_lease_is_taken_away_when_nobody_can_stand_behind_it() {
+    let (mut w, leader) = begin(33);
+    assert_eq!(w.submit(leader, &long("wk-1")), 201);
+    w.run(3.0);
+    let starts = w.starts;
+    w.kill(leader, Duration::from_secs(60));
+    w.forget_leases();
+    w.run(8.0);
+    assert_eq!(w.leader(), None);
+    w.until(30.0, "a leader", |w| w.leader().is_some());
+    w.until_done("wk-1", 120.0);
+    assert_eq!(w.starts, starts);
+}
+
 /// A leader reads the store afresh for a sign of a loss, and accepts a job meanwhile: the read is older
 /// than the job. It dropped the job, whose tasks ran on, and started them anew when the watch told of it
 /// again; and what was done of others and not on record yet was never counted.
--- a/src/core/machine.rs
+++ b/src/core/machine.rs
@@ -102,8 +102,6 @@
     pub tasks: BTreeMap<TaskKey, Placement>,
     /// Exited tasks in its newest report.
     pub exited: Vec<Exited>,
-    /// The highest token that it has shown.
-    pub shown: u64,
     /// The token under which it was last told directly to start something.
     pub told_under: u64,
     /// It gets no tasks before it has shown this token: its last session ended although it was answered,
@@ -284,7 +282,6 @@
             session_over: false,
             tasks: BTreeMap::new(),
             exited: Vec::new(),
-            shown: 0,
             told_under: 0,
             unheard: None,
             answered_since: None,
@@ -378,12 +375,6 @@
         self.unheard = Some(self.token(term));
     }
 
-    /// A `clear` of this may go out. After it, a copy of the command that started the task would start
-    /// it anew: so the worker has to have shown a higher token than that came with.
-    pub(super) fn may_clear(&self, exited: &Exited) -> bool {
-        self.shown > exited.told_under
-    }
-
     /// No command that was sent can still arrive.
     pub(super) fn settled(&self) -> bool {
         self.call.is_none() && self.doubt.is_none()
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -280,6 +280,10 @@
     },
     /// The mark that tells another leader of a loss.
     Mark,
+    /// Whether the lease runs on which a leader key of this version hangs.
+    LeaseOf(u64),
+    /// A leader key that hangs on none is taken away.
+    Bury,
     Write,
     Direct(MachineId),
     /// The token shown to a machine for the leader.
@@ -324,6 +328,7 @@
     candidate_after: Instant,
     /// When this process last gave leadership up.
     resigned: Option<Instant>,
+    dead_key: Option<leadership::DeadKey>,
     forwards: BTreeMap<Ticket, UserRequest>,
     barriers: barrier::Barriers,
     custody: custody::Custody,
@@ -480,6 +485,7 @@
             stood: now.mono,
             candidate_after: now.mono,
             resigned: None,
+            dead_key: None,
             forwards: BTreeMap::new(),
             barriers: Default::default(),
             custody: Default::default(),
@@ -658,6 +664,7 @@
             Some(Pending::TakeOver) => self.took_over(outcome),
             Some(Pending::Audit { after, suspicion }) => self.audited(after, suspicion, outcome),
             Some(Pending::LookAtName(version)) => self.looked_at_name(version, outcome),
+            Some(Pending::LeaseOf(version)) => self.lease_of_leader(version, outcome),
             Some(Pending::LookAtRevision) => self.looked_at_revision(outcome),
             Some(Pending::Write) => self.written(call, outcome),
             _ => {}
--- a/src/core/recovery.rs
+++ b/src/core/recovery.rs
@@ -141,7 +141,7 @@
             return;
         };
         tracing::warn!(machine = %id, "machine {id} has begun anew");
-        (m.session, m.seq, m.shown) = (0, 0, 0);
+        (m.session, m.seq) = (0, 0);
         (m.doubt, m.answered, m.session_over) = (None, false, false);
         m.exited.clear();
         m.images.clear();
--- a/src/core/reports.rs
+++ b/src/core/reports.rs
@@ -71,7 +71,6 @@
             m.seq = report.seq;
             m.seen = now;
             m.lease_from = now;
-            m.shown = m.shown.max(report.token);
             lead.heard_one(via, now);
             lead.came_by(&id, via);
             if via.is_none()
@@ -194,7 +193,6 @@
         m.seen = now;
         // With our term's token seen, whatever the predecessors sent is refused from now on.
         let knows_us = report.token >= term << EPOCH_BITS;
-        m.shown = m.shown.max(report.token);
         m.addr = report.addr;
         m.spot = report.spot;
         m.notice = report
--- a/src/core/world.rs
+++ b/src/core/world.rs
@@ -161,6 +161,7 @@
 
     fn perform(&mut self, request: &StateRequest) -> StateOutcome {
         match request {
+            StateRequest::LeaseRuns(id) => StateOutcome::Runs(self.leases.contains_key(id)),
             StateRequest::Get(key) => match self.keys.get(key) {
                 Some(e) => StateOutcome::Found(Item {
                     key: key.clone(),
@@ -763,6 +764,11 @@
         }
     }
 
+    /// The store forgets all leases, and keeps the keys that hang on them.
+    pub fn forget_leases(&mut self) {
+        self.state.leases.clear();
+    }
+
     /// A node's watch is too old, and it reads all there is.
     pub fn list_again(&mut self, node: usize) {
         self.nodes[node].seen = None;
--- a/src/state.rs
+++ b/src/state.rs
@@ -23,6 +23,8 @@
         after: String,
         most: usize,
     },
+    /// Whether a lease, somebody else's, still runs: asked by renewing it, as there is no other way.
+    LeaseRuns(u64),
 }
 
 #[derive(Clone, Debug)]
@@ -34,6 +36,8 @@
         more: bool,
         revision: u64,
     },
+    /// A lease runs, or is not known any more.
+    Runs(bool),
     /// The key does not exist, as of this revision.
     Missing {
         revision: u64,
@@ -122,6 +126,7 @@
                         revision: page.revision,
                     })
                 }
+                StateRequest::LeaseRuns(lease) => c.renew(*lease).map(StateOutcome::Runs),
                 StateRequest::Txn(txn) => {
                     let (status, body) = c
                         .http
