A dead leader key goes only from the store it was seen in; twins of a lookup and a check made one

Found on reading the change again: taking away a leader key on no lease was conditional on its version alone, while a store that lost data may hold another key of that version; it depends on the store's identity now, as taking over does. An answer's starts are counted once and its machine looked up once less; a request's incarnation is compared once.

--- a/crates/membership/src/grant.rs
+++ b/crates/membership/src/grant.rs
@@ -72,9 +72,6 @@
 
     /// Takes in a request's number.
     pub fn request(&mut self, incarnation: u64, number: u64, now: Instant) -> Request {
-        if incarnation != self.incarnation && now < self.until {
-            return Request::Old;
-        }
         if incarnation == self.incarnation {
             if number <= self.number {
                 return Request::Old;
@@ -82,6 +79,9 @@
             (self.number, self.heard) = (number, now);
             return Request::Next;
         }
+        if now < self.until {
+            return Request::Old;
+        }
         (self.incarnation, self.number, self.heard) = (incarnation, number, now);
         Request::Fresh
     }
--- a/src/core/commands.rs
+++ b/src/core/commands.rs
@@ -131,25 +131,23 @@
             orders: self.orders(m, true),
         };
         let unaware = m.unresolved;
-        let starts = body.orders.iter().any(|o| matches!(o, Order::Start { .. }));
+        let starts = body.orders.iter();
+        let count = starts.filter(|o| matches!(o, Order::Start { .. })).count();
+        let starts = count > 0;
         if (m.answered, m.push) != (starts, false)
             && let Some(m) = self.lead.as_mut().and_then(|l| l.machines.get_mut(id))
         {
             m.answered = starts;
             m.push = false;
         }
+        self.stats.work[Work::StartInAnswer as usize] += count as u64;
         if let Some(m) = (self.lead.as_mut()).and_then(|l| l.machines.get_unnoted(id)) {
             m.freed = false;
-        }
-        let starts = body
-            .orders
-            .iter()
-            .filter(|o| matches!(o, Order::Start { .. }));
-        self.stats.work[Work::StartInAnswer as usize] += starts.count() as u64;
-        // A worker that sees a new token reports it within half a second, on the connection that it
-        // has: that costs less than asking it.
-        if unaware && let Some(m) = (self.lead.as_mut()).and_then(|l| l.machines.get_unnoted(id)) {
-            m.claimed_until = Some(self.now.mono + TOKEN_SEEN);
+            // A worker that sees a new token reports it within half a second, on the connection that
+            // it has: that costs less than asking it.
+            if unaware {
+                m.claimed_until = Some(self.now.mono + TOKEN_SEEN);
+            }
         }
         Some(body)
     }
--- a/src/core/leadership.rs
+++ b/src/core/leadership.rs
@@ -330,12 +330,14 @@
             }
             d.asked = Some(now);
             tracing::warn!("the leader key hangs on no lease any more, and is taken away");
-            let condition = Condition {
+            let mut conditions = vec![Condition {
                 key: key(LEADER),
                 version,
-            };
+            }];
+            // In a store that has lost data, another leader key may have the same version.
+            conditions.extend(self.mirror.identity.as_ref().map(named));
             let txn = Txn {
-                conditions: vec![condition],
+                conditions,
                 changes: vec![Change::Delete { key: key(LEADER) }],
             };
             self.ask_state(Pending::Bury, StateRequest::Txn(txn));
