Old copies take no task from where it runs; a session has its own lease

Two causes of a task on two machines: - A new leader heard an old copy first and took the task to be there; where it really ran it was stopped as a second one and forgotten, so when the first machine proved to have nothing the task was started again while it still was on the other. Now a row remembers every machine that has it or may have it, waits again only when none of them has, and is stopped on one of two only when both have shown this term's token. - A machine that heard nothing of a new leader began its next session. When it was asked and known then, its lease was still counted from the last answer to the session before; what was started on it was given up and started elsewhere. Now a session counts from when it was first heard of. A machine that is still unknown when whatever an earlier leader could know of has run out holds nothing of theirs, though its session may go on. Expected: both kinds gone. Stories seen to fail without the mends.

--- a/src/core/histories.rs
+++ b/src/core/histories.rs
@@ -61,7 +61,7 @@
     then_ms: u64,
 }
 
-fn event() -> impl Strategy<Value = Event> {
+fn any_event() -> impl Strategy<Value = Event> {
     let node = 0..3usize;
     let link = prop_oneof![
         Just(Link::Refused),
@@ -270,7 +270,7 @@
         .and_then(|n| n.parse().ok());
     seed[..8].copy_from_slice(&other.unwrap_or(0u64).to_le_bytes());
     let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &seed);
-    let histories = (any::<u64>(), proptest::collection::vec(event(), 1..14));
+    let histories = (any::<u64>(), proptest::collection::vec(any_event(), 1..14));
     let mut runner = TestRunner::new_with_rng(config, rng);
     let outcome = runner.run(&histories, |(seed, events)| {
         play(seed, &events);
@@ -281,17 +281,23 @@
     }
 }
 
+const SHORT: (u32, f64, u64, Kind) = (1, 1.0, 1, Kind::Array);
+
+fn event(trouble: Trouble, job: Option<(u32, f64, u64, Kind)>, then_ms: u64) -> Event {
+    Event {
+        trouble,
+        job,
+        cancel: None,
+        then_ms,
+    }
+}
+
 /// Found by these histories: all controllers ended, their store was lost a moment after they were back,
 /// and was then rolled back to what it held while it was being rebuilt.
 #[test]
 fn a_store_rolled_back_into_its_rebuilding_comes_to_be_whole() {
     super::world::with_log();
-    let event = |trouble, job: bool, then_ms| Event {
-        trouble,
-        job: job.then_some((1, 1.0, 1, Kind::Array)),
-        cancel: None,
-        then_ms,
-    };
+    let event = |trouble, job: bool, then_ms| event(trouble, job.then_some(SHORT), then_ms);
     play(
         3401632716118953730,
         &[
@@ -308,3 +314,33 @@
         ],
     );
 }
+
+/// Found by these histories: machines that heard nothing of a new leader began their next session, which has
+/// a whole lease of its own. It was counted from the last answer to the session before, so what the leader
+/// then started there was given up seconds later, and started elsewhere while it ran.
+#[test]
+fn a_session_has_its_lease_from_when_it_began() {
+    super::world::with_log();
+    let service = |cpus, s| Some((1, cpus, s, Kind::Service));
+    play(
+        11550792248504009265,
+        &[
+            event(Trouble::Die(6), None, 3225),
+            event(Trouble::Deafen { every: 2 }, None, 2776),
+            event(Trouble::EndAll, Some(SHORT), 325),
+            event(Trouble::Copies(9), Some((2, 1.0, 1, Kind::Service)), 1225),
+            event(Trouble::CutOff(1), service(3.0, 6), 1975),
+            event(Trouble::Alone(2), None, 1925),
+            event(
+                Trouble::Unheard { node: 1, every: 2 },
+                Some((1, 2.0, 1, Kind::Array)),
+                3176,
+            ),
+            event(Trouble::CutOff(0), None, 2575),
+            event(Trouble::Reboot(0), Some(SHORT), 1276),
+            event(Trouble::Calm, None, 275),
+            event(Trouble::Freeze(2), Some(SHORT), 50),
+            event(Trouble::LateWrites(0), Some(SHORT), 1125),
+        ],
+    );
+}
--- a/src/core/losses.rs
+++ b/src/core/losses.rs
@@ -170,11 +170,20 @@
     }
 
     pub(super) fn session_over(&mut self, id: &MachineId) {
+        let now = self.now.mono;
+        let run_out = run_out(self.settings.lease);
         let Some(lead) = &mut self.lead else { return };
+        let term = lead.term;
         let Some(m) = lead.machines.get_mut(id) else {
             return;
         };
-        m.session_over = true;
+        // Whatever session an earlier leader could know of is over; one that was heard of since may run, and
+        // holds nothing of theirs.
+        if m.unresolved && now <= m.session_since + run_out {
+            m.not_heard_by(term);
+        } else {
+            m.session_over = true;
+        }
         let tasks: Vec<TaskKey> = m.tasks.keys().cloned().collect();
         tracing::warn!(
             machine = %id, "machine {id}: its lease has run out, {} tasks lost",
--- a/src/core/machine.rs
+++ b/src/core/machine.rs
@@ -97,6 +97,9 @@
     pub seen: Instant,
     /// Receipt of the last report answered 200: its lease cannot have begun later.
     pub lease_from: Instant,
+    /// When its session was first heard of: it has its lease from when it began, and need not have been
+    /// answered since.
+    pub session_since: Instant,
     /// Its tasks were counted out when its lease had run out; the session is over.
     pub session_over: bool,
     pub tasks: BTreeMap<TaskKey, Placement>,
@@ -279,6 +282,7 @@
             seq: 0,
             seen: now,
             lease_from: now,
+            session_since: now,
             session_over: false,
             tasks: BTreeMap::new(),
             exited: Vec::new(),
--- a/src/core/meeting_stories.rs
+++ b/src/core/meeting_stories.rs
@@ -93,3 +93,31 @@
         assert_eq!(w.leader(), Some(leader));
     }
 }
+
+/// A new leader hears an old copy first: the task was there once. When that machine showed that it has
+/// nothing, the task was started a third time, and stopped where it ran.
+#[test]
+fn an_old_copy_heard_by_a_new_leader_takes_no_task_from_where_it_runs() {
+    let (mut w, leader) = begin(84);
+    assert_eq!(w.submit(leader, &job("wk-000001", 1, 4.0, 30)), 201);
+    w.run(3.0);
+    let (first, _) = w.places("wk-000001")[0].clone();
+    let copy = w.report_of(&first);
+    w.reboot(&first, false);
+    w.run(3.0);
+    let (second, _) = w.places("wk-000001")[0].clone();
+    assert_ne!(first, second);
+    w.cloud_down = true;
+    w.workers.get_mut(&first).unwrap().cut = (0..3).collect();
+    w.workers.get_mut(&second).unwrap().cut = (0..3).collect();
+    w.kill(leader, Duration::from_secs(30));
+    w.until(8.0, "another leader", |w| w.leader().is_some());
+    let next = w.leader().unwrap();
+    w.deliver(next, copy);
+    w.run(0.5);
+    w.workers.get_mut(&second).unwrap().cut.clear();
+    w.run(1.5);
+    w.workers.get_mut(&first).unwrap().cut.clear();
+    w.until_done("wk-000001", 60.0);
+    assert_eq!(w.starts, 2, "started once more");
+}
--- a/src/core/rebuild.rs
+++ b/src/core/rebuild.rs
@@ -388,6 +388,7 @@
         r.adopted += 1;
         tracing::warn!(job = %id, "job {id}: known again, with {} tasks on machines and {} done", held.len(), done.len());
         let job = self.mirror.jobs.get(id);
+        let mut adopted = Vec::new();
         for (row, machine) in held {
             let key = TaskKey {
                 job: id.clone(),
@@ -402,15 +403,12 @@
             let run = lead.runs.get_mut(id);
             match (job, run) {
                 (Some(job), Some(run))
-                    if row < job.spec.tasks
-                        && run.ending.is_none()
-                        && !job.done.contains(row)
-                        && !run.placed.contains_key(&row) =>
+                    if row < job.spec.tasks && run.ending.is_none() && !job.done.contains(row) =>
                 {
                     t.needs = job.spec.needs;
                     t.team = self.settings.team_index(&job.spec.team);
-                    run.queued.remove(&row);
-                    run.placed.insert(row, machine);
+                    run.hold(row, &machine);
+                    adopted.push((key, machine));
                 }
                 _ => {
                     t.stop(StopReason::Over, now);
@@ -419,6 +417,9 @@
             }
         }
         lead.plan_again = true;
+        for (key, machine) in adopted {
+            self.stop_doubles(&key, &machine);
+        }
         for row in done {
             let job = id.clone();
             self.task_done(&TaskKey { job, row }, None);
--- a/src/core/recovery.rs
+++ b/src/core/recovery.rs
@@ -9,7 +9,7 @@
 use super::leadership::LEASE_TTL;
 use super::machine::Machine;
 use super::{Core, Effect, Pending};
-use crate::job::MachineId;
+use crate::job::{MachineId, TaskKey};
 use crate::worker::DirectRequest;
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
@@ -177,13 +177,35 @@
         });
     }
 
+    /// What this machine has, of which nothing was certain before.
+    fn stop_doubles_of(&mut self, id: &MachineId) {
+        let Some(lead) = &self.lead else { return };
+        let Some(m) = lead.machines.get(id) else {
+            return;
+        };
+        let double = |key: &&TaskKey| {
+            let run = lead.runs.get(&key.job);
+            run.is_some_and(|r| !r.holders(key.row).is_empty())
+        };
+        let doubles: Vec<TaskKey> = m.tasks.keys().filter(double).cloned().collect();
+        for key in doubles {
+            self.stop_doubles(&key, id);
+        }
+    }
+
     /// A machine has shown everything, or has nothing.
     pub(super) fn resolve(&mut self, id: &MachineId, how: &str) {
         let Some(lead) = &mut self.lead else { return };
         let machine = lead.machines.get_mut(id);
-        if machine.is_some_and(|m| std::mem::take(&mut m.unresolved)) {
+        let known = machine.is_some_and(|m| {
+            m.lease_from = m.lease_from.max(m.session_since);
+            std::mem::take(&mut m.unresolved)
+        });
+        if known {
             lead.unresolved -= 1;
             lead.plan_again = true;
+            self.stop_doubles_of(id);
+            let Some(lead) = &mut self.lead else { return };
             tracing::debug!(term = lead.term, machine = %id, "term {}: machine {id} is known: {how}", lead.term);
             let took = (self.now.mono - lead.since).as_millis();
             // What is left then are machines that died with the last leader.
--- a/src/core/reports.rs
+++ b/src/core/reports.rs
@@ -174,6 +174,10 @@
             m.doubt = None;
             m.answered = false;
             m.images.clear();
+            m.session_since = now;
+            if !m.unresolved {
+                m.lease_from = m.lease_from.max(now);
+            }
         }
         if m.up_since.is_none() {
             m.freed = true;
@@ -321,13 +325,12 @@
             if let (Some(job), Some(run)) =
                 (self.mirror.jobs.get(&key.job), lead.runs.get_mut(&key.job))
             {
-                let elsewhere = run.placed.get(&key.row).filter(|m| *m != id);
-                if let Some(other) = elsewhere {
-                    tracing::error!(task = %key, machine = %id, "task {key} is on {id} and was placed on {other}");
-                } else if run.ending.is_none() && !job.done.contains(key.row) {
+                if let Some(other) = run.placed.get(&key.row).filter(|m| *m != id) {
+                    tracing::warn!(task = %key, machine = %id, "task {key} is or was on {id}, and on {other}");
+                }
+                if run.ending.is_none() && !job.done.contains(key.row) {
                     wanted = true;
-                    run.queued.remove(&key.row);
-                    run.placed.insert(key.row, id.clone());
+                    run.hold(key.row, id);
                     tracing::debug!(task = %key, machine = %id, "task {key} attempt {} found on {id}", row.attempt);
                 }
             }
@@ -336,7 +339,12 @@
                 m.push = true;
             }
             m.tasks.insert(key.clone(), t);
+            self.stop_doubles(key, id);
         }
+        let Some(lead) = &mut self.lead else { return };
+        let Some(m) = lead.machines.get_mut(id) else {
+            return;
+        };
         let Some(t) = m.tasks.get_mut(key) else {
             return;
         };
@@ -426,13 +434,39 @@
             if let Some(d) = hold {
                 run.held.insert(key.row, now + d);
             }
-            if run.placed.get(&key.row) == Some(id) {
-                run.placed.remove(&key.row);
+            if run.let_go(key.row, id) {
                 run.queued.insert(key.row);
             }
         }
     }
 
+    /// A task that is on several machines goes on on one of them only. Which of them have it is certain
+    /// when all of them have shown this term's token; `fresh` is about to be certain.
+    pub(super) fn stop_doubles(&mut self, key: &TaskKey, fresh: &MachineId) {
+        let now = self.now.mono;
+        let Some(lead) = &mut self.lead else { return };
+        let Some(run) = lead.runs.get(&key.job) else {
+            return;
+        };
+        let holders = run.holders(key.row);
+        let machines = &mut lead.machines;
+        let unsure = |id: &&MachineId| machines.get(id).is_some_and(|m| m.unresolved);
+        if holders.len() < 2 || holders.iter().any(unsure) {
+            return;
+        }
+        let keep = holders.iter().position(|id| *id != fresh).unwrap_or(0);
+        tracing::error!(task = %key, machine = %fresh, "task {key} is on several machines; it goes on on {}", holders[keep]);
+        for (n, id) in holders.into_iter().enumerate() {
+            if n != keep
+                && let Some(m) = machines.get_mut(id)
+                && let Some(t) = m.tasks.get_mut(key)
+            {
+                t.stop(StopReason::Over, now);
+                m.push = true;
+            }
+        }
+    }
+
     /// A job whose tasks fail again and again is tried ever more rarely.
     pub(super) fn retry_delay(&self, job: &JobId) -> Duration {
         let failures: u32 = self
@@ -515,7 +549,7 @@
         run.succeeded = true;
         if job.spec.kind == Kind::Service {
             // A replica that ends is started again.
-            if on.is_some() && run.placed.remove(&key.row).is_some() {
+            if on.is_some_and(|id| run.let_go(key.row, id)) {
                 run.queued.insert(key.row);
             }
             return;
@@ -526,12 +560,13 @@
         }
         run.queued.remove(&key.row);
         run.held.remove(&key.row);
-        if let Some(machine) = run.placed.remove(&key.row)
-            && let Some(m) = lead.machines.get_mut(&machine)
-            && let Some(t) = m.tasks.get_mut(key)
-        {
-            t.stop(StopReason::Over, now);
-            m.push = true;
+        for machine in run.release(key.row) {
+            if let Some(m) = lead.machines.get_mut(&machine)
+                && let Some(t) = m.tasks.get_mut(key)
+            {
+                t.stop(StopReason::Over, now);
+                m.push = true;
+            }
         }
         self.end_if_done(&key.job);
     }
@@ -555,9 +590,8 @@
                 r.let_go(&key, id);
             }
             if let Some(run) = lead.runs.get_mut(&key.job)
-                && run.placed.get(&key.row) == Some(id)
+                && run.let_go(key.row, id)
             {
-                run.placed.remove(&key.row);
                 run.queued.insert(key.row);
                 tracing::debug!(task = %key, machine = %id, "task {key} attempt {} lost on {id}: {why}", t.attempt);
             }
--- a/src/core/run.rs
+++ b/src/core/run.rs
@@ -16,6 +16,9 @@
     pub guaranteed: bool,
     pub queued: BTreeSet<u32>,
     pub placed: BTreeMap<u32, MachineId>,
+    /// Further machines on which a placed row is or may be: a report of unknown age proves that it may be
+    /// there, and that it is elsewhere proves nothing. A row waits again when none of them has it.
+    pub(super) also: BTreeMap<u32, Vec<MachineId>>,
     /// Rows that are not to be started again before some moment.
     pub held: BTreeMap<u32, Instant>,
     /// Done rows that are not in the state service yet.
@@ -43,6 +46,55 @@
 const PROBE_PAUSE: Duration = Duration::from_secs(2);
 
 impl Run {
+    /// The row is, or may be, on this machine.
+    pub fn hold(&mut self, row: u32, machine: &MachineId) {
+        self.queued.remove(&row);
+        match self.placed.get(&row) {
+            None => {
+                self.placed.insert(row, machine.clone());
+            }
+            Some(first) if first == machine => {}
+            Some(_) => {
+                let also = self.also.entry(row).or_default();
+                if !also.contains(machine) {
+                    also.push(machine.clone());
+                }
+            }
+        }
+    }
+
+    /// The row is not on this machine any more. Says whether it was, and is on no other one.
+    pub fn let_go(&mut self, row: u32, machine: &MachineId) -> bool {
+        let mut also = self.also.remove(&row).unwrap_or_default();
+        let first = self.placed.get(&row) == Some(machine);
+        also.retain(|m| m != machine);
+        let next = if first { also.pop() } else { None };
+        if !also.is_empty() {
+            self.also.insert(row, also);
+        }
+        match next {
+            Some(next) => {
+                self.placed.insert(row, next);
+                false
+            }
+            None => first && self.placed.remove(&row).is_some(),
+        }
+    }
+
+    /// The row needs to be nowhere any more; where it is or may be.
+    pub fn release(&mut self, row: u32) -> Vec<MachineId> {
+        let also = self.also.remove(&row).unwrap_or_default();
+        self.placed.remove(&row).into_iter().chain(also).collect()
+    }
+
+    /// Where a row is or may be, if that is more than one machine.
+    pub fn holders(&self, row: u32) -> Vec<&MachineId> {
+        let Some(also) = self.also.get(&row) else {
+            return Vec::new();
+        };
+        self.placed.get(&row).into_iter().chain(also).collect()
+    }
+
     /// Stops what is placed of the job. An end is told to machines even where they were told to
     /// stop before; other reasons only once.
     pub fn stop_placed(
@@ -52,7 +104,9 @@
         reason: StopReason,
         now: Instant,
     ) {
-        for (row, machine) in &self.placed {
+        let also = self.also.iter();
+        let also = also.flat_map(|(row, all)| all.iter().map(move |m| (row, m)));
+        for (row, machine) in self.placed.iter().chain(also) {
             let key = TaskKey {
                 job: id.clone(),
                 row: *row,
