What may be left of a cancelled job counts towards its team's limit

Cause: a new leader counted old tasks that nobody had shown for jobs that live; those of a job cancelled shortly before, on machines that can't be reached or don't hear, counted for nobody, nor did those that machines showed (their team was not known any more). Change: how a job was cancelled is stored with its team, what its tasks take, how many were not done and when; for as long as they may be there, they count. Earlier versions pass the new field over.

--- a/src/core/lead.rs
+++ b/src/core/lead.rs
@@ -5,6 +5,7 @@
 use super::expectation::Bidding;
 use super::keys::{Stem, named};
 use super::machine::{Machine, Machines};
+use super::mirror::Left;
 use super::rebuild::Rebuild;
 use super::records::Records;
 use super::run::{Arrivals, Pace, Run, Urgency};
@@ -139,7 +140,8 @@
 /// One durable change of the leader's.
 #[derive(Clone, Debug)]
 pub enum WriteOp {
-    End(JobId, Final),
+    /// With what may be left of it on machines.
+    End(JobId, Final, Option<Left>),
     Progress(JobId, Vec<u32>),
     /// Pages of machines, and who is on them.
     Pages(Vec<usize>, Vec<MachineId>),
--- a/src/core/leadership.rs
+++ b/src/core/leadership.rs
@@ -596,10 +596,13 @@
             if w.aside.contains_key(&key) {
                 continue;
             }
-            if !batch.add(vec![put(key, json(&JobValue::Over { end: *end }))]) {
+            let cancelled = *end == Final::Cancelled;
+            let left = self.mirror.left_of(id, self.now.wall).filter(|_| cancelled);
+            let (end, told) = (*end, left.clone());
+            if !batch.add(vec![put(key, json(&JobValue::Over { end, left }))]) {
                 break;
             }
-            batch.ops.push(WriteOp::End(id.clone(), *end));
+            batch.ops.push(WriteOp::End(id.clone(), end, told));
         }
         batch.pages(&mut w.records, now, true);
         let owed = std::mem::take(&mut self.mirror.owed);
@@ -638,10 +641,12 @@
             if w.aside.contains_key(&key) || w.ends.contains_key(id) {
                 continue;
             }
-            if !batch.add(vec![put(key, json(&JobValue::Over { end }))]) {
+            // Nothing of it can have started.
+            let left = None;
+            if !batch.add(vec![put(key, json(&JobValue::Over { end, left }))]) {
                 break;
             }
-            batch.ops.push(WriteOp::End(id.clone(), end));
+            batch.ops.push(WriteOp::End(id.clone(), end, None));
         }
         batch.pages(&mut w.records, now, false);
         // Every controller learns the types from the cloud as well; a list too long for a value
@@ -852,10 +857,10 @@
     fn durable(&mut self, op: WriteOp, revision: u64) {
         let Some(lead) = &mut self.lead else { return };
         match op {
-            WriteOp::End(id, end) => {
+            WriteOp::End(id, end, left) => {
                 lead.writes.ends.remove(&id);
                 lead.writes.followers.remove(&id);
-                self.mirror.end_written(&id, end, revision);
+                self.mirror.end_written(&id, end, left, revision);
                 self.take_in_jobs();
             }
             WriteOp::Progress(id, rows) => {
--- a/src/core/losses.rs
+++ b/src/core/losses.rs
@@ -4,7 +4,7 @@
 use super::machine::{Machine, Placement, StopReason, WORKER_RETRY};
 use crate::job::{Kind, MachineId, TaskKey};
 use std::collections::BTreeMap;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime};
 
 /// A machine that may hold old tasks is asked this often, so far apart, before it counts as dead:
 /// one lost packet condemns none, and all old tasks that nobody has shown wait for the dead ones.
@@ -38,6 +38,10 @@
             return;
         }
         lead.tended = Some(now);
+        let gone = run_out(self.settings.lease).max(self.settings.cancel);
+        if let Ok(since) = (self.now.wall - gone).duration_since(SystemTime::UNIX_EPOCH) {
+            self.mirror.nothing_left_before(since.as_millis() as u64);
+        }
         self.tend_delegates();
         let Some(lead) = &mut self.lead else { return };
         let report = self.settings.report;
--- a/src/core/meeting_stories.rs
+++ b/src/core/meeting_stories.rs
@@ -3,7 +3,8 @@
 
 use super::added_stories::{begin, job};
 use super::world::{Link, World};
-use crate::job::MachineId;
+use crate::job::{MachineId, sample};
+use crate::wire::DirectBody;
 use std::time::Duration;
 
 /// What the leader writes from now on is kept, and it hears nothing of it; what happens meanwhile it writes
@@ -121,3 +122,48 @@
     w.until_done("wk-000001", 60.0);
     assert_eq!(w.starts, 2, "started once more");
 }
+
+/// A job was cancelled while some of its machines could not be reached, and all controllers ended: its tasks
+/// counted towards nobody's limit, and what came next took its team beyond it.
+#[test]
+fn what_may_be_left_of_a_cancelled_job_counts_towards_its_teams_limit() {
+    let (mut w, leader) = begin(86);
+    // Of the team that may use 24.
+    assert_eq!(w.submit(leader, &sample("wk-000001", 5, 4.0, 60)), 201);
+    w.run(3.0);
+    let cut = |w: &mut World, on: bool| {
+        for m in w
+            .workers
+            .values_mut()
+            .filter(|m| !(on && m.tasks.is_empty()))
+        {
+            m.cut = (0..3).filter(|_| on).collect();
+        }
+    };
+    cut(&mut w, true);
+    w.cloud_down = true;
+    assert_eq!(w.cancel(leader, "wk-000001").0, 200);
+    (0..3).for_each(|n| w.kill(n, Duration::from_millis(300)));
+    w.until(8.0, "another leader", |w| w.leader().is_some());
+    let next = w.leader().unwrap();
+    assert_eq!(w.submit(next, &sample("wk-000002", 6, 4.0, 3)), 201);
+    w.run(1.0);
+    // The world checks the limit; what is certain to be within it is not held up.
+    assert_eq!(w.places("wk-000001").len(), 5, "they are still there");
+    assert_eq!(w.places("wk-000002").len(), 1);
+    // They are heard, and what they show is of no job that is known; they hear nothing.
+    let token = w.nodes[next].core.lead.as_ref().unwrap().term << 20;
+    for (id, _) in w.places("wk-000001") {
+        let body = DirectBody {
+            token,
+            session: w.workers[&id].session,
+            orders: Vec::new(),
+        };
+        w.direct(&id, &body);
+        w.workers.get_mut(&id).unwrap().deaf = true;
+    }
+    cut(&mut w, false);
+    w.run(3.0);
+    w.workers.values_mut().for_each(|m| m.deaf = false);
+    w.until_done("wk-000002", 40.0);
+}
--- a/src/core/mirror.rs
+++ b/src/core/mirror.rs
@@ -16,7 +16,7 @@
 use super::parts::{self, Head, PartValue, Parts};
 use super::pipelines::Pipelines;
 use super::versions::Versions;
-use crate::job::{Final, JobId, JobSpec, MachineId};
+use crate::job::{Final, JobId, JobSpec, MachineId, Resources};
 use crate::state::PREFIX;
 use crate::wire::{Change, Event, Item, MachineType, to_json};
 use serde::{Deserialize, Serialize};
@@ -84,9 +84,26 @@
     },
     Over {
         end: Final,
+        /// Earlier versions neither write nor read this.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        left: Option<Left>,
     },
 }
 
+/// What of a cancelled job may still be on machines: it counts towards its team's limit until their leases
+/// have run out, also for a leader that never knew the job.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Left {
+    pub team: String,
+    pub needs: Resources,
+    /// Those that were not done when its end was written, and when that was (milliseconds since 1970).
+    pub tasks: u32,
+    pub at_ms: u64,
+}
+
+/// So many jobs are known for what is left of them, the latest.
+const MOST_LEFT: usize = 2048;
+
 /// Whether a job's stored form says how it ended; only that of one that is over has an end.
 fn is_over(value: &serde_json::Value) -> bool {
     Final::deserialize(&value["end"]).is_ok()
@@ -303,6 +320,8 @@
     ahead: BTreeMap<JobId, u64>,
     /// On which a leader's changes depend.
     pub versions: Versions,
+    /// What may be left of jobs that were cancelled lately.
+    pub left: BTreeMap<JobId, Left>,
 }
 
 /// What another controller, or a snapshot, remembers.
@@ -326,10 +345,12 @@
         let ahead = std::mem::take(&mut self.ahead);
         let mut versions = std::mem::take(&mut self.versions);
         versions.begin_again();
+        let left = std::mem::take(&mut self.left);
         *self = Mirror {
             finished,
             ahead,
             versions,
+            left,
             changed: before.keys().cloned().collect(),
             loaded: true,
             revision,
@@ -598,7 +619,8 @@
     /// What the job's key holds, or would hold.
     pub fn job_value(&self, id: &JobId) -> Option<JobValue> {
         if let Some(end) = self.finished.get(id) {
-            return Some(JobValue::Over { end: *end });
+            let left = self.left.get(id).cloned();
+            return Some(JobValue::Over { end: *end, left });
         }
         let job = self.jobs.get(id)?;
         let since = job.submitted.duration_since(SystemTime::UNIX_EPOCH);
@@ -607,11 +629,28 @@
     }
 
     /// This process wrote how a job ended.
-    pub fn end_written(&mut self, id: &JobId, end: Final, revision: u64) {
+    pub fn end_written(&mut self, id: &JobId, end: Final, left: Option<Left>, revision: u64) {
         if revision > self.revision {
             self.ahead.insert(id.clone(), revision);
         }
-        self.put_job(id, JobValue::Over { end }, revision);
+        self.put_job(id, JobValue::Over { end, left }, revision);
+    }
+
+    /// What of a job may be on machines, if it is cancelled now.
+    pub fn left_of(&self, id: &JobId, now: SystemTime) -> Option<Left> {
+        let job = self.jobs.get(id)?;
+        let at = now.duration_since(SystemTime::UNIX_EPOCH);
+        Some(Left {
+            team: job.spec.team.clone(),
+            needs: job.spec.needs,
+            tasks: job.spec.tasks.saturating_sub(job.done.len()),
+            at_ms: at.unwrap_or_default().as_millis() as u64,
+        })
+    }
+
+    /// What was cancelled before this moment is on no machine any more.
+    pub fn nothing_left_before(&mut self, at_ms: u64) {
+        self.left.retain(|_, l| l.at_ms >= at_ms);
     }
 
     pub fn apply(&mut self, events: Vec<Event>, revision: u64) {
@@ -760,7 +799,16 @@
                     self.join_parts(&id);
                 }
             }
-            JobValue::Over { end } => {
+            JobValue::Over { end, left } => {
+                if let Some(left) = left {
+                    self.left.insert(id.clone(), left);
+                    if self.left.len() > MOST_LEFT
+                        && let Some(oldest) = self.left.iter().min_by_key(|(_, l)| l.at_ms)
+                    {
+                        let oldest = oldest.0.clone();
+                        self.left.remove(&oldest);
+                    }
+                }
                 let job = self.jobs.remove(&id);
                 let awaits = job.as_ref().map_or(&[][..], |j| &j.spec.awaits);
                 // What it needs owes it nothing any more.
--- a/src/core/reports.rs
+++ b/src/core/reports.rs
@@ -305,16 +305,19 @@
             if let Some(spec) = &spec {
                 m.use_image(image_tag(&spec.image), spec.image_gb, cache_gb);
             }
+            let (needs, team) = match (&spec, self.mirror.left.get(&key.job)) {
+                (Some(spec), _) => (spec.needs, Some(spec.team.as_str())),
+                (None, Some(left)) => (left.needs, Some(left.team.as_str())),
+                (None, None) => (room, None),
+            };
             let mut t = Placement {
                 attempt: row.attempt,
                 phase: Phase::Unseen,
                 since: now,
                 running_since: None,
                 stopping: None,
-                needs: spec.as_ref().map_or(room, |s| s.needs),
-                team: spec
-                    .as_ref()
-                    .and_then(|s| self.settings.team_index(&s.team)),
+                needs,
+                team: team.and_then(|t| self.settings.team_index(t)),
             };
             // Nobody remembers the job, and it may have been accepted all the same.
             let mut wanted = forgotten;
--- a/src/core/scheduling.rs
+++ b/src/core/scheduling.rs
@@ -208,6 +208,12 @@
                 unseen[team].add(&job.spec.needs.times(run.queued.len() as f64));
             }
         }
+        // So may tasks of jobs that were cancelled shortly before.
+        for left in self.mirror.left.values() {
+            if let Some(team) = self.settings.team_index(&left.team) {
+                unseen[team].add(&left.needs.times(f64::from(left.tasks)));
+            }
+        }
         for (team, unseen) in used.iter_mut().zip(unseen) {
             team.cpus += unseen.cpus.min(hidden.cpus);
             team.gpus += unseen.gpus.min(hidden.gpus);
--- a/src/core/side_by_side.rs
+++ b/src/core/side_by_side.rs
@@ -115,11 +115,11 @@
         (Final::Cancelled, r#"{"end":"Cancelled"}"#),
     ] {
         assert_eq!(
-            serde_json::to_value(JobValue::Over { end }).unwrap(),
+            serde_json::to_value(JobValue::Over { end, left: None }).unwrap(),
             value(text)
         );
         let read: JobValue = serde_json::from_str(text).unwrap();
-        assert!(matches!(read, JobValue::Over { end: e } if e == end));
+        assert!(matches!(read, JobValue::Over { end: e, left: None } if e == end));
     }
     // The term keeps its form, so that either version can lead after the other.
     assert_eq!(
