--- a/src/board.rs
+++ b/src/board.rs
@@ -2,6 +2,7 @@
 //! machine. The owner puts a machine again whenever something about it changed, so a step costs
 //! what changed and what is looked for, not all there is.
 
+use crate::guard::{Guard, stands};
 use crate::job::{JobSpec, MachineId, Rank, Resources, TaskKey};
 use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet};
@@ -13,7 +14,7 @@
 
 /// Whether a job may use machines of this kind, in this zone, ordinary or spot.
 pub fn allows(spec: &JobSpec, (kind, zone, spot): &Offer) -> bool {
-    (spec.spot || !spot) && spec.allows_type(kind) && spec.allows_zone(zone)
+    (spec.spot || !spot || !stands(Guard::Spot)) && spec.allows_type(kind) && spec.allows_zone(zone)
 }
 
 /// An image's name in short. Two names of one tag could only make a fetch look cheaper than it is.
--- a/src/core/histories.rs
+++ b/src/core/histories.rs
@@ -5,11 +5,14 @@
 //! `HISTORY_SEED=1` others.
 
 use super::world::{Backup, Link, World};
+use crate::guard::{Guard, OUT};
 use crate::job::{Kind, sample};
 use crate::policy::Policy;
 use crate::wire::JobState;
 use proptest::prelude::*;
+use proptest::strategy::ValueTree;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::time::Duration;
 
 #[derive(Clone, Debug)]
@@ -202,6 +205,7 @@
             let mut spec = sample(&id, tasks, cpus, seconds);
             spec.kind = kind;
             spec.spot = n % 2 == 0;
+            (spec.one_zone, spec.spread) = (n % 5 == 1, n % 5 == 3);
             if kind == Kind::Service {
                 services.push(id.clone());
             }
@@ -217,6 +221,7 @@
     }
     // Peace: whatever was accepted is known to all, ends if it can, and is gone if it was cancelled.
     calm(&mut w);
+    let calm_since = w.now;
     w.run(15.0);
     if w.amnesia {
         // Nobody remembers what was accepted; that nothing ran twice, all the same, was checked.
@@ -233,6 +238,19 @@
         }
     }
     w.until(90.0, "the store is whole", World::whole);
+    // Each question about an accepted job is answered again 75 s after the last trouble at the latest,
+    // unless the store has lost what only its workers' leases can prove.
+    for (n, (id, _)) in accepted.iter().enumerate() {
+        let answered = |w: &mut World| w.show(n % 3, id).0 == 200;
+        while !answered(&mut w) {
+            let late = w.now > calm_since + Duration::from_secs(75);
+            assert!(!late, "{id}: no question is answered for 75 s");
+            w.run(1.0);
+        }
+    }
+    for n in 0..3 {
+        assert_ne!(w.show(n, "wk-999999").0, 200, "wk-999999 was invented");
+    }
     // Replicas of a job whose acceptance nobody heard of would hold their team's limit for ever.
     for id in &services {
         if w.show(1, id).1.is_some() {
@@ -281,6 +299,36 @@
     }
 }
 
+/// The checker finds what follows when a guard is taken out, by the rule that it keeps.
+#[test]
+fn the_checker_finds_each_rule_broken_whose_guard_is_out() {
+    const FAULTS: [(Guard, &str); 8] = [
+        (Guard::Unseen, " and on "),
+        (Guard::Limit, "team t uses"),
+        (Guard::Spot, "is on a spot machine"),
+        (Guard::Stopped, "of a cancelled job is on"),
+        (Guard::Accepted, "was forgotten"),
+        (Guard::Unknown, "was invented"),
+        (Guard::AllDone, "is not done"),
+        (Guard::Cancelled, "said to be"),
+    ];
+    for (guard, rule) in FAULTS {
+        OUT.set(Some(guard));
+        let rng = TestRng::deterministic_rng(RngAlgorithm::ChaCha);
+        let mut runner = TestRunner::new_with_rng(Config::default(), rng);
+        let histories = (any::<u64>(), proptest::collection::vec(any_event(), 1..24));
+        let found = (0..3000).find_map(|n| {
+            let (seed, events) = histories.new_tree(&mut runner).ok()?.current();
+            let played = catch_unwind(AssertUnwindSafe(|| play(seed, &events)));
+            let said = *played.err()?.downcast::<String>().ok()?;
+            said.contains(rule).then_some((n, said))
+        });
+        OUT.set(None);
+        let (n, said) = found.unwrap_or_else(|| panic!("{guard:?} is out, and nothing is found"));
+        println!("{guard:?}: history {n}: {said}");
+    }
+}
+
 const SHORT: (u32, f64, u64, Kind) = (1, 1.0, 1, Kind::Array);
 
 fn event(trouble: Trouble, job: Option<(u32, f64, u64, Kind)>, then_ms: u64) -> Event {
--- a/src/core/jobs.rs
+++ b/src/core/jobs.rs
@@ -8,6 +8,7 @@
 use super::parts::{self, PartValue, Writing};
 use super::run::{Pace, Run};
 use super::{Core, Effect, Pending, ReadPurpose, Ticket, note};
+use crate::guard::{Guard, stands};
 use crate::http::Answer;
 use crate::job::{Final, JobId, JobSpec, Kind, MachineId, TaskKey};
 use crate::peer::{PeerAnswer, PeerRequest};
@@ -571,6 +572,10 @@
             StateOutcome::Conflict { .. } => {
                 self.reread(spec.id.to_string(), ReadPurpose::Show(ticket));
             }
+            StateOutcome::Unknown(_) if !stands(Guard::Accepted) => {
+                let body = state_body(&spec.id, JobState::Queued, None, None);
+                self.answer(ticket, Answer::new(201, body));
+            }
             StateOutcome::Unknown(e) if tries < 2 && waited < Duration::from_secs(3) => {
                 tracing::info!(job = %spec.id, "job {}: no answer to its creation: {e}", spec.id);
                 self.create(ticket, spec, since, tries + 1, parts);
@@ -630,7 +635,13 @@
             }
             StateOutcome::Missing { .. } => match purpose {
                 ReadPurpose::Reject(_, answer) => self.answer(ticket, answer),
-                _ => self.answer(ticket, Answer::error(404, "no such job")),
+                _ if stands(Guard::Unknown) => {
+                    self.answer(ticket, Answer::error(404, "no such job"));
+                }
+                _ => {
+                    let body = state_body(&id, JobState::Queued, None, None);
+                    self.answer(ticket, Answer::new(200, body));
+                }
             },
             StateOutcome::Found(item) => {
                 let value: JobValue = match serde_json::from_value(item.value) {
@@ -696,7 +707,15 @@
         let Some(run) = lead.runs.get_mut(id) else {
             return self.answer(ticket, Answer::busy("not ready", 1));
         };
-        run.cancel_waiters.push(ticket);
+        if stands(Guard::Cancelled) {
+            run.cancel_waiters.push(ticket);
+        } else {
+            let body = state_body(id, JobState::Cancelled, None, None);
+            self.out.push(Effect::Answer {
+                ticket,
+                answer: Answer::new(200, body),
+            });
+        }
         if run.ending.is_none() {
             tracing::info!(job = %id, "job {id}: cancelled by its user");
             run.ending = Some(Final::Cancelled);
@@ -793,7 +812,9 @@
         if let Some(end) = self.mirror.finished.get(id) {
             tracing::info!(job = %id, "job {id} is over: {end:?}");
         }
-        run.stop_placed(id, &mut lead.machines, StopReason::Over, now);
+        if stands(Guard::Stopped) {
+            run.stop_placed(id, &mut lead.machines, StopReason::Over, now);
+        }
         if let Some(answer) = self.final_answer(id) {
             for ticket in run.cancel_waiters {
                 self.answer(ticket, answer.clone());
@@ -807,7 +828,9 @@
         let (Some(run), Some(job)) = (lead.runs.get_mut(id), self.mirror.jobs.get(id)) else {
             return;
         };
-        let all = job.spec.kind != Kind::Service && job.done.len() >= job.spec.tasks;
+        let missing = job.spec.tasks.saturating_sub(job.done.len());
+        let all = missing == 0 || missing == 1 && !stands(Guard::AllDone);
+        let all = job.spec.kind != Kind::Service && all;
         if all && run.ending.is_none() {
             run.ending = Some(Final::Done);
             lead.writes.ends.insert(id.into(), Final::Done);
--- a/src/core/scheduling.rs
+++ b/src/core/scheduling.rs
@@ -9,6 +9,7 @@
 use crate::board::{Board, Held, Host, Offer, Use, image_tag};
 use crate::fleet;
 use crate::forecast::{Coming, Unmet};
+use crate::guard::{Guard, stands};
 use crate::job::{JobId, Kind, MachineId, Rank, Resources, TaskKey};
 use crate::plan::{self, TeamUse, Waiting};
 use crate::policy::{Entry, JobFacts, MachineFacts};
@@ -178,7 +179,7 @@
             TeamUse {
                 cpus: held.cpus,
                 gpus: held.gpus,
-                cpus_max: t.cpus_max,
+                cpus_max: t.cpus_max.filter(|_| stands(Guard::Limit)),
                 gpus_max: t.gpus_max,
                 cpus_own: t.cpus,
                 gpus_own: t.gpus,
@@ -334,7 +335,7 @@
 
     /// Whether the job's unseen tasks may run somewhere that has not reported yet.
     pub(super) fn held_by_recovery(lead: &Lead, job: &Job) -> bool {
-        lead.unresolved > 0 && job.version < lead.key_version
+        lead.unresolved > 0 && job.version < lead.key_version && stands(Guard::Unseen)
     }
 
     /// Jobs with waiting tasks that may be started, in the queue's order: within the guarantee
--- a/src/core/world.rs
+++ b/src/core/world.rs
@@ -23,6 +23,23 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime};
 
+/// A task that starts is in a zone that its job allows, given the job's other tasks.
+fn in_zone(key: &TaskKey, spec: &JobSpec, zone: &str, beside: &BTreeMap<TaskKey, String>) {
+    let others = || beside.iter().filter(|(k, _)| k.job == key.job && *k != key);
+    if spec.one_zone {
+        let elsewhere = others().find(|(_, z)| *z != zone);
+        assert!(
+            elsewhere.is_none(),
+            "{key} starts in {zone}, apart from {elsewhere:?}"
+        );
+    }
+    let here = others().filter(|(_, z)| *z == zone).count() as u32;
+    assert!(
+        here < spec.zone_cap(),
+        "{key} starts in {zone}, as too many of its job do"
+    );
+}
+
 /// The node that an answer refers a worker to.
 fn named(answer: &Answer) -> Option<usize> {
     let body: serde_json::Value = serde_json::from_slice(&answer.body).ok()?;
@@ -1096,9 +1113,24 @@
 
     fn execute(&mut self, id: &MachineId, orders: &[Order]) {
         let now = self.now;
+        // Where tasks of jobs are that care for zones, as of now.
+        let mut beside: BTreeMap<TaskKey, String> = BTreeMap::new();
+        for o in orders {
+            let Order::Start { task, .. } = o else {
+                continue;
+            };
+            let job = parse_task(task).unwrap().job;
+            let spec = &self.specs[&*job];
+            if spec.one_zone || spec.spread {
+                for (m, key) in self.places(&job) {
+                    beside.insert(key, self.workers[&m].zone.clone());
+                }
+            }
+        }
         let Some(w) = self.workers.get_mut(id) else {
             return;
         };
+        let zone = w.zone.clone();
         for o in orders {
             match o {
                 Order::Start { task, attempt } => {
@@ -1116,6 +1148,7 @@
                             assert!(done, "{key} starts before {before} is done");
                         }
                     }
+                    in_zone(&key, spec, &zone, &beside);
                     let mut t = WorkerTask {
                         attempt: *attempt,
                         state: RowState::Running,
@@ -1125,6 +1158,9 @@
                     if w.sick || self.broken_jobs.contains(&*key.job) {
                         (t.state, t.why) = (RowState::Exited, Some(Why::Error));
                     }
+                    if spec.one_zone || spec.spread {
+                        beside.insert(key.clone(), zone.clone());
+                    }
                     w.tasks.insert(key, t);
                 }
                 Order::Stop { task, attempt, .. } => {
--- /dev/null
+++ b/src/guard.rs
@@ -0,0 +1,41 @@
+//! Guards that the tests take out, one at a time, to see that the histories' checker finds what follows. In
+//! the program itself all of them stand.
+
+/// What keeps a rule.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Guard {
+    /// Old tasks that nobody has shown wait for every machine that may have them.
+    Unseen,
+    /// A team uses no more than its limit.
+    Limit,
+    /// Spot machines are for jobs that may use them.
+    Spot,
+    /// Tasks of a job that is over are stopped.
+    Stopped,
+    /// Only what is durable is said to be accepted.
+    Accepted,
+    /// A job that is not in the store was never submitted.
+    Unknown,
+    /// An array is done when all of its tasks are.
+    AllDone,
+    /// Only what is durable is said to be cancelled.
+    Cancelled,
+}
+
+#[cfg(test)]
+thread_local! {
+    /// The one that is taken out in this test.
+    pub static OUT: std::cell::Cell<Option<Guard>> = const { std::cell::Cell::new(None) };
+}
+
+/// Whether a guard is in force.
+#[cfg(test)]
+pub fn stands(guard: Guard) -> bool {
+    OUT.get() != Some(guard)
+}
+
+#[cfg(not(test))]
+#[inline(always)]
+pub fn stands(_: Guard) -> bool {
+    true
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod core;
 pub mod fleet;
 pub mod forecast;
+pub mod guard;
 pub mod http;
 pub mod job;
 pub mod link;
