A report that no worker makes is refused with 400 and changes nothing

Cause: a token that nobody gave (2^64-1, say) passed for the sign of a store that has lost data: the leader gave up and all was rebuilt; followers took any report at all. Story seen to fail before.

--- a/src/core/custody.rs
+++ b/src/core/custody.rs
@@ -31,6 +31,8 @@
 const EPOCH_S: u64 = 1_577_836_800;
 /// An attempt has the term above 32 bits of its own.
 const MOST_TERM: u64 = u32::MAX as u64;
+/// A term this far ahead of the time of day was given by nobody.
+const AHEAD_S: u64 = 86_400;
 /// Between two looks at whether the store is still the one it was.
 const LOOK_EVERY: Duration = Duration::from_secs(3);
 /// Jobs that the leader compares with their keys at each look.
@@ -409,14 +411,23 @@
         self.mirror.term.max(self.custody.token_term)
     }
 
+    fn since_epoch(&self) -> u64 {
+        let since = (self.now.wall.duration_since(SystemTime::UNIX_EPOCH)).unwrap_or_default();
+        since.as_secs().saturating_sub(EPOCH_S)
+    }
+
+    /// Whether somebody may have led in this term: none is ahead of the time of day by more than clocks
+    /// differ, and leaders that follow one another faster than seconds do.
+    pub(super) fn plausible_term(&self, term: u64) -> bool {
+        term <= self.since_epoch().saturating_add(AHEAD_S)
+    }
+
     /// The term of the next leadership: the seconds since 2020, if those before it were less. Leaders follow
     /// one another less often, so no term is used again, whatever is lost: a controller that has just
     /// begun, in a store that was rolled back, knows of none that came after what it reads there.
     pub(super) fn next_term(&self) -> u64 {
         let next = self.newest_term() + 1;
-        let since = (self.now.wall.duration_since(SystemTime::UNIX_EPOCH)).unwrap_or_default();
-        next.max(since.as_secs().saturating_sub(EPOCH_S))
-            .min(MOST_TERM)
+        next.max(self.since_epoch()).min(MOST_TERM)
     }
 
     /// Looks now and then whether the store is the one it was, and asks the others about an empty one.
--- a/src/core/meeting_stories.rs
+++ b/src/core/meeting_stories.rs
@@ -167,3 +167,25 @@
     w.workers.values_mut().for_each(|m| m.deaf = false);
     w.until_done("wk-000002", 40.0);
 }
+
+/// A token that nobody gave passed for the sign of a store that has lost data: the leader gave up, and all
+/// was rebuilt.
+#[test]
+fn a_report_that_no_worker_makes_changes_nothing() {
+    let (mut w, leader) = begin(87);
+    assert_eq!(w.submit(leader, &job("wk-000001", 4, 4.0, 6)), 201);
+    w.run(1.0);
+    let id = w.workers.keys().next().unwrap().clone();
+    for node in 0..3 {
+        let mut report = w.report_of(&id);
+        (report.token, report.session) = (u64::MAX, 1_000_000);
+        report.rows.clear();
+        w.deliver(node, report);
+        w.run(0.5);
+    }
+    let lead = w.nodes[leader].core.lead.as_ref().unwrap();
+    assert_eq!(lead.machines.get(&id).unwrap().session, 1);
+    assert!(w.nodes.iter().all(|n| !n.core.incomplete()));
+    w.until_done("wk-000001", 12.0);
+    assert_eq!((w.leader(), w.starts), (Some(leader), 4));
+}
--- a/src/core/reports.rs
+++ b/src/core/reports.rs
@@ -26,7 +26,11 @@
         report: Box<Report>,
     ) -> Option<(Ticket, MachineId)> {
         if !self.acting() {
-            self.report_to_follower(ticket, report);
+            if self.sane(&report) {
+                self.report_to_follower(ticket, report);
+            } else {
+                self.answer(ticket, Answer::error(400, "malformed report"));
+            }
             return None;
         }
         match self.take_report(*report, None) {
@@ -38,6 +42,18 @@
         }
     }
 
+    /// What no worker says changes nothing: a token that nobody gave, above all, would pass for the sign of a
+    /// store that has lost data.
+    fn sane(&self, report: &Report) -> bool {
+        let id = &report.machine;
+        !id.is_empty()
+            && id.len() <= 100
+            && id.bytes().all(|b| b.is_ascii_graphic() && b != b'/')
+            && report.addr.parse::<SocketAddrV4>().is_ok()
+            && report.session > 0
+            && self.plausible_term(report.token >> EPOCH_BITS)
+    }
+
     /// A report that came here, or by way of another controller; what comes back is the machine,
     /// or why the report is not answered as it would like.
     pub(super) fn take_report(
@@ -47,12 +63,7 @@
     ) -> Result<MachineId, Answer> {
         let now = self.now.mono;
         let id = report.machine.clone();
-        let sane = !id.is_empty()
-            && id.len() <= 100
-            && id.bytes().all(|b| b.is_ascii_graphic() && b != b'/')
-            && report.addr.parse::<SocketAddrV4>().is_ok()
-            && report.session > 0;
-        if !sane {
+        if !self.sane(&report) {
             return Err(Answer::error(400, "malformed report"));
         }
         let no_leader = || Answer::busy("no leader here", 1);
