What shows a lower token than its machine has shown is older, or of another life

Cause, found by generated histories with machines back at once that count from one: a report was newer by session and sequence alone. Workers keep the highest token that they have seen, so a report that shows a lower one than the machine has shown says nothing newer. And the lease of a machine that is heard like that may be one of another life: it counts from then. Held commands and copies of them end with the connections of a machine that begins anew.

--- a/src/core/commands.rs
+++ b/src/core/commands.rs
@@ -269,7 +269,7 @@
                 lead.calls_reach(&zone);
                 if report.machine == id {
                     if began_anew {
-                        self.begins_anew(&id);
+                        self.begins_anew(&id, report.token);
                     }
                     self.absorb(&id, *report, false);
                 }
--- a/src/core/histories.rs
+++ b/src/core/histories.rs
@@ -43,8 +43,11 @@
     Deafen {
         every: usize,
     },
-    /// A machine is back at once, empty, in its next session.
-    Reboot(usize),
+    /// A machine is back at once, empty, in its next session, or with all that it counts at its beginning.
+    Reboot {
+        machine: usize,
+        from_one: bool,
+    },
     /// A controller keeps only its workers and users.
     Alone(usize),
     /// The state service refuses one, then everybody.
@@ -87,7 +90,8 @@
         2 => (0..60u32).prop_map(Trouble::LateWrites),
         1 => (1..30u64).prop_map(Trouble::Copies),
         2 => (1..4usize).prop_map(|every| Trouble::Deafen { every }),
-        1 => (0..12usize).prop_map(Trouble::Reboot),
+        1 => (0..12usize, any::<bool>())
+            .prop_map(|(machine, from_one)| Trouble::Reboot { machine, from_one }),
         1 => node.clone().prop_map(Trouble::Alone),
         1 => Just(Trouble::RefuseAll),
         1 => Just(Trouble::Lose),
@@ -142,9 +146,9 @@
             let some = w.workers.values_mut().step_by(*every);
             some.for_each(|m| m.deaf = !m.deaf);
         }
-        Trouble::Reboot(n) => {
-            if let Some(id) = w.workers.keys().nth(*n).cloned() {
-                w.reboot(&id, false);
+        Trouble::Reboot { machine, from_one } => {
+            if let Some(id) = w.workers.keys().nth(*machine).cloned() {
+                w.reboot(&id, *from_one);
             }
         }
         Trouble::Alone(n) => (w.nodes[*n].state, w.nodes[*n].peers) = (Link::Refused, false),
@@ -362,33 +366,3 @@
         ],
     );
 }
-
-/// Found by these histories: machines that heard nothing of a new leader began their next session, which has
-/// a whole lease of its own. It was counted from the last answer to the session before, so what the leader
-/// then started there was given up seconds later, and started elsewhere while it ran.
-#[test]
-fn a_session_has_its_lease_from_when_it_began() {
-    super::world::with_log();
-    let service = |cpus, s| Some((1, cpus, s, Kind::Service));
-    play(
-        11550792248504009265,
-        &[
-            event(Trouble::Die(6), None, 3225),
-            event(Trouble::Deafen { every: 2 }, None, 2776),
-            event(Trouble::EndAll, Some(SHORT), 325),
-            event(Trouble::Copies(9), Some((2, 1.0, 1, Kind::Service)), 1225),
-            event(Trouble::CutOff(1), service(3.0, 6), 1975),
-            event(Trouble::Alone(2), None, 1925),
-            event(
-                Trouble::Unheard { node: 1, every: 2 },
-                Some((1, 2.0, 1, Kind::Array)),
-                3176,
-            ),
-            event(Trouble::CutOff(0), None, 2575),
-            event(Trouble::Reboot(0), Some(SHORT), 1276),
-            event(Trouble::Calm, None, 275),
-            event(Trouble::Freeze(2), Some(SHORT), 50),
-            event(Trouble::LateWrites(0), Some(SHORT), 1125),
-        ],
-    );
-}
--- a/src/core/machine.rs
+++ b/src/core/machine.rs
@@ -119,6 +119,9 @@
     /// Its session and sequence when a call was made to find out whether it has begun anew, and that
     /// call.
     pub asked: Option<((u64, u64), u64)>,
+    /// The highest token that it has shown in this life of its: what shows a lower one is older, or of
+    /// another life.
+    pub shown: u64,
     /// It is in the state service and may get tasks.
     pub recorded: bool,
     /// Raised to outdate direct commands that got no answer: the worker refuses them once it has
@@ -292,6 +295,7 @@
             unresolved: false,
             freed: false,
             asked: None,
+            shown: 0,
             recorded: false,
             epoch: 0,
             doubt: None,
@@ -328,7 +332,7 @@
     pub(super) fn tells_nothing_new(&self, report: &Report, term: u64) -> bool {
         let calm = report.session == self.session
             && report.seq > self.seq
-            && report.token >= term << EPOCH_BITS
+            && report.token >= (term << EPOCH_BITS).max(self.shown)
             && !self.session_over
             && self.recorded
             && self.doubt.is_none()
--- a/src/core/meeting_stories.rs
+++ b/src/core/meeting_stories.rs
@@ -4,7 +4,7 @@
 use super::added_stories::{begin, job};
 use super::world::{Link, World};
 use crate::job::{MachineId, sample};
-use crate::wire::DirectBody;
+use crate::wire::{DirectBody, Report};
 use std::time::Duration;
 
 /// What the leader writes from now on is kept, and it hears nothing of it; what happens meanwhile it writes
@@ -189,3 +189,71 @@
     w.until_done("wk-000001", 12.0);
     assert_eq!((w.leader(), w.starts), (Some(leader), 4));
 }
+
+/// A machine that had begun anew, and counted from one, was taken for older than a late copy of its former
+/// life: what was given to it since counted as lost, and was started elsewhere while it ran.
+#[test]
+fn a_copy_of_a_machines_former_life_says_nothing_of_this_one() {
+    let (mut w, leader) = begin(88);
+    let id = w.workers.keys().next().unwrap().clone();
+    let earlier_session = {
+        w.reboot(&id, false);
+        w.run(3.0);
+        w.report_of(&id)
+    };
+    let same_session = Report {
+        session: 1,
+        seq: 1000,
+        ..w.report_of(&id)
+    };
+    w.reboot(&id, true);
+    w.run(6.0);
+    assert_eq!(w.submit(leader, &job("wk-000001", 7, 4.0, 20)), 201);
+    w.run(2.0);
+    assert!(w.places("wk-000001").iter().any(|(m, _)| *m == id));
+    for copy in [same_session, earlier_session] {
+        w.deliver(leader, copy);
+        w.run(2.0);
+    }
+    w.until_done("wk-000001", 40.0);
+    assert_eq!(w.starts, 7);
+}
+
+/// Found by generated histories: a machine that heard nothing of a new leader began another session, which has
+/// a whole lease. When it was asked and known at last, its lease was counted from the last answer
+/// to an earlier one; what was then started on it was given up at once, and started elsewhere while it ran.
+#[test]
+fn a_session_has_its_lease_from_when_it_began() {
+    let (mut w, leader) = begin(85);
+    let id = w.workers.keys().next().unwrap().clone();
+    // With its whole zone, as single ones are given up.
+    let zone = w.workers[&id].zone.clone();
+    let there = w.workers.values_mut().filter(|m| m.zone == zone);
+    there.for_each(|m| m.deaf = true);
+    w.cloud_down = true;
+    w.kill(leader, Duration::from_secs(60));
+    w.until(8.0, "another leader", |w| w.leader().is_some());
+    let next = w.leader().unwrap();
+    w.run(7.0);
+    // Shortly before the lease has run out that its last answer may have given it, it begins anew.
+    let lead = w.nodes[next].core.lead.as_ref().unwrap();
+    let answered = lead.machines.get(&id).unwrap().lease_from;
+    w.until(15.0, "its lease", |w| {
+        w.now > answered + Duration::from_secs(11)
+    });
+    w.reboot(&id, false);
+    let m = w.workers.get_mut(&id).unwrap();
+    // It hears again, and is asked; its own reports do not come through for a while.
+    (m.deaf, m.next_report) = (false, w.now + Duration::from_secs(5));
+    let lead = w.nodes[next].core.lead.as_mut().unwrap();
+    assert!(lead.machines.get(&id).unwrap().unresolved, "too late");
+    lead.to_ask.push(id.clone());
+    w.run(0.1);
+    assert_eq!(w.submit(next, &job("wk-000001", 5, 4.0, 20)), 201);
+    w.run(0.2);
+    assert!(w.places("wk-000001").iter().any(|(m, _)| *m == id));
+    w.add_machine("small", "b");
+    w.run(7.0);
+    w.until_done("wk-000001", 40.0);
+    assert_eq!(w.starts, 5);
+}
--- a/src/core/recovery.rs
+++ b/src/core/recovery.rs
@@ -134,14 +134,14 @@
     }
 
     /// The machine has begun anew, with nothing of what was on it, and counts its reports from one.
-    pub(super) fn begins_anew(&mut self, id: &MachineId) {
+    pub(super) fn begins_anew(&mut self, id: &MachineId, seen: u64) {
         let Some(lead) = &mut self.lead else { return };
         let term = lead.term;
         let Some(m) = lead.machines.get_mut(id) else {
             return;
         };
         tracing::warn!(machine = %id, "machine {id} has begun anew");
-        (m.session, m.seq) = (0, 0);
+        (m.session, m.seq, m.shown) = (0, 0, seen);
         (m.doubt, m.answered, m.session_over) = (None, false, false);
         m.exited.clear();
         m.images.clear();
--- a/src/core/reports.rs
+++ b/src/core/reports.rs
@@ -109,7 +109,15 @@
                 let same = (m.session, m.seq) == (report.session, report.seq);
                 same && m.via.as_ref() == via && !m.session_over
             });
+        let token = report.token;
         if !again && !self.absorb(&id, report, true) {
+            if let Some(m) = (self.lead.as_mut()).and_then(|l| l.machines.get_mut(&id))
+                && token < m.shown
+                && !m.unresolved
+            {
+                // If it is of another life, that one has a lease of its own.
+                m.lease_from = m.lease_from.max(now);
+            }
             self.ask_whether_it_began_anew(&id);
             return Err(Answer::busy("an older report", 1));
         }
@@ -162,7 +170,7 @@
         let Some(m) = lead.machines.get_mut(id) else {
             return false;
         };
-        if (report.session, report.seq) <= (m.session, m.seq) {
+        if (report.session, report.seq) <= (m.session, m.seq) || report.token < m.shown {
             return false;
         }
         // Made before that session's lease ran out, and held up on the way: what it tells of is
@@ -205,6 +213,7 @@
         let noticed = m.notice.is_none() && report.notice.is_some();
         m.session = report.session;
         m.seq = report.seq;
+        m.shown = report.token;
         m.seen = now;
         // With our term's token seen, whatever the predecessors sent is refused from now on.
         let knows_us = report.token >= term << EPOCH_BITS;
--- a/src/core/world.rs
+++ b/src/core/world.rs
@@ -1353,6 +1353,9 @@
             w.waiting = None;
             (w.lease_from, w.next_report) = (now, now + TICK * 4);
             if from_one {
+                // What was under way to it ends with its connections.
+                self.held_commands.retain(|(to, _)| to != id);
+                self.late_commands.retain(|(_, to, _)| to != id);
                 (w.session, w.seq, w.token) = (1, 0, 0);
             } else {
                 w.session += 1;
