--- a/src/core/rebuild.rs
+++ b/src/core/rebuild.rs
@@ -304,7 +304,9 @@
         };
         let same = match &r.of {
             Some(of) => told.stores.contains(of),
-            None => told.remembers && told.stores.is_empty(),
+            // A controller that had just begun noticed the loss by what workers have seen, and knows no name:
+            // whatever store the others remember is the one.
+            None => told.remembers,
         };
         if let Some(m) = r.memories.get_mut(peer) {
             m.jobs += jobs;
--- a/src/guard.rs
+++ b/src/guard.rs
@@ -20,6 +20,22 @@
     AllDone,
     /// Only what is durable is said to be cancelled.
     Cancelled,
+    /// A leader acts no longer than its lease is certain to run.
+    Word,
+    /// A controller that serves workers answers no longer than the leader's grant says.
+    Grant,
+    /// Tasks are stopped as soon as a user asks to cancel their job.
+    Early,
+    /// Machines that answer direct commands and do not report get no work.
+    Mute,
+    /// What is to end is stopped also where no report has shown it yet.
+    UnseenStops,
+    /// Machines that do not report are told all the same what they are to stop.
+    MuteStops,
+    /// What has not begun for long comes first.
+    Overdue,
+    /// A user is told of a cancellation only where its tasks are gone in time whatever comes.
+    InTime,
 }
 
 #[cfg(test)]
