A submission is a JSON object, and its shape and rank are words

A list of values in the fields' order passed for an object, and an object with one key for a word: both were accepted.

--- a/src/wire.rs
+++ b/src/wire.rs
@@ -70,7 +70,7 @@
 }
 
 #[derive(Deserialize, Serialize, Clone, Copy)]
-#[serde(rename_all = "lowercase")]
+#[serde(rename_all = "lowercase", try_from = "String")]
 enum ShapeWord {
     Array,
     Service,
@@ -78,7 +78,7 @@
 }
 
 #[derive(Deserialize, Serialize, Clone, Copy)]
-#[serde(rename_all = "lowercase")]
+#[serde(rename_all = "lowercase", try_from = "String")]
 enum RankWord {
     Production,
     Urgent,
@@ -86,6 +86,33 @@
     Low,
 }
 
+impl TryFrom<String> for ShapeWord {
+    type Error = String;
+
+    fn try_from(word: String) -> Result<ShapeWord, String> {
+        match word.as_str() {
+            "array" => Ok(ShapeWord::Array),
+            "service" => Ok(ShapeWord::Service),
+            "ensemble" => Ok(ShapeWord::Ensemble),
+            _ => Err(format!("shape: {word:?} is not known")),
+        }
+    }
+}
+
+impl TryFrom<String> for RankWord {
+    type Error = String;
+
+    fn try_from(word: String) -> Result<RankWord, String> {
+        match word.as_str() {
+            "production" => Ok(RankWord::Production),
+            "urgent" => Ok(RankWord::Urgent),
+            "standard" => Ok(RankWord::Standard),
+            "low" => Ok(RankWord::Low),
+            _ => Err(format!("rank: {word:?} is not known")),
+        }
+    }
+}
+
 /// Whether `id` has the form of a job's id: the prefix and digits.
 pub fn is_job_id(id: &str) -> bool {
     id.strip_prefix(JOB_PREFIX)
@@ -94,6 +121,11 @@
 
 /// Reads a submission. The error is for the user.
 pub fn parse_submission(body: &[u8]) -> Result<JobSpec, String> {
+    // A list of values in the fields' order would pass for an object, and an object for a word.
+    let first = body.iter().find(|b| !b.is_ascii_whitespace());
+    if first != Some(&b'{') {
+        return Err("not a JSON object".into());
+    }
     let b: SubmitBody = serde_json::from_slice(body).map_err(|e| e.to_string())?;
     if !is_job_id(&b.name_id) {
         return Err("name_id: not a job id".into());
