Machines that reach no controller get no work, and are told what to stop by calls

Answers to direct commands made a machine that does not report look usable, so work was started there to die with its lease; and what was cancelled there was not stopped by a call, as its silence kept calls from it. A stop is now also sent for starts that no report has shown yet. Calls to machines that do not report take a quarter of the calls at most and carry stops alone.

--- a/src/core/commands.rs
+++ b/src/core/commands.rs
@@ -8,6 +8,7 @@
 use super::losses::ASKED_IN_VAIN;
 use super::machine::{EPOCH_BITS, Exited, Machine, Phase, Placement, StopReason};
 use super::{Core, Effect, Pending, Ticket, Work};
+use crate::guard::{Guard, stands};
 use crate::http::Answer;
 use crate::job::{MachineId, TaskKey};
 use crate::wire::{DirectBody, Order, ReportAnswer, to_json};
@@ -31,10 +32,13 @@
         };
         let mut orders = Vec::new();
         for (key, t) in &m.tasks {
-            let Some((_, since)) = t.stopping else {
+            let Some((reason, since)) = t.stopping else {
                 continue;
             };
-            if t.phase == Phase::Unseen {
+            // A start that nobody has seen come to be is mostly there all the same, and begins to run before
+            // the next report where nothing stops it.
+            let over = reason == StopReason::Over && stands(Guard::UnseenStops);
+            if t.phase == Phase::Unseen && !over {
                 continue;
             }
             let grace = self.grace(m, key, t);
@@ -162,31 +166,42 @@
         let Some(lead) = &mut self.lead else { return };
         let term = lead.term;
         let silent = self.settings.report * 2;
+        let fresh = |m: &Machine| now.saturating_duration_since(m.seen) < silent;
         let machines = &lead.machines.all;
         lead.machines
             .to_tell
             .retain(|id| machines.get(id).is_some_and(|m| m.push));
-        let due: Vec<MachineId> = (lead.machines.to_tell.iter())
-            .filter_map(|id| machines.get(id))
-            .filter(|m| {
-                m.session > 0
-                    && !m.session_over
-                    && m.settled()
-                    && m.unheard.is_none()
-                    && now >= m.push_after
-                    && now.saturating_duration_since(m.seen) < silent
-            })
-            .map(|m| m.id.clone())
-            .collect();
-        for id in due {
+        // What is to be stopped is told to a machine that does not report as well: calls may reach it.
+        let to_stop = |m: &Machine| {
+            let over = |t: &Placement| matches!(t.stopping, Some((StopReason::Over, _)));
+            stands(Guard::MuteStops) && m.tasks.values().any(over)
+        };
+        let (mut due, mut mute): (Vec<MachineId>, Vec<MachineId>) = Default::default();
+        for m in (lead.machines.to_tell.iter()).filter_map(|id| machines.get(id)) {
+            let may = m.session > 0
+                && !m.session_over
+                && m.settled()
+                && m.unheard.is_none()
+                && now >= m.push_after;
+            if may && fresh(m) {
+                due.push(m.id.clone());
+            } else if may && to_stop(m) {
+                mute.push(m.id.clone());
+            }
+        }
+        // Calls to dead machines take their threads for long.
+        let calls = due.into_iter().map(|id| (id, MOST_DIRECT, true));
+        let stops = mute.into_iter().map(|id| (id, MOST_DIRECT / 4, false));
+        for (id, most, all) in calls.chain(stops) {
             let Some(lead) = &self.lead else { return };
-            if lead.calls_out >= MOST_DIRECT {
-                return;
+            if lead.calls_out >= most {
+                break;
             }
             let Some(m) = lead.machines.get(&id) else {
                 continue;
             };
-            let orders = self.orders(m, false);
+            let mut orders = self.orders(m, false);
+            orders.retain(|o| all || matches!(o, Order::Stop { .. }));
             let body = DirectBody {
                 token: m.token(term),
                 session: m.session,
--- a/src/core/machine.rs
+++ b/src/core/machine.rs
@@ -2,6 +2,7 @@
 //! imports nothing of theirs.
 
 use crate::board::ImageTag;
+use crate::guard::{Guard, stands};
 use crate::job::{JobId, MachineId, Resources, TaskKey};
 use crate::wire::{Report, RowState};
 use std::collections::{BTreeMap, BTreeSet};
@@ -407,6 +408,8 @@
             && self.doubt.is_none()
             && self.unheard.is_none()
             && now.saturating_duration_since(self.seen) < patience
+            // Answers to direct commands keep no lease: without reports, what is started dies with it.
+            && (now.saturating_duration_since(self.lease_from) < patience || !stands(Guard::Mute))
     }
 
     /// Its latest failures speak against giving it tasks now.
