--- a/src/core/reports.rs
+++ b/src/core/reports.rs
@@ -534,7 +534,8 @@
         };
         m.faults.failures += 1;
         m.faults.failed_jobs.insert(key.job.clone());
-        let pause = Duration::from_secs(5) * 2u32.pow(m.faults.failures.min(5));
+        // Not for so long that work waits for it beyond a minute and a half.
+        let pause = Duration::from_secs(5) * 2u32.pow(m.faults.failures.min(3));
         m.faults.avoid_until = Some(now + pause);
     }
 
--- a/src/core/scheduling.rs
+++ b/src/core/scheduling.rs
@@ -358,7 +358,7 @@
             let urgency = lead.urgency_of(id, job);
             let facts = self.facts(job, run, &urgency, estimate, run.guaranteed);
             let order = self.policy.number(Entry::Order, &facts);
-            let overdue = self.policy.truth(Entry::Overdue, &facts);
+            let overdue = self.policy.truth(Entry::Overdue, &facts) && stands(Guard::Overdue);
             line.push(InLine {
                 overdue,
                 rank: urgency.rank,
@@ -486,7 +486,8 @@
             }
             let mut zones = BTreeMap::new();
             if job.spec.one_zone || job.spec.spread {
-                for machine in run.placed.values() {
+                // Also where a row only may be.
+                for machine in run.placed.values().chain(run.also.values().flatten()) {
                     if let Some(m) = lead.machines.get(machine) {
                         *zones.entry(m.zone.clone()).or_insert(0) += 1;
                     }
@@ -513,7 +514,12 @@
                 guaranteed: entry.facts.guaranteed,
                 may_preempt: self.policy.truth(Entry::Preempt, &entry.facts),
                 merit: self.policy.number(Entry::Merit, &entry.facts) as f32,
-                shunned: self.shunned(job, &entry.facts),
+                // What was passed for long takes any room that is there; nothing dear is rented for it.
+                shunned: if entry.overdue {
+                    Vec::new()
+                } else {
+                    self.shunned(job, &entry.facts)
+                },
             });
         }
         queue
