A cancelled job's tasks are stopped when its user asks; confirmed only where gone in time

Tasks whose images were being fetched began to run after their user was told, as they were stopped only when the leader knew the end to be durable, and another controller may tell its user before. Whatever they do after the request is of use to nobody, so they are stopped at once. Where cancel_s is less than a lease can take to run out (gone_after), the end is written only when nothing is left. A zone that no type has is refused also where types name no zones.

--- a/src/core/jobs.rs
+++ b/src/core/jobs.rs
@@ -311,10 +311,16 @@
         if self.types.is_empty() {
             return Err(Answer::busy("machine types are not known yet", 2));
         }
+        // A type that names no zones is to be had in those of the settings.
         let fits = self.types.iter().any(|t| {
+            let zones = if t.zones.is_empty() {
+                &self.settings.zones
+            } else {
+                &t.zones
+            };
             spec.allows_type(&t.name)
                 && spec.needs.fits(&t.room())
-                && (t.zones.is_empty() || spec.zone.as_ref().is_none_or(|z| t.zones.contains(z)))
+                && (zones.is_empty() || spec.zone.as_ref().is_none_or(|z| zones.contains(z)))
         });
         if !fits {
             return never("a task fits no allowed machine type");
@@ -719,6 +725,12 @@
         if run.ending.is_none() {
             tracing::info!(job = %id, "job {id}: cancelled by its user");
             run.ending = Some(Final::Cancelled);
+            // What they do from now on is of no use to anybody, and what was still to start would start after
+            // its user was told. Should the end never be written, a later leader starts them again.
+            if stands(Guard::Early) && stands(Guard::Stopped) {
+                let id = Self::job_id(id);
+                run.stop_placed(&id, &mut lead.machines, StopReason::Over, self.now.mono);
+            }
             lead.writes.ends.insert(id.into(), Final::Cancelled);
             let with_it = self.mirror.pipelines.downstream(&Self::job_id(id));
             lead.in_doubt.extend(with_it);
--- a/src/core/leadership.rs
+++ b/src/core/leadership.rs
@@ -8,12 +8,14 @@
     part_key,
 };
 use super::lead::{Lead, Lease, Sent, WriteOp, Writes};
+use super::losses::gone_after;
 use super::machine::Machines;
 use super::mirror::{DoneValue, JobValue, LeaderValue, TermValue};
 use super::parts::Writing;
 use super::records::Records;
 use super::{CallId, Core, Effect, Pending, Stand, Ticket};
 use crate::board::Board;
+use crate::guard::{Guard, stands};
 use crate::http::Answer;
 use crate::job::{Final, JobId, JobSpec};
 use crate::state::{StateOutcome, StateRequest};
@@ -115,8 +117,11 @@
 impl Core {
     /// Until when this process may act as the leader.
     pub(super) fn leader_until(&self) -> Option<Instant> {
-        let lease = self.lease.as_ref()?;
         let lead = self.lead.as_ref()?;
+        if !stands(Guard::Word) {
+            return Some(self.now.mono + LEASE_TTL);
+        }
+        let lease = self.lease.as_ref()?;
         // The service's clock may run faster than ours by 0.1% at the most.
         Some(lease.kept.min(lead.stands) + LEASE_TTL - LEASE_TTL / 1000 - SAFETY)
     }
@@ -578,7 +583,28 @@
         let piece = self.piece();
         let most = self.settings.txn_ops.saturating_sub(1).max(1);
         let most = most.min(self.write_budget.left(now) as usize);
+        // Told of a cancellation, a user counts on its tasks being gone in `cancel_s`. Where that is less than
+        // what a lease takes to run out, they have to be gone before.
+        let in_time = gone_after(self.settings.lease) <= self.settings.cancel;
         let lead = self.lead.as_mut()?;
+        let left_over: BTreeSet<JobId> = if in_time || !stands(Guard::InTime) {
+            BTreeSet::new()
+        } else {
+            let cancelled = lead
+                .writes
+                .ends
+                .iter()
+                .filter(|(_, end)| **end == Final::Cancelled);
+            let jobs = &self.mirror.jobs;
+            let left = cancelled.filter(|(id, _)| {
+                let placed = lead.runs.get(*id).is_some_and(|r| !r.placed.is_empty());
+                placed
+                    || jobs
+                        .get(*id)
+                        .is_some_and(|j| Self::held_by_recovery(lead, j))
+            });
+            left.map(|(id, _)| id.clone()).collect()
+        };
         let w = &mut lead.writes;
         w.aside.retain(|_, until| now < *until);
         let mut batch = Batch {
@@ -593,7 +619,7 @@
         };
         for (id, end) in &w.ends {
             let key = job_key(id);
-            if w.aside.contains_key(&key) {
+            if w.aside.contains_key(&key) || left_over.contains(id) {
                 continue;
             }
             let cancelled = *end == Final::Cancelled;
--- a/src/core/losses.rs
+++ b/src/core/losses.rs
@@ -1,6 +1,7 @@
 //! Losses: machines that fall silent, are taken, or never come up, and what becomes of their tasks.
 
 use super::Core;
+use super::leadership::LEASE_TTL;
 use super::machine::{Machine, Placement, StopReason, WORKER_RETRY};
 use crate::job::{Kind, MachineId, TaskKey};
 use std::collections::BTreeMap;
@@ -26,6 +27,13 @@
     lease + lease / 500 + LEASE_MARGIN
 }
 
+/// From when a cancellation is durable until nothing of its job can be left, whatever fails meanwhile: the
+/// leader's word, within which a worker may be answered by a controller that does not know of it yet, and
+/// then the worker's lease. `docs/design.md`, "A cancellation in the gap".
+pub fn gone_after(lease: Duration) -> Duration {
+    LEASE_TTL + lease + lease / 500 + Duration::from_millis(500)
+}
+
 impl Core {
     /// Losses, notices and the cloud's list.
     pub(super) fn tend_machines(&mut self) {
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -34,6 +34,8 @@
 mod expectation;
 mod figures;
 #[cfg(test)]
+mod gap_stories;
+#[cfg(test)]
 mod histories;
 mod jobs;
 mod keys;
@@ -44,6 +46,8 @@
 mod losses;
 mod machine;
 #[cfg(test)]
+mod meeting_scenarios;
+#[cfg(test)]
 mod meeting_stories;
 mod mirror;
 mod parts;
@@ -70,6 +74,7 @@
 
 pub use jobs::{Ask, UserRequest, most_tasks};
 pub use leadership::LEASE_TTL;
+pub use losses::gone_after;
 pub use mirror::Mirror;
 
 use crate::cloud::{CloudOutcome, CloudRequest};
--- a/src/core/relay.rs
+++ b/src/core/relay.rs
@@ -11,6 +11,7 @@
 use super::lead::{HEARTBEAT, Lead};
 use super::reports::led_to;
 use super::{Core, Effect, Pending, Ticket};
+use crate::guard::{Guard, stands};
 use crate::http::Answer;
 use crate::job::MachineId;
 use crate::link::{self, Heard, Relayed, Sync, Synced, Told, ToldKind};
@@ -225,7 +226,7 @@
             return self.redirect(ticket);
         }
         if let Some(grant) = self.relay.grant
-            && grant.holds(self.mirror.term, now)
+            && (grant.holds(self.mirror.term, now) || !stands(Guard::Grant))
             && let Some(token) = self.relay.same_again(&report, now)
         {
             let answer = match self.relay.move_one(&report.machine) {
@@ -233,7 +234,8 @@
                 None => {
                     let orders = Vec::new();
                     let body = to_json(&ReportAnswer { token, orders });
-                    Answer::new(200, body).until(Some(grant.until))
+                    let until = stands(Guard::Grant).then_some(grant.until);
+                    Answer::new(200, body).until(until)
                 }
             };
             return self.answer(ticket, answer);
