--- a/src/core/losses.rs
+++ b/src/core/losses.rs
@@ -4,6 +4,7 @@
 use super::leadership::LEASE_TTL;
 use super::machine::{Machine, Placement, StopReason, WORKER_RETRY};
 use crate::job::{Kind, MachineId, TaskKey};
+use crate::settings::Settings;
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant, SystemTime};
 
@@ -34,6 +35,20 @@
     LEASE_TTL + lease + lease / 500 + Duration::from_millis(500)
 }
 
+/// What operators are told where a cancellation may take less than that.
+pub fn late_cancellations(settings: &Settings) -> Option<String> {
+    let (needs, given) = (gone_after(settings.lease), settings.cancel);
+    (needs > given).then(|| {
+        format!(
+            "params.workers.cancel_s: {} s is less than the {:.1} s in which a lease of {} s is certain to have run out; \
+             cancellations are confirmed only when nothing of the job is left",
+            given.as_secs_f64(),
+            needs.as_secs_f64(),
+            settings.lease.as_secs_f64()
+        )
+    })
+}
+
 impl Core {
     /// Losses, notices and the cloud's list.
     pub(super) fn tend_machines(&mut self) {
--- a/src/core/meeting_scenarios.rs
+++ b/src/core/meeting_scenarios.rs
@@ -2,7 +2,8 @@
 //! the test of every one). Each asserts that the meeting did happen. The world checks the rules at every tick.
 
 use super::added_stories::{begin, job};
-use super::world::{LEASE, Link, Setup, World};
+use super::losses::late_cancellations;
+use super::world::{LEASE, Link, Setup, World, settings};
 use crate::guard::{Guard, OUT};
 use crate::job::{JobSpec, Kind, MachineId, Rank};
 use crate::policy::Policy;
@@ -505,6 +506,17 @@
 
 #[test]
 fn a_cancellation_is_confirmed_only_where_it_is_certain_in_time() {
+    // Operators are warned of it.
+    let warned = |cancel: u64| {
+        let cancel = Duration::from_secs(cancel);
+        late_cancellations(&settings("n0", Setup { nodes: 3, cancel }))
+    };
+    assert!(warned(20).is_none());
+    assert!(
+        warned(6)
+            .unwrap()
+            .starts_with("params.workers.cancel_s: 6 s is less than")
+    );
     let waited = cancelled_in_less_than_a_lease();
     assert!(waited > 3, "told before it is certain");
     fails_without(Guard::InTime, "of a cancelled job is on", || {
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -74,7 +74,7 @@
 
 pub use jobs::{Ask, UserRequest, most_tasks};
 pub use leadership::LEASE_TTL;
-pub use losses::gone_after;
+pub use losses::late_cancellations;
 pub use mirror::Mirror;
 
 use crate::cloud::{CloudOutcome, CloudRequest};
--- a/src/main.rs
+++ b/src/main.rs
@@ -341,6 +341,9 @@
         } => {
             burlusher::logging::start(log_format, std::env::var("LOG_LEVEL").ok().as_deref())?;
             let (settings, policy) = files.load()?;
+            if let Some(warning) = burlusher::core::late_cancellations(&settings) {
+                tracing::warn!("{warning}");
+            }
             let run = service::run(settings, policy, snapshots.as_deref());
             run.map_err(|e| e.to_string())
         }
@@ -377,6 +380,9 @@
                 burlusher::core::most_tasks(&settings),
                 policy.describe()
             );
+            if let Some(warning) = burlusher::core::late_cancellations(&settings) {
+                eprintln!("warning: {warning}");
+            }
             Ok(())
         }
         Command::Submit { node, file } => {
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -673,11 +673,84 @@
             let bad = body(|v| v[field] = value.clone());
             assert!(parse_submission(&bad).is_err(), "{field} = {value}");
         }
-        for field in ["name_id", "crop", "rows", "together", "bale_s"] {
-            let bad = body(|v| {
+        let whole: Value = serde_json::from_slice(&body(|_| ())).unwrap();
+        let fields = whole.as_object().unwrap();
+        let may_be_null = ["breeds", "parcel", "due_s", "new_field"];
+        for field in fields.keys() {
+            let required = !may_be_null.contains(&field.as_str());
+            let missing = body(|v| {
                 v.as_object_mut().unwrap().remove(field);
             });
-            assert!(parse_submission(&bad).is_err(), "{field} missing");
+            assert_eq!(
+                parse_submission(&missing).is_err(),
+                required,
+                "{field} missing"
+            );
+            let null = body(|v| v[field] = Value::Null);
+            assert_eq!(parse_submission(&null).is_err(), required, "{field} null");
+        }
+        for amount in [
+            "cpus",
+            "accelerators",
+            "ram_gb",
+            "size_gb",
+            "reckon_s",
+            "harvest_s",
+            "bale_s",
+            "due_s",
+        ] {
+            for value in [
+                serde_json::json!(-0.5),
+                serde_json::json!(2e9),
+                "4".into(),
+                true.into(),
+                serde_json::json!([4.0]),
+            ] {
+                let bad = body(|v| v[amount] = value.clone());
+                assert!(parse_submission(&bad).is_err(), "{amount} = {value}");
+            }
+            let text = String::from_utf8(body(|v| v[amount] = "X".into())).unwrap();
+            for odd in ["NaN", "Infinity", "1e999", "-1e999", "0x4", "04"] {
+                let bad = text.replace("\"X\"", odd);
+                assert!(
+                    parse_submission(bad.as_bytes()).is_err(),
+                    "{amount} = {odd}"
+                );
+            }
+        }
+        // Values in the fields' order, and an object for a word, passed.
+        let row: Vec<&Value> = [
+            "name_id",
+            "crop",
+            "steward",
+            "shape",
+            "rank",
+            "rows",
+            "cpus",
+            "accelerators",
+            "ram_gb",
+            "seedstock",
+            "size_gb",
+            "breeds",
+            "parcel",
+            "together",
+            "scatter",
+            "gleanable",
+            "reckon_s",
+            "harvest_s",
+            "bale_s",
+            "due_s",
+            "new_field",
+        ]
+        .iter()
+        .map(|f| &fields[*f])
+        .collect();
+        let mut row = serde_json::json!(row);
+        row[20] = Value::Null;
+        assert!(parse_submission(row.to_string().as_bytes()).is_err());
+        for (field, value) in [("shape", "array"), ("rank", "urgent")] {
+            let bad = body(|v| v[field] = serde_json::json!({value: null}));
+            assert!(parse_submission(&bad).is_err(), "{field} as an object");
         }
         for bad in ["", "[]", "{", "null", "7", "{\"cpus\":NaN}"] {
             assert!(parse_submission(bad.as_bytes()).is_err(), "{bad}");
