--- /dev/null
+++ b/crates/market/src/clear/tests.rs
@@ -0,0 +1,241 @@
+use super::*;
+use crate::worth::Aim;
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+
+fn s(seconds: f64) -> Duration {
+    Duration::from_secs_f64(seconds)
+}
+
+fn lot(kind: &str, zone: &str, spot: bool, price: f64) -> Lot {
+    Lot {
+        offer: (kind.into(), zone.into(), spot),
+        price,
+        ready: s(15.0),
+        least_paid: s(60.0),
+        likely: 100,
+        hazard: 0.0,
+        size: 4.0,
+    }
+}
+
+/// Tasks that would start after `after`, and lose `loss` if that is later than `by`.
+fn bid(tasks: f64, after: f64, by: f64, loss: f64, lots: usize) -> Bid {
+    let unsure = Duration::ZERO;
+    let aims = vec![Aim {
+        by: s(by),
+        unsure,
+        loss,
+    }];
+    Bid {
+        tasks,
+        run: s(10.0),
+        arrives: Duration::ZERO,
+        after: s(after),
+        worth: Worth::new(aims, 0.0),
+        nominal: 1.0,
+        carries: vec![
+            Some(Carry {
+                slots: 1,
+                fetch: s(1.0)
+            });
+            lots
+        ],
+    }
+}
+
+fn counts(c: &Cleared, lots: &[Lot]) -> BTreeMap<Offer, u32> {
+    let awards = c.awards.iter();
+    awards
+        .map(|a| (lots[a.lot].offer.clone(), a.count))
+        .collect()
+}
+
+fn anywhere() -> Spread {
+    Spread::new(["a", "b"], 1.0)
+}
+
+#[test]
+fn a_dear_market_is_paid_for_only_by_what_loses_more_by_waiting() {
+    let lots = [lot("k", "a", false, 1.0), lot("k", "a", true, 0.3)];
+    let late = [bid(30.0, 120.0, 50.0, 50.0, 2)];
+    let c = clear(&late, &lots, &anywhere());
+    assert!(c.saved > c.cost && c.method == Method::Program);
+    let got = counts(&c, &lots);
+    assert!(got[&lots[1].offer] >= 5 && !got.contains_key(&lots[0].offer));
+    // The cheap one refuses: the dear one is worth it as well, and for little it is not.
+    let mut refused = lots.clone();
+    refused[1].likely = 0;
+    let c = clear(&late, &refused, &anywhere());
+    assert!(counts(&c, &lots)[&lots[0].offer] >= 5);
+    let little = [bid(30.0, 120.0, 50.0, 2.0, 2)];
+    let c = clear(&little, &refused, &anywhere());
+    assert_eq!((c.method, c.unserved), (Method::Nothing, 30.0));
+    // A price that moves by a third between two steps moves the choice.
+    let both = [lot("k", "a", false, 1.0), lot("l", "a", false, 1.1)];
+    let first = clear(&late, &both, &anywhere());
+    let mut moved = both.clone();
+    moved[0].price = 1.33;
+    let then = clear(&late, &moved, &anywhere());
+    assert!(counts(&first, &both).contains_key(&both[0].offer));
+    assert!(!counts(&then, &both).contains_key(&both[0].offer));
+}
+
+#[test]
+fn work_without_worth_or_in_time_anyway_gets_nothing() {
+    let lots = [lot("k", "a", false, 0.01)];
+    let mut nil = bid(50.0, 500.0, 50.0, 0.0, 1);
+    nil.worth = Worth::default();
+    let in_time = bid(50.0, 20.0, 90.0, 1e6, 1);
+    // No machine can be there before it is too late.
+    let lost = bid(50.0, 100.0, 3.0, 1e6, 1);
+    let c = clear(&[nil, in_time, lost], &lots, &anywhere());
+    assert_eq!((c.method, c.awards.len()), (Method::Nothing, 0));
+    let nothing = clear(&[], &lots, &anywhere());
+    assert!(nothing.awards.is_empty() && clear(&[], &[], &anywhere()).awards.is_empty());
+}
+
+#[test]
+fn where_there_is_too_little_for_all_the_dearest_losses_are_spared_first() {
+    let mut lots = [lot("k", "a", false, 0.5)];
+    lots[0].likely = 4;
+    let urgent = bid(8.0, 200.0, 60.0, 500.0, 1);
+    let slow = bid(400.0, 200.0, 60.0, 40.0, 1);
+    let c = clear(&[slow.clone(), urgent], &lots, &anywhere());
+    assert_eq!(c.awards, [Award { lot: 0, count: 4 }]);
+    assert!(c.saved > 8.0 * 400.0, "{}", c.saved);
+    // Left alone, the slow ones get the machines: nobody starves for ever.
+    let c = clear(&[slow], &lots, &anywhere());
+    assert_eq!(c.awards, [Award { lot: 0, count: 4 }]);
+}
+
+#[test]
+fn an_exact_tie_is_settled_alike_by_every_process_whatever_the_order() {
+    let lots = vec![
+        lot("k", "a", false, 1.0),
+        lot("k", "b", false, 1.0),
+        lot("l", "a", false, 1.0),
+        lot("l", "b", false, 1.0),
+    ];
+    let bids = vec![
+        bid(7.0, 120.0, 50.0, 50.0, 4),
+        bid(7.0, 120.0, 50.0, 50.0, 4),
+    ];
+    let here = counts(&clear(&bids, &lots, &anywhere()), &lots);
+    let turned: Vec<Lot> = lots.iter().rev().cloned().collect();
+    let there = counts(&clear(&bids, &turned, &anywhere()), &turned);
+    assert_eq!(here, there);
+    let kinds: Vec<&String> = here.keys().map(|o| &o.0).collect();
+    assert!(kinds.windows(2).all(|k| k[0] == k[1]), "{here:?}");
+    // Of the same kind and price, zones share what is rented.
+    let by_zone: Vec<u32> = here.values().copied().collect();
+    assert!(by_zone.len() == 2 && by_zone[0].abs_diff(by_zone[1]) <= 1);
+}
+
+#[test]
+fn a_zone_beyond_its_share_is_paid_less_for_and_one_without_another_still_served() {
+    let mut lots = vec![lot("k", "a", false, 1.0), lot("k", "b", false, 1.05)];
+    let late = [bid(30.0, 120.0, 50.0, 500.0, 2)];
+    let mut spread = Spread::new(["a", "b"], 0.1);
+    spread.add("a", 90.0);
+    spread.add("b", 10.0);
+    let got = counts(&clear(&late, &lots, &spread), &lots);
+    assert!(!got.contains_key(&lots[0].offer) && got[&lots[1].offer] > 0);
+    // The other zone drains: better there than not at all.
+    lots[1].likely = 0;
+    let got = counts(&clear(&late, &lots, &spread), &lots);
+    assert!(got[&lots[0].offer] > 0);
+}
+
+#[test]
+fn whatever_is_asked_awards_stay_within_what_is_likely_and_save_more_than_they_cost() {
+    for seed in 0..60 {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let lots: Vec<Lot> = (0..rng.random_range(1..12))
+            .map(|i| {
+                let zone = if i % 2 == 0 { "a" } else { "b" };
+                let mut l = lot(&format!("k{}", i / 4), zone, i % 3 == 0, 1.0);
+                l.price = rng.random_range(0.1..6.0);
+                l.likely = rng.random_range(0..40);
+                l.ready = s(rng.random_range(0.0..60.0));
+                l.hazard = rng.random_range(0.0..0.01);
+                l
+            })
+            .collect();
+        let bids: Vec<Bid> = (0..rng.random_range(0..200))
+            .map(|_| {
+                let after = rng.random_range(0.0..300.0);
+                let by = rng.random_range(1.0..200.0);
+                let loss = rng.random_range(0.0..80.0);
+                let tasks = f64::from(rng.random_range(0..300u32));
+                let mut b = bid(tasks, after, by, loss, lots.len());
+                b.run = s(rng.random_range(0.1..400.0));
+                for c in &mut b.carries {
+                    let slots = rng.random_range(0..17u32);
+                    *c = (slots > 0).then_some(Carry {
+                        slots,
+                        fetch: s(rng.random_range(0.0..20.0)),
+                    });
+                }
+                b
+            })
+            .collect();
+        for c in [
+            clear(&bids, &lots, &anywhere()),
+            clear_greedily(&bids, &lots, &anywhere()),
+        ] {
+            for a in &c.awards {
+                assert!(a.count <= lots[a.lot].likely, "seed {seed}");
+            }
+            assert!(c.saved >= c.cost * 0.98, "seed {seed}: {c:?}");
+            assert!(c.unserved >= -1e-6);
+        }
+    }
+}
+
+/// The linear program's value before machines are whole is what nothing can beat.
+#[test]
+fn the_greedy_way_stays_near_the_bound_that_the_program_gives() {
+    let (mut saved, mut bound) = (0.0, 0.0);
+    for seed in 0..12 {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let kinds = [(4.0, 15.0), (16.0, 35.0), (64.0, 15.0)];
+        let lots: Vec<Lot> = (0..12)
+            .map(|i| {
+                let (size, ready) = kinds[i / 4];
+                let price = size * if i % 2 == 0 { 0.033 } else { 0.085 };
+                let zone = if i % 4 < 2 { "a" } else { "b" };
+                let mut l = lot(&format!("k{}", i / 4), zone, i % 2 == 0, price);
+                (l.size, l.ready) = (size, s(ready));
+                l.likely = if i % 2 == 0 { 5 } else { 200 };
+                l
+            })
+            .collect();
+        let bids: Vec<Bid> = (0..8)
+            .map(|_| {
+                let run: f64 = rng.random_range(5.0..60.0);
+                let loss = run * rng.random_range(0.2..2.0);
+                let after = rng.random_range(30.0..240.0);
+                let mut b = bid(60.0, after, rng.random_range(20.0..120.0), loss, 12);
+                b.run = s(run);
+                for (c, l) in b.carries.iter_mut().zip(&lots) {
+                    let slots = (l.size / 4.0) as u32;
+                    *c = Some(Carry {
+                        slots,
+                        fetch: s(3.0),
+                    });
+                }
+                b
+            })
+            .collect();
+        let program = pose(&bids, &lots, &anywhere());
+        let x = program.solve().unwrap();
+        bound += program.gains.iter().zip(x).map(|(g, x)| g * x).sum::<f64>();
+        let c = clear_greedily(&bids, &lots, &anywhere());
+        saved += c.saved - c.cost;
+    }
+    assert!(
+        saved > 0.9 * bound && saved < bound * 1.001,
+        "{saved} of {bound}"
+    );
+}
--- /dev/null
+++ b/crates/snapshot/src/archive/tests.rs
@@ -0,0 +1,36 @@
+use super::*;
+use crate::image::{Change, Entry};
+
+#[test]
+fn each_store_has_a_line_of_its_own_and_the_oldest_go() {
+    let dir = tempfile::tempdir().unwrap();
+    let archive = Archive::open(dir.path()).unwrap();
+    assert!(archive.newest().unwrap().is_none());
+    let mut image = Image::default();
+    for n in 0..10u64 {
+        let entry = Some(Entry {
+            version: n + 1,
+            value: n.to_string(),
+        });
+        image.apply(
+            vec![Change {
+                key: "k".into(),
+                entry,
+            }],
+            n + 1,
+        );
+        archive.begin(&format!("s{n}"), &image).unwrap();
+    }
+    // Opened again, with the same key.
+    let archive = Archive::existing(dir.path()).unwrap();
+    let all = archive.list().unwrap();
+    assert_eq!((all.len(), &*all[0].name), (KEPT, "0003-s2"));
+    let line = archive.newest().unwrap().unwrap().line.unwrap();
+    assert_eq!((&*line.head.store, line.image.revision), ("s9", 10));
+    for which in ["s4", "5", "0005-s4"] {
+        let line = archive.find(which).unwrap().unwrap().line.unwrap();
+        assert_eq!(line.head.store, "s4");
+    }
+    assert!(archive.find("s0").unwrap().is_none());
+    assert!(Archive::existing(&dir.path().join("none")).is_err());
+}
--- /dev/null
+++ b/crates/snapshot/src/line/tests.rs
@@ -0,0 +1,147 @@
+use super::*;
+use proptest::prelude::*;
+
+const KEY: Key = [7; 32];
+
+fn put(key: &str, version: u64, value: &str) -> Change {
+    let value = value.to_string();
+    Change {
+        key: key.into(),
+        entry: Some(Entry { version, value }),
+    }
+}
+
+fn drop_key(key: &str) -> Change {
+    Change {
+        key: key.into(),
+        entry: None,
+    }
+}
+
+/// A small line: two items, then four changes in three records.
+fn small(dir: &Path) -> Vec<Image> {
+    let mut image = Image::default();
+    image.apply(vec![put("a", 1, "{}"), put("b", 2, "[1,2]")], 2);
+    let mut seen = vec![image.clone()];
+    let mut w = Writer::begin(dir, KEY, "s", &image).unwrap();
+    let steps = [
+        (vec![put("c", 3, "3")], 3),
+        (vec![drop_key("a"), put("b", 4, "{\"x\":4}")], 4),
+        (vec![put("d", 5, "\"five\"")], 5),
+    ];
+    for (changes, revision) in steps {
+        w.append(&changes, revision).unwrap();
+        image.apply(changes, revision);
+        seen.push(image.clone());
+    }
+    w.sync().unwrap();
+    seen
+}
+
+/// The writer may be ended at any byte: what was written before is read, and it is said that more
+/// was to come.
+#[test]
+fn a_log_cut_at_any_byte_is_read_as_far_as_it_goes() {
+    let dir = tempfile::tempdir().unwrap();
+    let seen = small(dir.path());
+    let log = dir.path().join("000001.log");
+    let whole = std::fs::read(&log).unwrap();
+    let mut told = std::collections::BTreeSet::new();
+    for n in 0..=whole.len() {
+        std::fs::write(&log, &whole[..n]).unwrap();
+        let line = read(dir.path(), &KEY).unwrap().unwrap();
+        assert!(seen.contains(&line.image), "cut at {n}");
+        let between = line.faults.first().map(|f| f.fault.clone());
+        assert!(matches!(between, None | Some(Fault::Torn)), "{between:?}");
+        told.insert(line.image.revision);
+    }
+    assert_eq!(told, [2, 3, 4, 5].into());
+}
+
+#[test]
+fn a_flipped_bit_in_any_byte_is_found_and_nothing_wrong_is_read() {
+    let dir = tempfile::tempdir().unwrap();
+    let seen = small(dir.path());
+    for name in ["000001.base", "000001.log"] {
+        let file = dir.path().join(name);
+        let whole = std::fs::read(&file).unwrap();
+        for n in 0..whole.len() {
+            let mut bytes = whole.clone();
+            bytes[n] ^= 1 << (n % 8);
+            std::fs::write(&file, &bytes).unwrap();
+            match read(dir.path(), &KEY).unwrap() {
+                Ok(line) => {
+                    assert_eq!(line.faults.len(), 1, "{name} byte {n}");
+                    assert!(seen.contains(&line.image), "{name} byte {n}");
+                }
+                Err(faults) => assert_eq!((name, faults.len()), ("000001.base", 1)),
+            }
+        }
+        std::fs::write(&file, &whole).unwrap();
+    }
+    assert!(read(dir.path(), &KEY).unwrap().unwrap().faults.is_empty());
+}
+
+/// Records moved, taken out or written with another key are whole, and yet not the line's.
+#[test]
+fn a_log_put_together_by_another_hand_is_not_believed() {
+    let dir = tempfile::tempdir().unwrap();
+    small(dir.path());
+    let other = tempfile::tempdir().unwrap();
+    let mut w = Writer::begin(other.path(), [8; 32], "s", &Image::default()).unwrap();
+    w.append(&[put("a", 9, "9")], 9).unwrap();
+    let forged = std::fs::read(other.path().join("000001.log")).unwrap();
+    std::fs::write(dir.path().join("000001.log"), forged).unwrap();
+    let line = read(dir.path(), &KEY).unwrap().unwrap();
+    assert_eq!(line.image.revision, 2);
+    assert_eq!(line.faults[0].fault, Fault::Foreign);
+}
+
+#[test]
+fn a_damaged_base_falls_back_to_the_pair_before_it() {
+    let dir = tempfile::tempdir().unwrap();
+    let seen = small(dir.path());
+    let last = seen.last().unwrap();
+    Writer::begin(dir.path(), KEY, "s", last).unwrap();
+    let base = dir.path().join("000002.base");
+    let mut bytes = std::fs::read(&base).unwrap();
+    let middle = bytes.len() / 2;
+    bytes[middle] ^= 4;
+    std::fs::write(&base, bytes).unwrap();
+    let line = read(dir.path(), &KEY).unwrap().unwrap();
+    assert_eq!((&line.image, line.faults.len()), (last, 1));
+    // The third pair removes the first, and a log without a base is passed over.
+    Writer::begin(dir.path(), KEY, "s", last).unwrap();
+    assert!(!dir.path().join("000001.base").exists());
+    File::create(dir.path().join("000009.log")).unwrap();
+    assert_eq!(&read(dir.path(), &KEY).unwrap().unwrap().image, last);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 64, failure_persistence: None, ..ProptestConfig::default() })]
+    /// Whatever is put, deleted and compacted, what is read is what was there.
+    #[test]
+    fn what_is_read_is_what_was_written(
+        steps in proptest::collection::vec((0..20u8, proptest::option::of("[a-z]{0,40}"), any::<bool>()), 1..60)
+    ) {
+        let dir = tempfile::tempdir().unwrap();
+        let mut image = Image::default();
+        let mut w = Writer::begin(dir.path(), KEY, "", &image).unwrap();
+        for (n, (key, value, compact)) in steps.into_iter().enumerate() {
+            let revision = n as u64 + 1;
+            let key = format!("k/{key}");
+            let change = match value {
+                Some(v) => put(&key, revision, &v),
+                None => drop_key(&key),
+            };
+            w.append(std::slice::from_ref(&change), revision).unwrap();
+            image.apply(vec![change], revision);
+            if compact && n % 7 == 0 {
+                w.compact(&image).unwrap();
+            }
+        }
+        let line = read(dir.path(), &KEY).unwrap().unwrap();
+        prop_assert_eq!(line.image, image);
+        prop_assert!(line.faults.is_empty());
+    }
+}
--- a/crates/standin/src/scenario.rs
+++ b/crates/standin/src/scenario.rs
@@ -180,28 +180,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    const SAMPLE: &str = include_str!("../../../scenarios/three-zones.toml");
-
-    #[test]
-    fn a_bad_scenario_is_refused_with_file_line_and_reason() {
-        let s = Scenario::parse("s", SAMPLE).unwrap();
-        assert!(s.zones.len() == 3 && !s.events.is_empty());
-        let told = |from: &str, to: &str| {
-            assert!(SAMPLE.contains(from), "{from}");
-            let text = SAMPLE.replacen(from, to, 1);
-            let at = text.find(to).unwrap();
-            let line = text[..at].matches('\n').count() + 1;
-            let e = Scenario::parse("s.toml", &text).unwrap_err();
-            assert!(e.starts_with(&format!("s.toml:{line}: ")), "{e}");
-            e
-        };
-        assert!(told("controllers = 3", "controllers = 0").contains("between 1 and 9"));
-        assert!(told("tolerance = ", "tolerances = ").contains("tolerances"));
-        assert!(told("tasks = 12", "tasks = 0").contains("tasks"));
-        assert!(told("a_minute = 24", "a_minute = 'x'").contains("f64"));
-        assert!(Scenario::parse("s", "").unwrap_err().starts_with("s:1: "));
-    }
-}
+mod tests;
--- a/src/core/mirror.rs
+++ b/src/core/mirror.rs
@@ -945,47 +945,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    /// Controllers are replaced one after the other: the earlier version must not lead once the
-    /// machines are recorded in a form that it does not know.
-    #[test]
-    fn a_term_can_be_read_from_before_but_not_by_what_was_before() {
-        #[derive(Deserialize)]
-        struct Before {
-            #[allow(dead_code)]
-            term: u64,
-        }
-        let now = serde_json::to_value(TermValue { term: 7 }).unwrap();
-        assert!(serde_json::from_value::<Before>(now.clone()).is_err());
-        let read = |v| serde_json::from_value::<TermValue>(v).unwrap().term;
-        assert_eq!(read(now), 7);
-        assert_eq!(read(serde_json::json!({"term": 6})), 6);
-    }
-
-    #[test]
-    fn done_rows_survive_their_stored_form_in_pieces_of_any_size() {
-        let mut rows = RowSet::default();
-        for r in [0, 1, 2, 3, 63, 64, 65, 127, 200, 5000] {
-            assert!(rows.insert(r));
-            assert!(!rows.insert(r));
-        }
-        assert_eq!(rows.ranges(0, 128), "0-3,63-65,127");
-        for size in [1, 64, 100, 6000] {
-            let mut back = RowSet::default();
-            for base in (0..6000).step_by(size) {
-                back.add_ranges(base, &rows.ranges(base, size as u32), 6000);
-            }
-            assert_eq!(back, rows);
-        }
-        let mut odd = RowSet::default();
-        odd.add_ranges(0, "x,3-1,,2-9999999999,4000000000,7-8", 8);
-        assert!(odd.contains(7) && odd.len() == 1);
-        let mut alternate = RowSet::default();
-        (0..2048).step_by(2).for_each(|r| {
-            alternate.insert(r);
-        });
-        assert!(alternate.ranges(0, 2048).len() < 6 * 1024);
-    }
-}
+mod tests;
--- /dev/null
+++ b/src/core/records/tests.rs
@@ -0,0 +1,76 @@
+use super::*;
+use crate::wire::{Event, Item};
+
+fn value(i: usize) -> MachineValue {
+    MachineValue {
+        addr: format!("10.1.0.{}:9000", i % 250),
+        kind: "betonniere".into(),
+        zone: "saint-brieuc".into(),
+        spot: i.is_multiple_of(2),
+    }
+}
+
+fn told(mirror: &mut Mirror, change: Change, version: u64) {
+    let (put, delete, value) = match change {
+        Change::Put { key, value, .. } => (Some(key), None, value),
+        Change::Delete { key } => (None, Some(key), serde_json::Value::Null),
+    };
+    let event = Event {
+        put,
+        delete,
+        value,
+        version,
+        lease: None,
+    };
+    mirror.apply(vec![event], version);
+}
+
+/// What a leader writes is what the next one finds, page by page, machines that came one by
+/// one and all at once, and those of an earlier version's keys too.
+#[test]
+fn a_thousand_machines_are_on_record_in_a_few_pages_and_leave_it_again() {
+    let mut mirror = Mirror::default();
+    let old = Item {
+        key: machine_key("i-old"),
+        value: serde_json::to_value(value(0)).unwrap(),
+        version: 1,
+        lease: None,
+    };
+    mirror.reset(vec![old], 1);
+    let now = Instant::now();
+    let mut r = Records::new(&mirror, 8192);
+    let ids: Vec<MachineId> = (0..1000).map(|i| format!("i-{i:06}").into()).collect();
+    let (mut version, mut writes) = (1, 0);
+    for (i, id) in ids.iter().enumerate() {
+        r.add(id, value(i));
+        if i % 100 == 99 {
+            while let Some(write) = r.next(now, true, 9) {
+                version += 1;
+                for change in write.changes {
+                    assert!(to_json(&change).len() < 8192);
+                    writes += 1;
+                    told(&mut mirror, change, version);
+                }
+            }
+        }
+    }
+    assert!(writes < 40, "{writes} writes for a thousand machines");
+    assert_eq!(mirror.machines.len(), 1001);
+
+    // Another leader takes over what it finds and forgets most of it.
+    let mut r = Records::new(&mirror, 8192);
+    for id in ids.iter().skip(10) {
+        r.remove(id, now);
+    }
+    r.remove(&"i-old".into(), now);
+    assert!(r.next(now, false, 9).is_none());
+    while let Some(write) = r.next(now + FORGET_DELAY, false, 9) {
+        version += 1;
+        for change in write.changes {
+            told(&mut mirror, change, version);
+        }
+    }
+    told(&mut mirror, r.next_alone().unwrap(), version + 1);
+    let left: Vec<&MachineId> = mirror.machines.keys().collect();
+    assert_eq!(left, ids.iter().take(10).collect::<Vec<_>>());
+}
--- /dev/null
+++ b/src/plan/tests.rs
@@ -0,0 +1,317 @@
+use super::*;
+use crate::board::{Held, Host};
+use crate::job::Rank;
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+
+fn item(size: usize, shadow_size: usize) -> Item {
+    Item {
+        size,
+        shadow_size,
+        merit: 1.0,
+    }
+}
+
+/// Figure 3.4 and tables 3.4 to 3.7 of the thesis: five free processors, jobs 2 to 5.
+#[test]
+fn the_thesis_example_fills_the_machine_from_the_head_of_the_queue() {
+    let queue = [item(2, 0), item(1, 1), item(2, 2), item(3, 3)];
+    let mut s = Scratch::default();
+    let used = |picked: &[usize]| picked.iter().map(|&i| queue[i].size).sum::<usize>();
+    let at_zero = choose(&queue, 5, 0, &mut s);
+    assert_eq!(at_zero, [0]);
+    assert_eq!(used(&choose(&queue, 5, 1, &mut s)), 3);
+    assert_eq!(used(&choose(&queue, 5, 2, &mut s)), 4);
+    // Figure 3.5: of the two sets that fill the machine, the one closer to the head.
+    assert_eq!(choose(&queue, 5, 3, &mut s), [0, 1, 2]);
+    // Cell (4,2,2): of two jobs that use all room, the one that leaves the shadow room.
+    assert_eq!(choose(&queue[..3], 2, 2, &mut s), [0]);
+    // Section 3.5.1: a lookahead of three gives the same set.
+    assert_eq!(choose(&queue[..3], 5, 3, &mut s), [0, 1, 2]);
+}
+
+#[test]
+fn ties_go_to_the_greater_total_slowdown() {
+    let mut queue = [item(3, 0), item(3, 0)];
+    queue[1].merit = 2.0;
+    assert_eq!(choose(&queue, 3, 0, &mut Scratch::default()), [1]);
+}
+
+#[test]
+fn the_program_agrees_with_exhaustive_search() {
+    let mut rng = SmallRng::seed_from_u64(7);
+    let mut s = Scratch::default();
+    for _ in 0..400 {
+        let items: Vec<Item> = (0..rng.random_range(1..9))
+            .map(|_| {
+                let size = rng.random_range(1..6);
+                Item {
+                    size,
+                    shadow_size: if rng.random_bool(0.5) { size } else { 0 },
+                    merit: rng.random_range(1..5) as f32,
+                }
+            })
+            .collect();
+        let (n, extra) = (rng.random_range(0..14), rng.random_range(0..14));
+        let value = |set: &[usize]| {
+            let sum = |f: fn(&Item) -> usize| set.iter().map(|&i| f(&items[i])).sum::<usize>();
+            let merit: f32 = set.iter().map(|&i| items[i].merit).sum();
+            (sum(|i| i.size), sum(|i| i.shadow_size), merit)
+        };
+        let mut best = (0, 0, 0.0f32);
+        for mask in 0u32..1 << items.len() {
+            let set: Vec<usize> = (0..items.len()).filter(|i| mask >> i & 1 == 1).collect();
+            let v = value(&set);
+            if v.0 <= n
+                && v.1 <= extra
+                && (v.0 > best.0
+                    || (v.0 == best.0 && (v.1 < best.1 || (v.1 == best.1 && v.2 > best.2))))
+            {
+                best = v;
+            }
+        }
+        let got = value(&choose(&items, n, extra, &mut s));
+        assert!(got.0 <= n && got.1 <= extra);
+        assert_eq!((got.0, got.1), (best.0, best.1), "{items:?} {n} {extra}");
+        let all_fit = items.iter().map(|i| i.size).sum::<usize>() <= n;
+        assert!(all_fit || got.2 == best.2, "{items:?} {n} {extra}");
+    }
+}
+
+fn spec(id: &str, tasks: u32, cpus: f64, estimate: u64) -> JobSpec {
+    let mut s = crate::job::sample(id, tasks, cpus, estimate);
+    (s.needs.ram, s.image_gb, s.spot) = (cpus, 1.0, true);
+    s
+}
+
+/// A job in the queue, with the rows that it lends to the plan.
+struct Line {
+    spec: JobSpec,
+    rows: BTreeSet<u32>,
+    held: BTreeMap<u32, Instant>,
+    zones: BTreeMap<String, u32>,
+    whole: bool,
+    guaranteed: bool,
+    may_preempt: bool,
+}
+
+fn line(spec: JobSpec) -> Line {
+    Line {
+        rows: (0..spec.tasks).collect(),
+        held: BTreeMap::new(),
+        zones: BTreeMap::new(),
+        whole: false,
+        guaranteed: false,
+        may_preempt: false,
+        spec,
+    }
+}
+
+impl Line {
+    fn waiting(&self) -> Waiting<'_> {
+        Waiting {
+            rank: self.spec.rank,
+            spec: Arc::new(self.spec.clone()),
+            image: 7,
+            team: 0,
+            queued: &self.rows,
+            held: &self.held,
+            whole: self.whole,
+            probe: false,
+            estimate: self.spec.estimate,
+            zones: self.zones.clone(),
+            avoid: Vec::new(),
+            guaranteed: self.guaranteed,
+            may_preempt: self.may_preempt,
+            merit: 1.0,
+            shunned: Vec::new(),
+        }
+    }
+}
+
+fn room(cpus: f64) -> Resources {
+    Resources {
+        cpus,
+        gpus: 0.0,
+        ram: cpus,
+    }
+}
+
+fn host(board: &mut Board, id: &str, zone: &str, cpus: f64, tasks: Vec<Held>) -> usize {
+    let kind = format!("k{cpus}");
+    let class = board.class(&(kind, zone.into(), false), room(cpus), 1.0);
+    let mut free = room(cpus);
+    for t in &tasks {
+        free.sub(&t.needs);
+    }
+    board.put(Host {
+        id: id.into(),
+        class,
+        free,
+        usage: Use::Open,
+        images: vec![],
+        fetching: 0,
+        doubt: 0.0,
+        idle_since: None,
+        tasks,
+    });
+    board.slot(&id.into()).unwrap()
+}
+
+fn held(cpus: f64, ends: Option<Instant>, since: Instant) -> Held {
+    Held {
+        key: TaskKey {
+            job: "wk-0".into(),
+            row: cpus as u32,
+        },
+        needs: room(cpus),
+        ends,
+        since: Some(since),
+        saves_in: None,
+        rank: Rank::Low,
+        team: None,
+        stopping: false,
+    }
+}
+
+fn decide(board: &mut Board, lines: &[Line], team: TeamUse, now: Instant) -> Plan {
+    let mut queue: Vec<Waiting> = lines.iter().map(Line::waiting).collect();
+    plan(board, &mut queue, &mut [team], now, &mut Scratch::default())
+}
+
+#[test]
+fn the_head_is_never_delayed_by_what_runs_past_its_reservation() {
+    // The head needs 8 of 10; 4 are free now and 10 in 30 s: 2 remain beside it then.
+    let now = Instant::now();
+    let queue = [
+        line(spec("wk-1", 1, 8.0, 100)),
+        line(spec("wk-2", 1, 4.0, 100)),
+        line(spec("wk-3", 1, 2.0, 100)),
+        line(spec("wk-4", 1, 2.0, 20)),
+    ];
+    let mut b = Board::default();
+    let end = now + Duration::from_secs(30);
+    host(&mut b, "m", "a", 10.0, vec![held(6.0, Some(end), now)]);
+    let p = decide(&mut b, &queue, TeamUse::default(), now);
+    assert_eq!(p.head, Some((0, Some(Duration::from_secs(30)))));
+    let jobs: Vec<usize> = p.starts.iter().map(|s| s.job).collect();
+    assert_eq!(jobs, [2, 3]);
+}
+
+#[test]
+fn a_head_behind_endless_work_has_no_shadow_and_blocks_nobody() {
+    let now = Instant::now();
+    let queue = [
+        line(spec("wk-1", 1, 8.0, 100)),
+        line(spec("wk-2", 1, 4.0, 1000)),
+    ];
+    for ends in [None, Some(now - Duration::from_secs(1))] {
+        let mut b = Board::default();
+        host(&mut b, "m", "a", 10.0, vec![held(6.0, ends, now)]);
+        let p = decide(&mut b, &queue, TeamUse::default(), now);
+        assert_eq!(p.head, Some((0, None)));
+        assert_eq!(p.starts.len(), 1);
+    }
+}
+
+#[test]
+fn zones_limits_and_whole_entries_are_kept() {
+    let now = Instant::now();
+    let fresh = || {
+        let mut b = Board::default();
+        let m = host(&mut b, "m", "a", 8.0, vec![]);
+        let n = host(&mut b, "n", "b", 3.0, vec![]);
+        (b, m, n)
+    };
+    let free = TeamUse::default;
+    let mut w = line(spec("wk-1", 6, 1.0, 10));
+    w.spec.spread = true;
+    let (mut b, m, _) = fresh();
+    let p = decide(&mut b, std::slice::from_ref(&w), free(), now);
+    let in_a = p.starts.iter().filter(|s| s.host == m).count();
+    assert_eq!((p.starts.len(), in_a), (6, 3));
+
+    w.spec.spread = false;
+    w.spec.one_zone = true;
+    w.zones.insert("b".into(), 1);
+    let (mut b, _, n) = fresh();
+    let p = decide(&mut b, std::slice::from_ref(&w), free(), now);
+    assert!(p.starts.iter().all(|s| s.host == n));
+    assert_eq!(p.starts.len(), 3);
+
+    w.zones.clear();
+    w.spec.one_zone = false;
+    let limited = TeamUse {
+        cpus: 2.0,
+        cpus_max: Some(4.0),
+        ..TeamUse::default()
+    };
+    let (mut b, _, _) = fresh();
+    let p = decide(&mut b, std::slice::from_ref(&w), limited, now);
+    assert_eq!(p.starts.len(), 2);
+
+    // A job that starts whole starts with all of its tasks or not at all.
+    let mut gang = line(spec("wk-2", 12, 1.0, 10));
+    gang.whole = true;
+    let (mut b, m, _) = fresh();
+    let p = decide(&mut b, std::slice::from_ref(&gang), free(), now);
+    assert!(p.starts.is_empty());
+    // Nothing is left behind of the attempt.
+    assert_eq!(b.host(m).free, room(8.0));
+    assert!(b.host(m).images.is_empty() && b.host(m).fetching == 0);
+    gang.rows = (0..11).collect();
+    let (mut b, _, _) = fresh();
+    let p = decide(&mut b, std::slice::from_ref(&gang), free(), now);
+    assert_eq!(p.starts.len(), 11);
+}
+
+#[test]
+fn a_gang_waits_for_the_end_that_lets_all_of_it_start() {
+    let now = Instant::now();
+    let at = |s| Some(now + Duration::from_secs(s));
+    let mut b = Board::default();
+    host(&mut b, "m", "a", 4.0, vec![held(4.0, at(10), now)]);
+    host(&mut b, "n", "b", 4.0, vec![held(4.0, at(20), now)]);
+    host(&mut b, "o", "a", 4.0, vec![held(4.0, at(30), now)]);
+    let mut gang = line(spec("wk-1", 6, 1.0, 10));
+    gang.whole = true;
+    let p = decide(&mut b, std::slice::from_ref(&gang), TeamUse::default(), now);
+    assert_eq!(p.head, Some((0, Some(Duration::from_secs(20)))));
+    gang.spec.one_zone = true;
+    let p = decide(&mut b, std::slice::from_ref(&gang), TeamUse::default(), now);
+    assert_eq!(p.head, Some((0, Some(Duration::from_secs(30)))));
+}
+
+#[test]
+fn only_lower_ranks_or_borrowed_work_is_stopped_and_the_youngest_first() {
+    let now = Instant::now() + Duration::from_secs(1000);
+    let mut w = line(spec("wk-1", 1, 4.0, 10));
+    w.may_preempt = true;
+    let stops = |rank, own: f64, guaranteed, w: &Line| {
+        let end = Some(now + Duration::from_secs(500));
+        let mut old = held(4.0, end, now - Duration::from_secs(40));
+        let mut young = held(4.0, end, now - Duration::from_secs(5));
+        (old.key.row, young.key.row) = (0, 1);
+        for t in [&mut old, &mut young] {
+            (t.rank, t.team) = (rank, Some(1));
+        }
+        let mut b = Board::default();
+        host(&mut b, "m", "a", 8.0, vec![old, young]);
+        let mut queue = [w.waiting()];
+        queue[0].guaranteed = guaranteed;
+        let theirs = TeamUse {
+            cpus_own: own,
+            ..TeamUse::default()
+        };
+        let mut teams = [TeamUse::default(), theirs];
+        teams[1].cpus = 8.0;
+        let p = plan(&mut b, &mut queue, &mut teams, now, &mut Scratch::default());
+        p.stops.iter().map(|s| s.1.row).collect::<Vec<_>>()
+    };
+    assert_eq!(stops(Rank::Low, 100.0, false, &w), [1]);
+    assert_eq!(stops(Rank::Normal, 100.0, true, &w), [0u32; 0]);
+    assert_eq!(stops(Rank::Production, 4.0, true, &w), [1]);
+    assert_eq!(stops(Rank::Production, 0.0, false, &w), [0u32; 0]);
+    w.may_preempt = false;
+    assert_eq!(stops(Rank::Low, 100.0, false, &w), [0u32; 0]);
+}
--- a/src/recall.rs
+++ b/src/recall.rs
@@ -110,33 +110,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    /// What comes from the network is never believed beyond what is there.
-    #[test]
-    fn frames_of_memory_come_back_whole_and_cut_ones_not_at_all() {
-        let asked = Recall {
-            word_only: true,
-            after: "burlusher/j/wk-000412".into(),
-        };
-        let told = Recalled {
-            loaded: true,
-            stores: vec!["4e".into(), "4f".into()],
-            remembers: true,
-            term: 7,
-            more: true,
-            items: vec![("burlusher/j/wk-1".into(), "{}".repeat(40_000))],
-        };
-        let (a, b) = (encode_recall(&asked), encode_recalled(&told));
-        let body = |f: &[u8]| peer::read_frame(&mut &f[..]).unwrap().1;
-        assert_eq!(decode_recall(&body(&a)), Some(asked));
-        assert_eq!(decode_recalled(&body(&b)), Some(told));
-        for n in 0..body(&a).len() {
-            assert_eq!(decode_recall(&body(&a)[..n]), None);
-        }
-        for n in (0..body(&b).len()).step_by(997) {
-            assert_eq!(decode_recalled(&body(&b)[..n]), None);
-        }
-    }
-}
+mod tests;
--- /dev/null
+++ b/src/settings/tests.rs
@@ -0,0 +1,38 @@
+use super::*;
+
+fn with(quota: &str) -> Result<Settings, String> {
+    let text = format!(
+        r#"{{"host_name": "n0", "zone": "a", "public_addr": "127.0.0.1:1", "back": "127.0.0.1:2",
+            "services": {{"cloud": "127.0.0.1:4", "state": "127.0.0.1:5"}}, "new": 1,
+            "params": {{"teams": [{{"name": "t"}}], "cloud": {{"rps": 10.0, "list_lag_s": 1.0}},
+                "workers": {{"report_s": 1.0, "lease_s": 10.0, "cancel_s": 20.0}},
+                "state": {{"rps": 100.0, "write_rps": 50.0, "value_kb": 8.0, "txn_ops": 16}}
+                {quota}}}}}"#
+    );
+    Settings::parse(&text)
+}
+
+#[test]
+fn a_quota_is_taken_as_it_is_by_default_or_refused_with_its_field() {
+    let s = with("").unwrap();
+    assert_eq!((s.memory_mb, s.sockets), (256.0, 1024));
+    let s = with(r#", "quota": {"mem_mb": 98, "other": [1]}"#).unwrap();
+    assert_eq!((s.memory_mb, s.sockets), (98.0, 1024));
+    for (quota, field) in [
+        (r#""mem_mb": 0"#, "mem_mb"),
+        (r#""mem_mb": -5"#, "mem_mb"),
+        (r#""mem_mb": 8"#, "mem_mb"),
+        (r#""cores": 0"#, "cores"),
+        (r#""fd_limit": -1"#, "fd_limit"),
+        (r#""fd_limit": 20"#, "fd_limit"),
+    ] {
+        let told = with(&format!(r#", "quota": {{{quota}}}"#)).unwrap_err();
+        assert!(
+            told.starts_with(&format!("params.quota.{field}: ")),
+            "{told}"
+        );
+    }
+    let told = with(r#", "quota": {"mem_mb": "much"}"#).unwrap_err();
+    assert!(told.contains("much") && told.contains("line"), "{told}");
+    assert!(with(r#", "quota": {"mem_mb": 1e999}"#).is_err());
+}
