Every leadership has a term of its own; a lost answer is not a conflict

Cause: a leader that stepped down while its key stood (writes refused again and again, a doubt about the key) began again within the same term, with an empty memory, and took what it had been sent and told before for this leadership's own: tasks ran twice. It came to that because a transaction carried out at once, its answer lost, was refused when repeated, and six such refusals in a row passed for somebody else's writes.

Change: a leadership begins only where the term was raised by the same transaction that wrote the leader key, and this process has not led in it; where the own key still stands, it is written again with the next term, on condition of both versions. What became of a write is told by the watch or a list (`core::commit`): a revision with exactly its changes is its commit. Only a change of somebody else's is a conflict, and six in a row give the lease up. A creation without an answer is settled as soon as the copy shows the job; parts of a large job are written anew under other names. The simulation loses answers of transactions carried out (share, chosen keys), holds commands, keeps reports for the next leadership, looks closely, and fails where two leaderships have one term or a task starts on a machine that is not on record.

--- a/src/core/jobs.rs
+++ b/src/core/jobs.rs
@@ -1,7 +1,7 @@
 //! What users ask for, and how jobs progress and end.
 
 use super::barrier::Question;
-use super::keys::{job_key, part_key};
+use super::keys::{Stem, job_key, part_key};
 use super::leadership::{MOST_TXN_BYTES, creation, json};
 use super::machine::StopReason;
 use super::mirror::JobValue;
@@ -19,6 +19,11 @@
 
 /// The lease is renewed more often than this while the state service answers.
 const STALE: Duration = Duration::from_millis(1100);
+/// The state service answers within some ten milliseconds. A creation without an answer for so long is settled
+/// as soon as this process's copy of the store shows the job, and looked at so often until then.
+const SETTLE_AFTER: Duration = Duration::from_millis(60);
+/// A submission takes 5 s at the most: its parts are written once more where no answer came within this.
+const PARTS_AGAIN: Duration = Duration::from_millis(2500);
 const PROBE_EVERY: Duration = Duration::from_millis(1000);
 const PROBE_ID: &str = "wk-0";
 /// The part of the memory that unfinished jobs may take, and what a task of theirs takes: a row
@@ -134,6 +139,12 @@
         if self.acting() {
             return self.user_at_leader(&id, request);
         }
+        if !stands(Guard::FreshRead) && matches!(request.what, Ask::Show(_)) {
+            return match self.mirror.jobs.contains_key(id.as_str()) {
+                true => self.show_fresh(request.ticket, &id),
+                false => self.answer(request.ticket, Answer::error(404, "no such job")),
+            };
+        }
         if request.forwarded {
             // From a node that cannot reach the leader, or the state service: what needs no
             // leader is done here, if it can be.
@@ -437,14 +448,18 @@
             return self.reread(id, ReadPurpose::Reject(ticket, answer));
         }
         let parts = Box::new(Writing {
-            // Another process, or this one later, writes under another stem.
-            stem: self.nonce.wrapping_add(self.next_call) >> 1,
+            stem: self.next_stem(),
             parts,
             versions: Vec::new(),
         });
         self.write_parts(ticket, spec, received, parts);
     }
 
+    /// Another process, or this one later, writes under another stem.
+    fn next_stem(&self) -> Stem {
+        self.nonce.wrapping_add(self.next_call) >> 1
+    }
+
     /// Writes the next parts of a large job.
     fn write_parts(
         &mut self,
@@ -496,6 +511,15 @@
                     self.create(ticket, spec, since, 0, Some(parts));
                 }
             }
+            // Some may be written late: they are written anew under other names.
+            StateOutcome::Unknown(e)
+                if self.now.mono.saturating_duration_since(since) < PARTS_AGAIN =>
+            {
+                tracing::info!(job = %spec.id, "job {}: no answer to its parts: {e}", spec.id);
+                parts.stem = self.next_stem();
+                parts.versions.clear();
+                self.write_parts(ticket, spec, since, parts);
+            }
             // What was written is cleared when nobody has referred to it for long.
             other => {
                 tracing::info!(job = %spec.id, "job {}: its parts are not kept: {other:?}", spec.id);
@@ -518,16 +542,36 @@
             .unwrap_or_default()
             .as_millis() as u64;
         let txn = creation(&spec, ms, parts.as_deref());
-        self.ask_state(
-            Pending::Create {
-                ticket,
-                spec,
-                since,
-                tries,
-                parts,
-            },
-            StateRequest::Txn(txn),
-        );
+        let pending = Pending::Create {
+            ticket,
+            spec,
+            since,
+            tries,
+            parts,
+        };
+        let call = self.ask_state(pending, StateRequest::Txn(txn));
+        let look_at = self.now.mono + SETTLE_AFTER;
+        self.unanswered_creations.push_back((look_at, call));
+    }
+
+    /// Settles creations without an answer whose job is in the store: it is accepted, whoever wrote it, and a
+    /// fresh read tells how it stands.
+    pub(super) fn settle_creations(&mut self) {
+        let now = self.now.mono;
+        while let Some((_, call)) = self.unanswered_creations.pop_front_if(|(at, _)| *at <= now) {
+            let Some(Pending::Create { ticket, spec, .. }) = self.pending.get(&call) else {
+                continue;
+            };
+            if !self.mirror.knows(&spec.id) {
+                let look_at = now + SETTLE_AFTER;
+                self.unanswered_creations.push_back((look_at, call));
+                continue;
+            }
+            let (ticket, id) = (*ticket, spec.id.to_string());
+            tracing::info!(job = %id, "job {id}: no answer to its creation, and it is in the store");
+            self.pending.remove(&call);
+            self.reread(id, ReadPurpose::Accepted(ticket));
+        }
     }
 
     pub(super) fn created(
@@ -616,8 +660,12 @@
 
     pub(super) fn read(&mut self, id: String, purpose: ReadPurpose, outcome: StateOutcome) {
         let ticket = match &purpose {
-            ReadPurpose::Show(t) | ReadPurpose::Cancel(t) | ReadPurpose::Reject(t, _) => *t,
+            ReadPurpose::Show(t)
+            | ReadPurpose::Accepted(t)
+            | ReadPurpose::Cancel(t)
+            | ReadPurpose::Reject(t, _) => *t,
         };
+        let accepted = matches!(purpose, ReadPurpose::Accepted(_));
         match outcome {
             StateOutcome::Missing { .. } if self.mirror.jobs.contains_key(id.as_str()) => {
                 if !self.incomplete() {
@@ -659,7 +707,15 @@
                 };
                 self.mirror.put_job(&id, value, item.version);
                 self.take_in_jobs();
-                if let Some(answer) = self.final_answer(&id) {
+                let settled = self.final_answer(&id).is_some()
+                    || self.mirror.jobs.contains_key(id.as_str()) && !self.awaits_others(&id);
+                if accepted && settled {
+                    let mut answer = self.fresh_answer(&id);
+                    if answer.status == 200 {
+                        answer.status = 201;
+                    }
+                    self.answer(ticket, answer);
+                } else if let Some(answer) = self.final_answer(&id) {
                     self.answer(ticket, answer);
                 } else if let (ReadPurpose::Cancel(_), true) = (&purpose, self.acting()) {
                     self.cancel(ticket, &id);
@@ -687,8 +743,13 @@
     /// Answers with what was read after the question came: nobody can have been told anything
     /// newer before.
     pub(super) fn show_fresh(&mut self, ticket: Ticket, id: &str) {
+        let answer = self.fresh_answer(id);
+        self.answer(ticket, answer);
+    }
+
+    fn fresh_answer(&self, id: &str) -> Answer {
         let known = self.final_answer(id).or_else(|| self.live_answer(id));
-        let answer = known.unwrap_or_else(|| match self.mirror.jobs.get(id) {
+        known.unwrap_or_else(|| match self.mirror.jobs.get(id) {
             None => Answer::busy("the state cannot be read now", 1),
             Some(_) if self.unsaid() => being_rebuilt(),
             Some(job) => {
@@ -700,8 +761,7 @@
                 };
                 Answer::new(200, state_body(id, state, Some(done), None))
             }
-        });
-        self.answer(ticket, answer);
+        })
     }
 
     /// Cancels a live job. Its end is durable before anybody is told.
--- a/src/core/lead.rs
+++ b/src/core/lead.rs
@@ -178,11 +178,37 @@
     pub aside: BTreeMap<String, Instant>,
 }
 
+/// The transaction that is on its way, or whose outcome is unknown.
 pub struct Sent {
     pub txn: Txn,
     pub ops: Vec<WriteOp>,
     pub call: Option<CallId>,
     pub again_at: Instant,
+    /// Where the state service shows it to have been committed.
+    pub committed: Option<u64>,
+    /// It was refused for what the state service held at some revision: whether that is its own first copy
+    /// is known when this process's copy of the store has come as far.
+    pub refused: Option<Refused>,
+}
+
+/// A refused transaction, until it is known who made the change for which it was refused.
+pub struct Refused {
+    pub keys: Vec<String>,
+    pub revision: u64,
+    pub since: Instant,
+}
+
+impl Sent {
+    pub fn new(txn: Txn, ops: Vec<WriteOp>, call: CallId, now: Instant) -> Sent {
+        Sent {
+            txn,
+            ops,
+            call: Some(call),
+            again_at: now,
+            committed: None,
+            refused: None,
+        }
+    }
 }
 
 /// What is known and under way at the cloud.
--- a/src/core/leadership.rs
+++ b/src/core/leadership.rs
@@ -3,11 +3,12 @@
 //! Leadership is a key attached to this process's lease. The transaction that creates it raises
 //! a persistent term, which the workers see as the upper part of their token.
 
+use super::commit::{committed_in_events, committed_in_list};
 use super::keys::{
     LEADER, REBUILDING, TERM, TYPES, done_key, identity_key, job_key, key, machine_key, named,
     part_key,
 };
-use super::lead::{Lead, Lease, Sent, WriteOp, Writes};
+use super::lead::{Lead, Lease, Refused, Sent, WriteOp, Writes};
 use super::losses::gone_after;
 use super::machine::Machines;
 use super::mirror::{DoneValue, JobValue, LeaderValue, TermValue};
@@ -49,11 +50,14 @@
 
 /// What a condition takes of that, beside its key.
 const CONDITION_BYTES: usize = 48;
-/// Writes in a row refused for versions that are not those known here, before all is read afresh; and
-/// before another controller is let try.
+/// Writes in a row refused for what somebody else has changed, before all is read afresh; and before another
+/// controller is let try.
 const CONFLICTS_TO_DOUBT: u32 = 3;
 const MOST_CONFLICTS: u32 = 6;
 
+/// The watch tells within moments what a write was refused for; after this, all is read afresh.
+const SETTLE_WITHIN: Duration = Duration::from_secs(2);
+
 /// What the service refuses by itself is tried again after this long.
 const ASIDE: Duration = Duration::from_secs(30);
 
@@ -171,6 +175,7 @@
 
     pub(super) fn listed(&mut self, items: Vec<Item>, revision: u64) {
         self.state_ok = self.now.mono;
+        self.heed_commit(|txn| committed_in_list(txn, &items));
         self.take_list(items, revision);
         tracing::info!(
             "state: read afresh at revision {revision}: {} jobs, {} finished, {} machines",
@@ -187,12 +192,27 @@
             return self.doubt("its revision went back");
         }
         if events.is_empty() {
-            return self.mirror.heed_revision(revision);
+            self.mirror.heed_revision(revision);
+            // A list may have told of our key before the copy was known to be as new.
+            if self.lead.is_none() && self.holds_leader_key() {
+                self.mirror_changed();
+            }
+            return self.settle_write();
         }
+        self.heed_commit(|txn| committed_in_events(txn, &events));
         self.mirror.apply(events, revision);
         self.mirror_changed();
     }
 
+    /// The leader key is this process's, and hangs on the lease that it has.
+    fn holds_leader_key(&self) -> bool {
+        self.mirror.leader.as_ref().is_some_and(|(v, _)| {
+            v.name == self.settings.name
+                && v.nonce == self.nonce
+                && self.lease.is_some_and(|l| l.id == v.lease)
+        })
+    }
+
     fn mirror_changed(&mut self) {
         self.heed_name();
         if !self.mirror.types.is_empty() && self.types.is_empty() {
@@ -201,11 +221,7 @@
                 lead.machines.note_all();
             }
         }
-        let mine = self.mirror.leader.as_ref().is_some_and(|(v, _)| {
-            v.name == self.settings.name
-                && v.nonce == self.nonce
-                && self.lease.is_some_and(|l| l.id == v.lease)
-        });
+        let mine = self.holds_leader_key();
         // A store that was restored gives numbers of leases again: renewed here, the key of a leader that
         // is gone would stay for ever.
         let (own, nonce) = (self.lease.map(|l| l.id), self.nonce);
@@ -220,12 +236,45 @@
         match (&self.lead, mine) {
             // Restored together with what else a store held long ago.
             (None, true) if self.custody.lost.is_some() => self.resign_to_rebuild(),
-            (None, true) => self.take_office(version.unwrap_or_default()),
+            (None, true) => self.begin_leadership(version.unwrap_or_default()),
             (Some(l), true) if Some(l.key_version) == version => self.take_in_jobs(),
             (Some(_), _) => self.step_down("the leader key is not ours any more"),
             // A leader begins with all there is.
             (None, false) => self.mirror.changed.clear(),
         }
+        self.settle_write();
+    }
+
+    /// Begins a leadership if this key gives one. A leadership has a term that no other has, for workers,
+    /// controllers, attempts and writes alike: the transaction that writes the leader key raises the term, so
+    /// both have one version, and this process leads but once in it. Where a leadership ended and its key
+    /// stands, the key is written again, with the next term (`tend_leadership`).
+    fn begin_leadership(&mut self, key_version: u64) {
+        // A list is as old as its first page: what a former leader wrote last may be missing in it.
+        if self.mirror.revision >= key_version && self.has_unused_term(key_version) {
+            self.take_office(key_version);
+        }
+    }
+
+    /// The term was raised together with this version of the leader key, and this process has not led in it.
+    fn has_unused_term(&self, key_version: u64) -> bool {
+        let raised = self.mirror.term_version == key_version && self.mirror.term > self.led_term;
+        raised || !stands(Guard::Term)
+    }
+
+    /// The version that the leader key has if a leadership may begin now: 0 where there is none, that of our
+    /// own key where its term has been used.
+    fn vacancy(&self) -> Option<u64> {
+        if !self.mirror.loaded || self.lead.is_some() {
+            return None;
+        }
+        match &self.mirror.leader {
+            None => Some(0),
+            Some((_, version)) if self.holds_leader_key() => {
+                (!self.has_unused_term(*version)).then_some(*version)
+            }
+            Some(_) => None,
+        }
     }
 
     /// Called at the end of every batch of commands.
@@ -277,16 +326,19 @@
             return;
         }
         self.tend_dead_key();
-        let free = self.mirror.loaded && self.mirror.leader.is_none() && self.lead.is_none();
+        let vacancy = self.vacancy();
         let lease_fresh = self.lease.is_some_and(|l| now < l.kept + LEASE_TTL / 2);
         let trying = self
             .pending
             .values()
             .any(|p| matches!(p, Pending::TakeOver));
-        if !free || !lease_fresh || trying || now < self.candidate_after || !self.may_stand() {
+        let early = now < self.candidate_after;
+        if vacancy.is_none() || !lease_fresh || trying || early || !self.may_stand() {
             return;
         }
-        let Some(lease) = self.lease else { return };
+        let (Some(leader_version), Some(lease)) = (vacancy, self.lease) else {
+            return;
+        };
         let value = LeaderValue {
             name: self.settings.name.clone(),
             nonce: self.nonce,
@@ -295,7 +347,7 @@
         let put = |key: String, value: serde_json::Value, lease| Change::Put { key, value, lease };
         let condition = |key: String, version| Condition { key, version };
         let mut conditions = vec![
-            condition(key(LEADER), 0),
+            condition(key(LEADER), leader_version),
             condition(key(TERM), self.mirror.term_version),
         ];
         conditions.extend(self.mirror.identity.as_ref().map(named));
@@ -407,6 +459,8 @@
         let now = self.now.mono;
         let term = self.mirror.term;
         tracing::info!(term = term, "leading from term {term} on");
+        self.leaderships += 1;
+        self.led_term = self.led_term.max(term);
         let mut lead = Lead {
             key_version,
             term,
@@ -532,6 +586,13 @@
         let now = self.now.mono;
         let Some(lead) = &mut self.lead else { return };
         if let Some(sent) = &mut lead.writes.sent {
+            if let Some(refused) = &mut sent.refused {
+                if now >= refused.since + SETTLE_WITHIN {
+                    refused.since = now;
+                    self.doubt("a write was refused, and the watch does not tell why");
+                }
+                return;
+            }
             if sent.call.is_some() || now < sent.again_at {
                 return;
             }
@@ -552,12 +613,7 @@
         };
         let call = self.ask_state(Pending::Write, StateRequest::Txn(txn.clone()));
         if let Some(lead) = &mut self.lead {
-            lead.writes.sent = Some(Sent {
-                txn,
-                ops,
-                call: Some(call),
-                again_at: now,
-            });
+            lead.writes.sent = Some(Sent::new(txn, ops, call, now));
         }
     }
 
@@ -771,34 +827,27 @@
             }
         };
         match outcome {
-            StateOutcome::Committed { revision } => {
-                lead.writes.conflicts = 0;
-                let Some(sent) = lead.writes.sent.take() else {
-                    return;
-                };
-                self.mirror.wrote(&sent.txn.changes, revision);
-                for op in sent.ops {
-                    self.durable(op, revision);
-                }
+            StateOutcome::Committed { revision } => self.write_committed(revision),
+            StateOutcome::Conflict { revision, .. } if !stands(Guard::Conflict) => {
+                self.write_committed(revision);
             }
             StateOutcome::Conflict { failed, revision } => {
-                if self.names_store(&failed) {
+                let renamed = self.names_store(&failed);
+                if renamed {
                     self.doubt("its identity is gone");
                 }
-                let lead_changed = failed.contains(&key(LEADER)) || self.names_store(&failed);
-                let conflicts = if lead_changed {
-                    MOST_CONFLICTS
-                } else {
-                    self.write_again(revision)
-                };
-                let failed = failed.join(", ");
-                if conflicts >= MOST_CONFLICTS {
-                    self.step_down(&format!("a write was refused: {failed} changed"));
-                } else if conflicts >= CONFLICTS_TO_DOUBT {
-                    self.doubt("it has other versions of what is known here");
-                } else {
-                    tracing::info!("a write was refused, {failed} changed; it is made anew");
+                if renamed || failed.contains(&key(LEADER)) {
+                    let failed = failed.join(", ");
+                    return self.step_down(&format!("a write was refused: {failed} changed"));
                 }
+                if let Some(sent) = self.lead.as_mut().and_then(|l| l.writes.sent.as_mut()) {
+                    sent.refused = Some(Refused {
+                        keys: failed,
+                        revision,
+                        since: now,
+                    });
+                }
+                self.settle_write();
             }
             StateOutcome::Invalid(e) => {
                 // It was not executed, and would be refused for ever: its limits are lower than
@@ -845,9 +894,59 @@
         }
     }
 
-    /// A key that a transaction would change is not as it was known here: mostly its own first copy was
-    /// carried out, of which nothing is known but that. Nothing counts as written; what is to be said is
-    /// worked out anew when this copy shows what the service had then. Says how often in a row.
+    /// Notes whether what the state service shows is the transaction that is on its way.
+    fn heed_commit(&mut self, committed: impl Fn(&Txn) -> Option<u64>) {
+        if let Some(sent) = self.lead.as_mut().and_then(|l| l.writes.sent.as_mut())
+            && sent.committed.is_none()
+        {
+            sent.committed = committed(&sent.txn);
+        }
+    }
+
+    /// Settles the transaction on its way, once this process's copy of the store tells what became of it. It
+    /// was committed where the copy shows exactly its changes, whether an answer has told so, was lost, or
+    /// was a refusal of its second copy. Otherwise it was refused for a change of somebody else's.
+    fn settle_write(&mut self) {
+        let revision = self.mirror.revision;
+        let Some(sent) = self.lead.as_ref().and_then(|l| l.writes.sent.as_ref()) else {
+            return;
+        };
+        if let Some(at) = sent.committed.filter(|_| stands(Guard::OwnWrite)) {
+            return self.write_committed(at);
+        }
+        let known = |r: &&Refused| revision >= r.revision;
+        let Some(refused) = sent.refused.as_ref().filter(known) else {
+            return;
+        };
+        let (failed, at) = (refused.keys.join(", "), refused.revision);
+        let conflicts = self.write_again(at);
+        if conflicts >= MOST_CONFLICTS {
+            self.resign(&format!(
+                "writes are refused again and again: {failed} changed"
+            ));
+        } else if conflicts >= CONFLICTS_TO_DOUBT {
+            self.doubt("it has other versions of what is known here");
+        } else {
+            tracing::info!("a write was refused, {failed} changed; it is made anew");
+        }
+    }
+
+    /// The transaction on its way is in the store since this revision.
+    fn write_committed(&mut self, revision: u64) {
+        let Some(lead) = &mut self.lead else { return };
+        lead.writes.conflicts = 0;
+        let Some(sent) = lead.writes.sent.take() else {
+            return;
+        };
+        self.mirror.wrote(&sent.txn.changes, revision);
+        for op in sent.ops {
+            self.durable(op, revision);
+        }
+    }
+
+    /// A key that a transaction would change was changed by somebody else. Nothing counts as written; what is
+    /// to be said is worked out anew when this copy shows what the service had then. Says how often in a
+    /// row.
     fn write_again(&mut self, revision: u64) -> u32 {
         let Some(lead) = &mut self.lead else { return 0 };
         let w = &mut lead.writes;
--- a/src/core/meeting_scenarios.rs
+++ b/src/core/meeting_scenarios.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 
 /// The same with a guard taken out breaks this rule.
-fn fails_without(guard: Guard, rule: &str, scenario: impl Fn()) {
+pub fn fails_without(guard: Guard, rule: &str, scenario: impl Fn()) {
     OUT.set(Some(guard));
     let said = catch_unwind(AssertUnwindSafe(scenario)).err();
     OUT.set(None);
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -4,6 +4,7 @@
 //! - `keys`, `mirror`: what the state service holds, and this node's copy of it.
 //! - `lead`, `run`: what only a leader has, and each job as it knows it.
 //! - `leadership`: the lease, taking over, resigning, and the leader's durable writes.
+//! - `commit`: whether a transaction without an answer was committed.
 //! - `jobs`: what users ask for, and how jobs progress and end.
 //! - `barrier`: questions that take knowing all that was written before they came.
 //! - `custody`: whether the state service still holds what it was given, and who may lead if not.
@@ -27,6 +28,7 @@
 #[cfg(test)]
 mod bidding_stories;
 mod commands;
+mod commit;
 mod custody;
 mod delegation;
 #[cfg(test)]
@@ -44,6 +46,8 @@
 #[cfg(test)]
 mod loss_stories;
 mod losses;
+#[cfg(test)]
+mod lost_answer_scenarios;
 mod machine;
 #[cfg(test)]
 mod meeting_scenarios;
@@ -89,7 +93,7 @@
 use crate::wire::{Condition, Event, Item, MachineType, Report};
 use crate::worker::{DirectOutcome, DirectRequest};
 use burlusher_membership::view::View;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddrV4;
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime};
@@ -308,6 +312,8 @@
 #[derive(Debug)]
 enum ReadPurpose {
     Show(Ticket),
+    /// Its creation got no answer, and it is in the store.
+    Accepted(Ticket),
     Cancel(Ticket),
     /// It is invalid as submitted, which may be said only of a job that is not known.
     Reject(Ticket, Answer),
@@ -323,6 +329,8 @@
     out: Vec<Effect>,
     next_call: CallId,
     pending: BTreeMap<CallId, Pending>,
+    /// Creations of jobs on their way, and when each is looked at next.
+    unanswered_creations: VecDeque<(Instant, CallId)>,
     mirror: Mirror,
     lease: Option<lead::Lease>,
     lead: Option<lead::Lead>,
@@ -330,6 +338,9 @@
     delegating: bool,
     relay: relay::Relay,
     view: View,
+    /// How many leaderships this process has begun, and the newest term in which it has led.
+    leaderships: u64,
+    led_term: u64,
     /// When the last attempt to lead was sent.
     stood: Instant,
     /// No attempt to lead before this moment.
@@ -484,12 +495,15 @@
             out: Vec::new(),
             next_call: 1,
             pending: BTreeMap::new(),
+            unanswered_creations: VecDeque::new(),
             mirror: Mirror::default(),
             lease: None,
             lead: None,
             delegating,
             relay: relay::Relay::new(nonce),
             view,
+            leaderships: 0,
+            led_term: 0,
             stood: now.mono,
             candidate_after: now.mono,
             resigned: None,
@@ -574,6 +588,7 @@
         self.tend_custody();
         self.tend_leadership();
         self.tend_barriers();
+        self.settle_creations();
         reports.extend(self.take_over_reports());
         if self.acting() {
             self.tend_rebuild();
@@ -615,14 +630,15 @@
 
     /// How long the owner may sleep when no command comes.
     pub fn idle_for(&self) -> Duration {
-        if self.lead.is_some() {
+        let now = self.now.mono;
+        let idle = if self.lead.is_some() {
             let most = Duration::from_millis(100);
             self.plan_in().map_or(most, |d| d.min(most))
         } else {
-            self.relay
-                .idle_for(self.now.mono)
-                .min(Duration::from_millis(200))
-        }
+            self.relay.idle_for(now).min(Duration::from_millis(200))
+        };
+        let creation = self.unanswered_creations.front();
+        creation.map_or(idle, |(at, _)| idle.min(at.saturating_duration_since(now)))
     }
 
     pub fn leads(&self) -> bool {
--- a/src/core/world.rs
+++ b/src/core/world.rs
@@ -63,6 +63,8 @@
 };
 /// A worker's lease.
 pub const LEASE: Duration = Duration::from_secs(10);
+/// A client of the state service takes an answer for lost after this.
+const NO_ANSWER: Duration = Duration::from_millis(1500);
 /// So long a job may wait while a machine that fits has room, once all troubles are over.
 const NEGLECTED: Duration = Duration::from_secs(90);
 
@@ -377,6 +379,28 @@
     /// This share of transactions gets no answer and is carried out 2 to 12 s later.
     pub late_writes: f64,
     late_txns: Vec<(Instant, Txn)>,
+    /// This share of transactions is carried out at once, and its answer lost; only of those that change a
+    /// key which begins like this.
+    pub lost_answers: f64,
+    pub lost_answers_under: &'static str,
+    /// How many answers were lost so.
+    pub answers_lost: u32,
+    /// This share of direct commands gets no answer and is carried out 2 to 16 s later, once.
+    pub late_command_share: f64,
+    /// Copies of this share of reports reach every controller when the next leadership begins.
+    pub reports_for_next: f64,
+    kept_reports: Vec<Report>,
+    /// How many of them were delivered.
+    pub reports_delivered_to_next: u32,
+    /// Users ask every controller at once, and repeat the submission, as soon as a job is accepted or over.
+    pub close_looks: bool,
+    looks: BTreeMap<Ticket, (String, Instant)>,
+    /// How many such questions were answered with a job's state.
+    pub looks_answered: u32,
+    /// Who began a leadership in each term: the controller, its process, and which of its leaderships.
+    leaderships: BTreeMap<u64, (usize, u64, u64)>,
+    /// Tasks that were started on a machine which no leader to come would know of.
+    pub unrecorded_starts: u32,
     /// What the network keeps for later delivery.
     pub held_txns: Vec<Txn>,
     pub held_commands: Vec<(MachineId, DirectBody)>,
@@ -496,6 +520,18 @@
             late_commands: Vec::new(),
             late_writes: 0.0,
             late_txns: Vec::new(),
+            lost_answers: 0.0,
+            lost_answers_under: PREFIX,
+            answers_lost: 0,
+            late_command_share: 0.0,
+            reports_for_next: 0.0,
+            kept_reports: Vec::new(),
+            reports_delivered_to_next: 0,
+            close_looks: false,
+            looks: BTreeMap::new(),
+            looks_answered: 0,
+            leaderships: BTreeMap::new(),
+            unrecorded_starts: 0,
             held_txns: Vec::new(),
             held_commands: Vec::new(),
             hold_commands: false,
@@ -733,12 +769,10 @@
         if a.status == 404 && !self.amnesia {
             assert!(!self.told.contains(id), "{id} was forgotten");
         }
-        if matches!(a.status, 200 | 201) {
-            self.told.insert(id.into());
-        }
         if !matches!(a.status, 200 | 201) {
             return None;
         }
+        let first_told = self.told.insert(id.into());
         let told: JobAnswer = serde_json::from_slice(&a.body).unwrap();
         let final_state = matches!(told.state, JobState::Done | JobState::Cancelled);
         if let Some((before, at)) = self.told_final.get(id).filter(|_| !self.amnesia) {
@@ -748,6 +782,9 @@
                 assert_eq!(*before, told.state, "{id}: said to be something else");
             }
         }
+        if self.close_looks && (first_told || final_state && !self.told_final.contains_key(id)) {
+            self.look_closely(id);
+        }
         if final_state {
             let first = (told.state, self.now);
             self.told_final.entry(id.into()).or_insert(first);
@@ -776,6 +813,18 @@
         Some(told.state)
     }
 
+    /// Asks every controller about a job at once, and repeats its submission.
+    fn look_closely(&mut self, id: &str) {
+        for node in 0..self.nodes.len() {
+            let mut questions = vec![Ask::Show(id.into())];
+            questions.extend(self.specs.get(id).map(|s| Ask::Submit(Box::new(s.clone()))));
+            for what in questions {
+                let ticket = self.ask(node, what);
+                self.looks.insert(ticket, (id.into(), self.now));
+            }
+        }
+    }
+
     /// A job and all that it needs.
     fn upstream(&self, id: &str) -> BTreeSet<String> {
         let mut found = BTreeSet::new();
@@ -1097,10 +1146,57 @@
                 self.owed.clear();
             }
         }
+        self.note_leaderships();
         self.check();
         self.look_for_neglected();
     }
 
+    /// Every leadership has a term that no other has. At the beginning of one, what was kept for it arrives.
+    fn note_leaderships(&mut self) {
+        let mut begun = false;
+        for (i, node) in self.nodes.iter().enumerate().filter(|(_, n)| n.up) {
+            let Some(lead) = &node.core.lead else {
+                continue;
+            };
+            let this = (i, node.core.nonce, node.core.leaderships);
+            let known = self.leaderships.get(&lead.term);
+            begun |= known.is_none();
+            let other = known.filter(|k| **k != this);
+            assert!(
+                other.is_none(),
+                "two leaderships have term {}: {other:?} and {this:?}",
+                lead.term
+            );
+            self.leaderships.insert(lead.term, this);
+        }
+        if begun {
+            for report in std::mem::take(&mut self.kept_reports) {
+                for node in (0..self.nodes.len())
+                    .filter(|n| self.nodes[*n].up)
+                    .collect::<Vec<_>>()
+                {
+                    self.reports_delivered_to_next += 1;
+                    self.deliver(node, report.clone());
+                }
+            }
+        }
+    }
+
+    /// A leader takes its key for gone, though it stands.
+    pub fn depose(&mut self, node: usize) {
+        if let Some(lead) = &self.nodes[node].core.lead {
+            let key_version = lead.key_version;
+            self.nodes[node]
+                .inbox
+                .push(Command::Deposed { key_version });
+        }
+    }
+
+    /// How many leaderships there were.
+    pub fn terms(&self) -> usize {
+        self.leaderships.len()
+    }
+
     /// Something is not as it should be in quiet times.
     fn troubled(&self) -> bool {
         let node = |n: &Node| !n.up || n.frozen || n.state != Link::Good || !n.peers || n.lags;
@@ -1110,6 +1206,9 @@
             || !self.slow.is_zero()
             || self.hold_commands
             || self.late_writes > 0.0
+            || self.lost_answers > 0.0
+            || self.late_command_share > 0.0
+            || self.reports_for_next > 0.0
             || !self.copies.is_zero()
             || !self.whole()
             || self.nodes.iter().any(node)
@@ -1302,6 +1401,13 @@
                 }
             }
         }
+        let starts = orders.iter().any(|o| matches!(o, Order::Start { .. }));
+        // A store that has lost data may have lost this record as well.
+        let kept = self.memories.is_none() && !self.amnesia && !self.unrecorded.contains(id);
+        if starts && kept && !self.state.recorded().contains(id) {
+            self.unrecorded_starts += 1;
+            panic!("a task starts on {id}, which is not on record");
+        }
         let Some(w) = self.workers.get_mut(id) else {
             return;
         };
@@ -1449,6 +1555,9 @@
                     let to = self.rng.random_range(0..self.setup.nodes);
                     self.late_reports.push((at, to, (*report).clone()));
                 }
+                if self.reports_for_next > 0.0 && self.rng.random_bool(self.reports_for_next) {
+                    self.kept_reports.push((*report).clone());
+                }
                 self.reports += 1;
                 let ticket = self.next_ticket;
                 self.next_ticket += 1;
@@ -1496,6 +1605,11 @@
             let at = self.now + self.copies.mul_f64(self.rng.random_range(0.1..1.0));
             self.late_commands.push((at, id.clone(), body.clone()));
         }
+        if self.late_command_share > 0.0 && self.rng.random_bool(self.late_command_share) {
+            let at = self.now + Duration::from_millis(self.rng.random_range(2000..16000));
+            self.late_commands.push((at, id.clone(), body));
+            return unknown;
+        }
         if w.hung || w.cut.contains(&i) || self.hold_commands {
             // Held by the network, or by the machine until it resumes.
             self.held_commands.push((id.clone(), body));
@@ -1588,7 +1702,13 @@
         if self.outage {
             return StateOutcome::Refused("503".into());
         }
-        match self.nodes[i].state {
+        let link = self.nodes[i].state;
+        match link {
+            Link::Good if self.loses_answer(request) => {
+                self.answers_lost += 1;
+                self.state.perform(request);
+                StateOutcome::Unknown("timeout".into())
+            }
             Link::Good => self.state.perform(request),
             Link::Refused => StateOutcome::Refused("503".into()),
             Link::AnswersLost => {
@@ -1607,6 +1727,17 @@
         }
     }
 
+    /// Whether the answer to this request is to be lost.
+    fn loses_answer(&mut self, request: &StateRequest) -> bool {
+        let StateRequest::Txn(txn) = request else {
+            return false;
+        };
+        let chosen = |c: &Change| c.key().starts_with(self.lost_answers_under);
+        self.lost_answers > 0.0
+            && txn.changes.iter().any(chosen)
+            && self.rng.random_bool(self.lost_answers)
+    }
+
     fn call_cloud(&mut self, request: CloudRequest) -> CloudOutcome {
         self.cloud_calls += 1;
         if self.cloud_down {
@@ -1720,6 +1851,9 @@
                     });
                 } else if let Some((id, asked)) = self.cancelling.remove(&ticket) {
                     self.heard(&id, asked, Some(&answer));
+                } else if let Some((id, asked)) = self.looks.remove(&ticket) {
+                    let state = self.heard(&id, asked, Some(&answer));
+                    self.looks_answered += u32::from(state.is_some());
                 } else {
                     self.answers.insert(ticket, answer);
                 }
@@ -1793,8 +1927,13 @@
             }
             Effect::ReadAfresh => self.nodes[i].seen = None,
             Effect::State { call, request } => {
+                let lost = self.answers_lost;
                 let outcome = self.call_state(i, &request);
                 let answer = Command::State { call, outcome };
+                if self.answers_lost > lost {
+                    let at = self.now + NO_ANSWER;
+                    return self.slow_answers.push((at, i, answer));
+                }
                 if self.slow.is_zero() {
                     return self.nodes[i].inbox.push(answer);
                 }
--- a/src/guard.rs
+++ b/src/guard.rs
@@ -36,6 +36,14 @@
     Overdue,
     /// A user is told of a cancellation only where its tasks are gone in time whatever comes.
     InTime,
+    /// A leadership has a term that no other had.
+    Term,
+    /// A refusal of what this process itself has carried out is no conflict.
+    OwnWrite,
+    /// A conflict is no success.
+    Conflict,
+    /// What is not final is read afresh before a user is told of it.
+    FreshRead,
 }
 
 #[cfg(test)]
