--- a/src/core/submissions.rs
+++ b/src/core/submissions.rs
@@ -283,6 +283,13 @@
         }
     }
 
+    /// When a submission was made that was received at this moment, in milliseconds since 1970.
+    fn submitted_ms(&self, received: Instant) -> u64 {
+        let waited = self.now.mono.saturating_duration_since(received);
+        let now = self.now.wall.duration_since(SystemTime::UNIX_EPOCH);
+        now.unwrap_or_default().saturating_sub(waited).as_millis() as u64
+    }
+
     fn create(
         &mut self,
         ticket: Ticket,
@@ -291,11 +298,7 @@
         tries: u32,
         parts: Option<Box<Writing>>,
     ) {
-        let submitted = self.now.wall - self.now.mono.saturating_duration_since(since);
-        let ms = submitted
-            .duration_since(SystemTime::UNIX_EPOCH)
-            .unwrap_or_default()
-            .as_millis() as u64;
+        let ms = self.submitted_ms(since);
         let txn = creation(&spec, ms, parts.as_deref());
         let pending = Pending::Create {
             ticket,
@@ -342,13 +345,7 @@
         match outcome {
             StateOutcome::Committed { revision } => {
                 let id = spec.id.clone();
-                let ms = self
-                    .now
-                    .wall
-                    .duration_since(SystemTime::UNIX_EPOCH)
-                    .unwrap_or_default()
-                    .saturating_sub(waited)
-                    .as_millis() as u64;
+                let ms = self.submitted_ms(since);
                 tracing::info!(
                     job = %id, "job {id} accepted: class {} team {} tasks {}",
                     spec.class,
