--- /dev/null
+++ b/crates/scale/src/connection.rs
@@ -0,0 +1,161 @@
+//! One non-blocking HTTP/1.1 connection: bytes to write, bytes read, and whole messages out of these.
+
+use burlusher::http::{Answer, Request};
+use mio::net::TcpStream;
+use std::io::{self, Read, Write};
+
+/// Headers that a message may have.
+const MOST_HEADERS: usize = 32;
+/// A message longer than this is none of the protocol's.
+const MOST_BYTES: usize = 1 << 20;
+
+pub struct Connection {
+    pub stream: TcpStream,
+    to_write: Vec<u8>,
+    read: Vec<u8>,
+}
+
+/// A response: its status and body, and whether the connection ends with it.
+pub struct Response {
+    pub status: u16,
+    pub body: Vec<u8>,
+    pub close: bool,
+}
+
+impl Connection {
+    pub fn new(stream: TcpStream) -> Connection {
+        Connection {
+            stream,
+            to_write: Vec::new(),
+            read: Vec::new(),
+        }
+    }
+
+    /// Adds a request to what is to be written; says how many bytes it has.
+    pub fn ask(&mut self, method: &str, path: &str, body: &[u8]) -> usize {
+        let head = format!(
+            "{method} {path} HTTP/1.1\r\nHost: controller\r\nContent-Type: application/json\r\n\
+             Content-Length: {}\r\n\r\n",
+            body.len()
+        );
+        self.to_write.extend_from_slice(head.as_bytes());
+        self.to_write.extend_from_slice(body);
+        head.len() + body.len()
+    }
+
+    /// Adds an answer to what is to be written; says how many bytes it has.
+    pub fn answer(&mut self, answer: &Answer) -> usize {
+        let head = format!(
+            "HTTP/1.1 {} Answer\r\nContent-Type: {}\r\nContent-Length: {}\r\n\r\n",
+            answer.status,
+            answer.content_type,
+            answer.body.len()
+        );
+        self.to_write.extend_from_slice(head.as_bytes());
+        self.to_write.extend_from_slice(&answer.body);
+        head.len() + answer.body.len()
+    }
+
+    /// Writes what the socket takes now.
+    pub fn flush(&mut self) -> io::Result<()> {
+        while !self.to_write.is_empty() {
+            match self.stream.write(&self.to_write) {
+                Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
+                Ok(n) => drop(self.to_write.drain(..n)),
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Ok(()),
+                // Not connected yet: the next event tells.
+                Err(e) if e.kind() == io::ErrorKind::NotConnected => return Ok(()),
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(e) => return Err(e),
+            }
+        }
+        Ok(())
+    }
+
+    /// Reads what is there; an error where the other side has closed.
+    pub fn fill(&mut self) -> io::Result<usize> {
+        let mut chunk = [0; 16 * 1024];
+        let mut total = 0;
+        loop {
+            match self.stream.read(&mut chunk) {
+                Ok(0) => return Err(io::ErrorKind::UnexpectedEof.into()),
+                Ok(n) => {
+                    total += n;
+                    self.read.extend_from_slice(&chunk[..n]);
+                    if self.read.len() > MOST_BYTES {
+                        return Err(io::ErrorKind::InvalidData.into());
+                    }
+                }
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Ok(total),
+                Err(e) if e.kind() == io::ErrorKind::NotConnected => return Ok(total),
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(e) => return Err(e),
+            }
+        }
+    }
+
+    /// The response that has come whole, if one has.
+    pub fn take_response(&mut self) -> io::Result<Option<Response>> {
+        let mut headers = [httparse::EMPTY_HEADER; MOST_HEADERS];
+        let mut head = httparse::Response::new(&mut headers);
+        let Some(at) = complete(head.parse(&self.read))? else {
+            return Ok(None);
+        };
+        let status = head.code.unwrap_or_default();
+        let length = content_length(head.headers)?;
+        let close = header(head.headers, "connection").is_some_and(|v| v == "close");
+        let body = self.take_body(at, length);
+        Ok(body.map(|body| Response {
+            status,
+            body,
+            close,
+        }))
+    }
+
+    /// The request that has come whole, if one has.
+    pub fn take_request(&mut self) -> io::Result<Option<Request>> {
+        let mut headers = [httparse::EMPTY_HEADER; MOST_HEADERS];
+        let mut head = httparse::Request::new(&mut headers);
+        let Some(at) = complete(head.parse(&self.read))? else {
+            return Ok(None);
+        };
+        let method = head.method.unwrap_or_default().to_string();
+        let path = head.path.unwrap_or_default().to_string();
+        let length = content_length(head.headers)?;
+        let body = self.take_body(at, length);
+        Ok(body.map(|body| Request { method, path, body }))
+    }
+
+    fn take_body(&mut self, at: usize, length: usize) -> Option<Vec<u8>> {
+        if self.read.len() < at + length {
+            return None;
+        }
+        let body = self.read[at..at + length].to_vec();
+        self.read.drain(..at + length);
+        Some(body)
+    }
+}
+
+fn complete(parsed: Result<httparse::Status<usize>, httparse::Error>) -> io::Result<Option<usize>> {
+    match parsed {
+        Ok(httparse::Status::Complete(at)) => Ok(Some(at)),
+        Ok(httparse::Status::Partial) => Ok(None),
+        Err(e) => Err(io::Error::new(io::ErrorKind::InvalidData, e)),
+    }
+}
+
+fn header<'a>(headers: &'a [httparse::Header], name: &str) -> Option<&'a str> {
+    let named = headers.iter().find(|h| h.name.eq_ignore_ascii_case(name))?;
+    std::str::from_utf8(named.value).ok()
+}
+
+fn content_length(headers: &[httparse::Header]) -> io::Result<usize> {
+    let Some(text) = header(headers, "content-length") else {
+        return Ok(0);
+    };
+    let length = text.trim().parse().ok().filter(|n| *n <= MOST_BYTES);
+    length.ok_or_else(|| io::ErrorKind::InvalidData.into())
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/scale/src/connection/tests.rs
@@ -0,0 +1,72 @@
+use super::*;
+use std::net::{Ipv4Addr, TcpListener};
+
+/// A connection, and the blocking other end of it.
+fn pair() -> (Connection, std::net::TcpStream) {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+    let other = std::net::TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+    let (stream, _) = listener.accept().unwrap();
+    stream.set_nonblocking(true).unwrap();
+    (Connection::new(TcpStream::from_std(stream)), other)
+}
+
+fn fill(connection: &mut Connection, bytes: usize) -> io::Result<usize> {
+    let mut total = 0;
+    while total < bytes {
+        total += connection.fill()?;
+    }
+    Ok(total)
+}
+
+#[test]
+fn messages_come_whole_in_whatever_pieces_they_arrive() {
+    let (mut connection, mut other) = pair();
+    let text = b"POST /do HTTP/1.1\r\nContent-Length: 4\r\n\r\nbodyGET /status HTTP/1.1\r\n\r\n";
+    for (n, byte) in text.iter().enumerate() {
+        other.write_all(&[*byte]).unwrap();
+        fill(&mut connection, 1).unwrap();
+        let whole = connection.take_request().unwrap();
+        match n {
+            43 => {
+                let r = whole.expect("the first is whole");
+                assert_eq!(
+                    (&*r.method, &*r.path, &*r.body),
+                    ("POST", "/do", &b"body"[..])
+                );
+            }
+            _ if n == text.len() - 1 => {
+                let r = whole.expect("the second is whole");
+                assert_eq!((&*r.method, &*r.path), ("GET", "/status"));
+            }
+            _ => assert!(whole.is_none(), "at byte {n}"),
+        }
+    }
+}
+
+#[test]
+fn a_response_says_whether_the_connection_ends() {
+    let (mut connection, mut other) = pair();
+    let text = b"HTTP/1.1 421 No\r\nConnection: close\r\nContent-Length: 2\r\n\r\n{}";
+    other.write_all(text).unwrap();
+    fill(&mut connection, text.len()).unwrap();
+    let response = connection.take_response().unwrap().expect("it is whole");
+    assert_eq!(
+        (response.status, &*response.body, response.close),
+        (421, &b"{}"[..], true)
+    );
+    drop(other);
+    assert!(connection.fill().is_err(), "the other side has closed");
+}
+
+#[test]
+fn what_is_no_message_is_an_error() {
+    for text in [
+        "nonsense\r\n\r\n",
+        "POST /do HTTP/1.1\r\nContent-Length: many\r\n\r\n",
+    ] {
+        let (mut connection, mut other) = pair();
+        other.write_all(text.as_bytes()).unwrap();
+        fill(&mut connection, text.len()).unwrap();
+        assert!(connection.take_request().is_err(), "{text}");
+    }
+}
--- /dev/null
+++ b/crates/scale/src/hollow.rs
@@ -0,0 +1,373 @@
+//! Hollow machines: the stand-ins' workers, whose connections a few threads multiplex.
+
+use crate::connection::Connection;
+use burlusher::wire::{PATH_REPORT, Redirect, ReportAnswer};
+use burlusher_standin::cloud::Hosting;
+use burlusher_standin::worker::Worker;
+use mio::net::{TcpListener, TcpStream};
+use mio::{Events, Interest, Poll, Registry, Token};
+use rand::RngExt;
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::time::{Duration, Instant};
+
+/// Each machine is looked at this often.
+const TICK: Duration = Duration::from_millis(30);
+/// A worker waits so long for an answer, and so long before it turns to another controller.
+const NO_ANSWER: Duration = Duration::from_secs(4);
+const RETRY: Duration = Duration::from_secs(1);
+/// What a token of the poll names: a listener, a connection to a controller, or one from it.
+const KINDS: usize = 3;
+const LISTENER: usize = 0;
+const REPORTS: usize = 1;
+const COMMANDS: usize = 2;
+
+/// What went over the workers' connections.
+#[derive(Default)]
+pub struct Traffic {
+    pub reports: AtomicU64,
+    pub answers: AtomicU64,
+    pub commands: AtomicU64,
+    /// Bytes that workers sent and received, for reports and for direct commands.
+    pub sent: AtomicU64,
+    pub received: AtomicU64,
+    /// Reports without an answer, and those referred to another controller.
+    pub unanswered: AtomicU64,
+    pub referred: AtomicU64,
+}
+
+impl Traffic {
+    fn add(counter: &AtomicU64, n: usize) {
+        counter.fetch_add(n as u64, Ordering::Relaxed);
+    }
+}
+
+/// A machine that has been rented.
+struct Rented {
+    worker: Arc<Worker>,
+    listener: std::net::TcpListener,
+    up_at: Instant,
+}
+
+/// Hosts machines on a few threads.
+pub struct Fleet {
+    threads: Vec<Sender<Rented>>,
+    next: AtomicUsize,
+    pub traffic: Arc<Traffic>,
+}
+
+impl Fleet {
+    pub fn new(threads: usize) -> Result<Fleet, String> {
+        let traffic = Arc::new(Traffic::default());
+        let mut senders = Vec::new();
+        for n in 0..threads {
+            let (sender, receiver) = channel();
+            let poll = Poll::new().map_err(|e| format!("no poll: {e}"))?;
+            let traffic = traffic.clone();
+            let begun = std::thread::Builder::new()
+                .name(format!("hollow-{n}"))
+                .spawn(move || Host::new(poll, receiver, traffic).run());
+            begun.map_err(|e| format!("no thread for hollow workers: {e}"))?;
+            senders.push(sender);
+        }
+        Ok(Fleet {
+            threads: senders,
+            next: AtomicUsize::new(0),
+            traffic,
+        })
+    }
+}
+
+impl Hosting for Fleet {
+    fn host(&self, worker: Arc<Worker>, listener: std::net::TcpListener, boot: Duration) {
+        let n = self.next.fetch_add(1, Ordering::Relaxed);
+        let up_at = Instant::now() + boot;
+        let rented = Rented {
+            worker,
+            listener,
+            up_at,
+        };
+        // A thread that has ended leaves its machines booting for ever; the scenario then says so.
+        let _ = self.threads[n % self.threads.len()].send(rented);
+    }
+}
+
+/// A machine on its thread.
+struct Machine {
+    worker: Arc<Worker>,
+    listener: TcpListener,
+    /// It takes direct commands.
+    listens: bool,
+    up_at: Instant,
+    /// The controller that it reports to.
+    node: usize,
+    link: Option<Connection>,
+    /// When the report was sent that has no answer yet.
+    awaiting: Option<Instant>,
+    last: Instant,
+    resume_at: Instant,
+}
+
+/// One thread's machines.
+struct Host {
+    poll: Poll,
+    rented: Receiver<Rented>,
+    traffic: Arc<Traffic>,
+    machines: BTreeMap<usize, Machine>,
+    next: usize,
+    /// Connections on which controllers send direct commands, and to which machine.
+    commands: BTreeMap<usize, (usize, Connection)>,
+    next_command: usize,
+}
+
+fn token(kind: usize, number: usize) -> Token {
+    Token(number * KINDS + kind)
+}
+
+impl Host {
+    fn new(poll: Poll, rented: Receiver<Rented>, traffic: Arc<Traffic>) -> Host {
+        Host {
+            poll,
+            rented,
+            traffic,
+            machines: BTreeMap::new(),
+            next: 0,
+            commands: BTreeMap::new(),
+            next_command: 0,
+        }
+    }
+
+    fn run(mut self) {
+        let mut events = Events::with_capacity(1024);
+        let mut looked = Instant::now();
+        loop {
+            if let Err(e) = self.poll.poll(&mut events, Some(TICK))
+                && e.kind() != io::ErrorKind::Interrupted
+            {
+                eprintln!("hollow workers: {e}");
+                return;
+            }
+            for event in &events {
+                let number = event.token().0 / KINDS;
+                match event.token().0 % KINDS {
+                    LISTENER => self.accept(number),
+                    REPORTS => self.answered(number),
+                    _ => self.commanded(number),
+                }
+            }
+            if looked.elapsed() >= TICK {
+                looked = Instant::now();
+                self.take_in();
+                self.tend();
+            }
+        }
+    }
+
+    fn take_in(&mut self) {
+        while let Ok(rented) = self.rented.try_recv() {
+            if rented.listener.set_nonblocking(true).is_err() {
+                continue;
+            }
+            let world = rented.worker.world();
+            // Reports are spread over the interval.
+            let early = world.report.mul_f64(rand::rng().random_range(0.0..1.0));
+            let node = rand::rng().random_range(0..world.nodes.len());
+            let machine = Machine {
+                worker: rented.worker,
+                listener: TcpListener::from_std(rented.listener),
+                listens: false,
+                up_at: rented.up_at,
+                node,
+                link: None,
+                awaiting: None,
+                last: rented.up_at - early,
+                resume_at: rented.up_at,
+            };
+            self.machines.insert(self.next, machine);
+            self.next += 1;
+        }
+    }
+
+    /// Looks at all machines: what is due, what has waited for too long, what is gone.
+    fn tend(&mut self) {
+        let now = Instant::now();
+        let registry = self.poll.registry();
+        let mut gone = Vec::new();
+        for (number, m) in &mut self.machines {
+            if m.worker.is_gone() {
+                gone.push(*number);
+            } else if now >= m.up_at {
+                m.come_up(*number, registry);
+                m.tend(*number, now, registry, &self.traffic);
+            }
+        }
+        for number in gone {
+            self.machines.remove(&number);
+            self.commands.retain(|_, (of, _)| *of != number);
+        }
+    }
+
+    fn accept(&mut self, number: usize) {
+        let registry = self.poll.registry();
+        let Some(m) = self.machines.get(&number) else {
+            return;
+        };
+        while let Ok((mut stream, _)) = m.listener.accept() {
+            let n = self.next_command;
+            self.next_command += 1;
+            let interest = Interest::READABLE | Interest::WRITABLE;
+            if registry
+                .register(&mut stream, token(COMMANDS, n), interest)
+                .is_ok()
+            {
+                self.commands.insert(n, (number, Connection::new(stream)));
+            }
+        }
+    }
+
+    /// Something came on the connection to a controller.
+    fn answered(&mut self, number: usize) {
+        if let Some(m) = self.machines.get_mut(&number) {
+            m.take_answer(Instant::now(), &self.traffic);
+        }
+    }
+
+    /// Something came on a connection from a controller.
+    fn commanded(&mut self, number: usize) {
+        let Some((of, connection)) = self.commands.get_mut(&number) else {
+            return;
+        };
+        let worker = self.machines.get(of).map(|m| m.worker.clone());
+        let served = worker.map(|w| serve(&w, connection, &self.traffic));
+        if !matches!(served, Some(Ok(()))) {
+            self.commands.remove(&number);
+        }
+    }
+}
+
+/// Answers the direct commands that have come whole.
+fn serve(worker: &Worker, connection: &mut Connection, traffic: &Traffic) -> io::Result<()> {
+    connection.flush()?;
+    let filled = connection.fill();
+    Traffic::add(&traffic.received, *filled.as_ref().unwrap_or(&0));
+    while let Some(request) = connection.take_request()? {
+        let Some(answer) = worker.answer(&request) else {
+            return Err(io::ErrorKind::ConnectionReset.into());
+        };
+        Traffic::add(&traffic.commands, 1);
+        let bytes = connection.answer(&answer);
+        Traffic::add(&traffic.sent, bytes);
+    }
+    connection.flush()?;
+    filled.map(|_| ())
+}
+
+impl Machine {
+    fn come_up(&mut self, number: usize, registry: &Registry) {
+        if self.listens {
+            return;
+        }
+        let token = token(LISTENER, number);
+        let registered = registry.register(&mut self.listener, token, Interest::READABLE);
+        self.listens = registered.is_ok();
+    }
+
+    fn tend(&mut self, number: usize, now: Instant, registry: &Registry, traffic: &Traffic) {
+        if let Some(sent) = self.awaiting {
+            if now > sent + NO_ANSWER {
+                Traffic::add(&traffic.unanswered, 1);
+                self.turn(None, now);
+            }
+            return;
+        }
+        if now < self.resume_at {
+            return;
+        }
+        let Some(report) = self.worker.report_due(self.last) else {
+            return;
+        };
+        self.last = now;
+        if self.link.is_none() {
+            let addr = self.worker.world().nodes[self.node].1;
+            self.link = connect(addr.into(), number, registry).ok();
+        }
+        let Some(link) = &mut self.link else {
+            return self.turn(None, now);
+        };
+        let bytes = link.ask("POST", PATH_REPORT, &report);
+        Traffic::add(&traffic.reports, 1);
+        Traffic::add(&traffic.sent, bytes);
+        self.awaiting = Some(now);
+        if link.flush().is_err() {
+            Traffic::add(&traffic.unanswered, 1);
+            self.turn(None, now);
+        }
+    }
+
+    fn take_answer(&mut self, now: Instant, traffic: &Traffic) {
+        let Some(link) = &mut self.link else { return };
+        let filled = link.flush().and_then(|()| link.fill());
+        Traffic::add(&traffic.received, *filled.as_ref().unwrap_or(&0));
+        let response = match link.take_response() {
+            Ok(response) => response,
+            Err(_) => return self.turn(None, now),
+        };
+        let Some(response) = response else {
+            // A connection that ends between two reports is made anew for the next one.
+            if filled.is_err() {
+                self.link = None;
+                if self.awaiting.is_some() {
+                    Traffic::add(&traffic.unanswered, 1);
+                    self.turn(None, now);
+                }
+            }
+            return;
+        };
+        let Some(sent) = self.awaiting.take() else {
+            self.link = None;
+            return;
+        };
+        Traffic::add(&traffic.answers, 1);
+        if response.close || filled.is_err() {
+            self.link = None;
+        }
+        match response.status {
+            200 => {
+                if let Ok(answer) = serde_json::from_slice::<ReportAnswer>(&response.body) {
+                    self.worker.take_in(answer, sent);
+                }
+            }
+            421 => {
+                Traffic::add(&traffic.referred, 1);
+                let to = serde_json::from_slice::<Redirect>(&response.body).ok();
+                self.turn(to.and_then(|r| r.leader), now);
+            }
+            _ => self.turn(None, now),
+        }
+    }
+
+    /// Turns to another controller.
+    fn turn(&mut self, referred: Option<&str>, now: Instant) {
+        let world = self.worker.world();
+        let (node, wait) = world.next_node(self.node, referred);
+        self.last = now - world.report;
+        self.link = None;
+        self.awaiting = None;
+        self.node = node;
+        self.resume_at = if wait { now + RETRY } else { now };
+    }
+}
+
+fn connect(addr: SocketAddr, number: usize, registry: &Registry) -> io::Result<Connection> {
+    let mut stream = TcpStream::connect(addr)?;
+    let interest = Interest::READABLE | Interest::WRITABLE;
+    registry.register(&mut stream, token(REPORTS, number), interest)?;
+    Ok(Connection::new(stream))
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/scale/src/hollow/tests.rs
@@ -0,0 +1,164 @@
+use super::*;
+use burlusher::http::{self, Answer, Client, Request};
+use burlusher::job::{JobSpec, Resources};
+use burlusher::wire::{DirectBody, Order, Report, to_json};
+use burlusher_standin::cloud::Threads;
+use burlusher_standin::scenario::Scenario;
+use burlusher_standin::users::load;
+use burlusher_standin::worker::World;
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::sync::Mutex;
+
+const REPORT: Duration = Duration::from_millis(500);
+
+/// A controller that answers all reports alike, and keeps them.
+struct Controller {
+    addr: SocketAddrV4,
+    reports: Arc<Mutex<Vec<Report>>>,
+}
+
+fn listen() -> (std::net::TcpListener, SocketAddrV4) {
+    let listener = std::net::TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+    let SocketAddr::V4(addr) = listener.local_addr().unwrap() else {
+        panic!("not of this family")
+    };
+    (listener, addr)
+}
+
+fn controller(status: u16, body: &'static str) -> Controller {
+    let (listener, addr) = listen();
+    let reports = Arc::new(Mutex::new(Vec::new()));
+    let kept = reports.clone();
+    let handle = move |r: Request| {
+        kept.lock()
+            .unwrap()
+            .push(serde_json::from_slice(&r.body).unwrap());
+        Some(Answer::new(status, body.into()))
+    };
+    std::thread::spawn(move || http::serve(listener, 100, Arc::new(handle)));
+    Controller { addr, reports }
+}
+
+fn world(nodes: &[&Controller]) -> Arc<World> {
+    let nodes = nodes.iter().enumerate();
+    Arc::new(World {
+        jobs: Mutex::default(),
+        records: Mutex::default(),
+        nodes: nodes.map(|(n, c)| (format!("n{n}"), c.addr)).collect(),
+        report: REPORT,
+        lease: Duration::from_secs(4),
+    })
+}
+
+fn machine(n: usize, world: &Arc<World>) -> (Arc<Worker>, std::net::TcpListener) {
+    let (listener, addr) = listen();
+    let offer = ("worker".to_string(), "east".to_string(), false);
+    let room = Resources {
+        cpus: 4.0,
+        gpus: 0.0,
+        ram: 16.0,
+    };
+    let worker = Worker::new(format!("i-{n:06}"), addr, offer, room, world.clone());
+    (Arc::new(worker), listener)
+}
+
+fn wait(what: &str, f: impl Fn() -> bool) {
+    let until = Instant::now() + Duration::from_secs(10);
+    while !f() {
+        assert!(Instant::now() < until, "not within 10 s: {what}");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
+
+#[test]
+fn hollow_workers_say_as_much_as_those_with_threads() {
+    const MACHINES: usize = 12;
+    let ok = r#"{"deed":7,"orders":[]}"#;
+    let (hollow, threads) = (controller(200, ok), controller(200, ok));
+    let (one, other) = (world(&[&hollow]), world(&[&threads]));
+    let fleet = Fleet::new(2).unwrap();
+    for n in 0..MACHINES {
+        let (worker, listener) = machine(n, &one);
+        fleet.host(worker, listener, Duration::ZERO);
+        let (worker, listener) = machine(n, &other);
+        Threads.host(worker, listener, Duration::ZERO);
+    }
+    std::thread::sleep(Duration::from_secs(1));
+    let count = |c: &Controller| c.reports.lock().unwrap().len();
+    let before = (count(&hollow), count(&threads));
+    std::thread::sleep(Duration::from_secs(5));
+    let (a, b) = (count(&hollow) - before.0, count(&threads) - before.1);
+    assert!(a.abs_diff(b) * 100 <= b * 5, "{a} and {b} reports");
+    let last = |c: &Controller| to_json(c.reports.lock().unwrap().last().unwrap()).len();
+    assert!(last(&hollow).abs_diff(last(&threads)) <= 3);
+    let known = hollow.reports.lock().unwrap().last().unwrap().token;
+    assert_eq!(known, 7, "answers are taken in");
+    assert!(fleet.traffic.sent.load(Ordering::Relaxed) > 0);
+}
+
+#[test]
+fn a_hollow_worker_goes_where_it_is_referred_to() {
+    let to = controller(200, r#"{"deed":9,"orders":[]}"#);
+    let from = controller(421, r#"{"foreman":"n1"}"#);
+    let world = world(&[&from, &to]);
+    let fleet = Fleet::new(1).unwrap();
+    for n in 0..4 {
+        let (worker, listener) = machine(n, &world);
+        fleet.host(worker, listener, Duration::ZERO);
+    }
+    let told = |c: &Controller| c.reports.lock().unwrap().len();
+    wait("all report there", || told(&to) >= 12);
+    assert!(told(&from) <= 4, "each asks there once at most");
+}
+
+#[test]
+fn a_hollow_worker_runs_what_it_is_told_directly() {
+    let ok = controller(200, r#"{"deed":7,"orders":[]}"#);
+    let world = world(&[&ok]);
+    let text = include_str!("../../../../scenarios/hollow.toml");
+    let job = load(&Scenario::parse("hollow.toml", text).unwrap()).remove(0);
+    let id = job.spec.id.to_string();
+    let spec = JobSpec {
+        tasks: 1,
+        ..job.spec
+    };
+    world.records.lock().unwrap().submitted(&id, "class");
+    let shared = Arc::new((spec, Duration::from_millis(200)));
+    world.jobs.lock().unwrap().insert(id.clone(), shared);
+    let (worker, listener) = machine(1, &world);
+    let fleet = Fleet::new(1).unwrap();
+    fleet.host(worker.clone(), listener, Duration::ZERO);
+    wait("it reports", || !ok.reports.lock().unwrap().is_empty());
+    let body = |token| {
+        to_json(&DirectBody {
+            token,
+            session: 1,
+            orders: vec![Order::Start {
+                task: format!("{id}/0"),
+                attempt: 1,
+            }],
+        })
+    };
+    let mut client = Client::new(worker.addr, Duration::from_millis(500));
+    let mut tell = |token| {
+        let answer = client.call("POST", "/do", &body(token), Duration::from_secs(2), false);
+        answer.unwrap().0
+    };
+    wait("it has the token", || {
+        ok.reports.lock().unwrap().last().unwrap().token == 7
+    });
+    assert_eq!(tell(6), 409, "an older token is refused");
+    assert_eq!(tell(8), 200);
+    wait("it is done", || {
+        world.records.lock().unwrap().done(&id) == 1
+    });
+    assert!(world.records.lock().unwrap().broken.is_empty());
+    // A machine that is gone answers nothing.
+    worker.remove();
+    wait("it is gone", || {
+        let mut client = Client::new(worker.addr, Duration::from_millis(200));
+        client
+            .call("GET", "/status", b"", Duration::from_secs(1), false)
+            .is_err()
+    });
+}
--- /dev/null
+++ b/crates/scale/src/plot.rs
@@ -0,0 +1,42 @@
+//! Draws measured figures against the number of machines, with the lines through them.
+
+use crate::fit::line;
+use plotters::prelude::*;
+use std::path::Path;
+
+const SIZE: (u32, u32) = (760, 420);
+
+/// One figure against the number of machines.
+pub fn draw(path: &Path, label: &str, points: &[(f64, f64)]) -> Result<(), String> {
+    let place = path.display().to_string();
+    try_to_draw(path, label, points).map_err(|e| format!("{place}: {e}"))
+}
+
+fn try_to_draw(
+    path: &Path,
+    label: &str,
+    points: &[(f64, f64)],
+) -> Result<(), Box<dyn std::error::Error>> {
+    let most = |of: fn(&(f64, f64)) -> f64| points.iter().map(of).fold(1e-9, f64::max) * 1.1;
+    let (right, top) = (most(|p| p.0), most(|p| p.1));
+    let root = SVGBackend::new(path, SIZE).into_drawing_area();
+    root.fill(&WHITE)?;
+    let mut chart = ChartBuilder::on(&root)
+        .margin(16)
+        .x_label_area_size(36)
+        .y_label_area_size(64)
+        .build_cartesian_2d(0.0..right, 0.0..top)?;
+    chart
+        .configure_mesh()
+        .x_desc("machines")
+        .y_desc(label)
+        .draw()?;
+    if let Some(line) = line(points) {
+        let ends = [0.0, right].map(|x| (x, line.at(x).max(0.0)));
+        chart.draw_series(LineSeries::new(ends, BLUE.stroke_width(2)))?;
+    }
+    let dots = points.iter().map(|p| Circle::new(*p, 4, RED.filled()));
+    chart.draw_series(dots)?;
+    root.present()?;
+    Ok(())
+}
--- /dev/null
+++ b/crates/scale/src/run.rs
@@ -0,0 +1,225 @@
+//! One run of a scenario with hollow workers, and what it took; several sizes in turn.
+
+use crate::fit::{Line, line};
+use crate::hollow::{Fleet, Traffic};
+use crate::usage::{self, Usage};
+use burlusher_standin::cluster::{self, Outcome, Sample};
+use burlusher_standin::scenario::Scenario;
+use serde::Serialize;
+use std::collections::BTreeMap;
+use std::path::Path;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+/// Threads that all hollow workers share.
+const HOSTS: usize = 4;
+/// What is measured begins when this part of the scenario's load is over: machines are up by then.
+const WARM: f64 = 0.4;
+/// Threads and sockets that are left free on the machine.
+const SPARE_SOCKETS: u64 = 500;
+
+/// Figures of a run, means over its measured part unless said otherwise.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Figures {
+    pub machines: f64,
+    pub tasks_running: f64,
+    pub starts_per_s: f64,
+    /// Of the controller that took most, and of the others on average: parts of a core.
+    pub leader_cores: f64,
+    pub other_cores: f64,
+    /// The most that any controller had.
+    pub memory_mb: f64,
+    pub threads: f64,
+    pub sockets: f64,
+    pub state_requests_per_s: f64,
+    pub state_changes_per_s: f64,
+    /// Of a worker.
+    pub reports_per_s: f64,
+    pub commands_per_s: f64,
+    pub bytes_sent_per_s: f64,
+    pub bytes_received_per_s: f64,
+    pub unanswered: f64,
+    pub accept_p95_ms: f64,
+    pub wait_p95_ms: f64,
+}
+
+#[derive(Serialize)]
+pub struct Measured {
+    pub figures: Figures,
+    pub outcome: Outcome,
+}
+
+/// What was seen at one moment.
+struct Seen {
+    at_s: f64,
+    machines: usize,
+    tasks_running: u64,
+    tasks_started: u64,
+    usage: Vec<Option<Usage>>,
+    state_requests: u64,
+    state_changes: u64,
+    traffic: [u64; 5],
+}
+
+fn counts(t: &Traffic) -> [u64; 5] {
+    let of = [&t.reports, &t.commands, &t.sent, &t.received, &t.unanswered];
+    of.map(|n| n.load(Ordering::Relaxed))
+}
+
+/// How many machines a scenario may have at once.
+fn most_machines(scenario: &Scenario) -> u64 {
+    let of_types = scenario.machines.iter();
+    let of_types = of_types.map(|m| u64::from(m.ordinary) + u64::from(m.spot));
+    of_types.sum::<u64>() * scenario.zones.len() as u64
+}
+
+/// Refuses what this machine has no room for: each machine takes a listener, a connection to a controller and, for
+/// moments, one from it, and the first two are held on the controllers' side as well.
+fn check_room(scenario: &Scenario) -> Result<(), String> {
+    let machines = most_machines(scenario);
+    let needed = machines * 3 + SPARE_SOCKETS;
+    let limits = std::fs::read_to_string("/proc/self/limits").unwrap_or_default();
+    let files = limits.lines().find(|l| l.starts_with("Max open files"));
+    let allowed = files.and_then(|l| l.split_whitespace().nth(3)?.parse::<u64>().ok());
+    match allowed {
+        Some(allowed) if allowed < needed => Err(format!(
+            "{machines} machines take up to {needed} open files, and {allowed} are allowed"
+        )),
+        _ => Ok(()),
+    }
+}
+
+/// Plays a scenario with controllers of `program`, whose files go into `dir`.
+pub fn measure(scenario: &Scenario, program: &Path, dir: &Path) -> Result<Measured, String> {
+    check_room(scenario)?;
+    let fleet = Arc::new(Fleet::new(HOSTS)?);
+    let mut seen = Vec::new();
+    let traffic = fleet.traffic.clone();
+    let mut look = |s: &Sample| {
+        if s.at_s >= scenario.load_s * WARM && s.at_s <= scenario.load_s {
+            let usage = s.controllers.iter();
+            seen.push(Seen {
+                at_s: s.at_s,
+                machines: s.machines,
+                tasks_running: s.tasks_running,
+                tasks_started: s.tasks_started,
+                usage: usage.map(|pid| pid.and_then(usage::of)).collect(),
+                state_requests: s.state_requests,
+                state_changes: s.state_changes,
+                traffic: counts(&traffic),
+            });
+        }
+    };
+    let outcome = cluster::play_with(scenario, program, dir, fleet, &mut look)?;
+    let figures = figures(&seen, &outcome)?;
+    Ok(Measured { figures, outcome })
+}
+
+fn figures(seen: &[Seen], outcome: &Outcome) -> Result<Figures, String> {
+    let (Some(first), Some(last)) = (seen.first(), seen.last()) else {
+        return Err("the run was too short to measure anything".into());
+    };
+    let time = last.at_s - first.at_s;
+    if time < 1.0 {
+        return Err("the run was too short to measure anything".into());
+    }
+    let mean = |of: &dyn Fn(&Seen) -> f64| seen.iter().map(of).sum::<f64>() / seen.len() as f64;
+    let machines = mean(&|s| s.machines as f64);
+    let cores = cores(first, last, time);
+    let leader = cores.iter().copied().fold(0.0, f64::max);
+    let others = (cores.iter().sum::<f64>() - leader) / (cores.len() as f64 - 1.0).max(1.0);
+    let most = |of: &dyn Fn(&Usage) -> f64| {
+        let all = seen.iter().flat_map(|s| s.usage.iter().flatten());
+        all.map(of).fold(0.0, f64::max)
+    };
+    let since = |of: &dyn Fn(&Seen) -> u64| (of(last) - of(first)) as f64 / time;
+    let of_worker = |n: usize| since(&|s| s.traffic[n]) / machines.max(1.0);
+    let waits = outcome.wait.values().map(|q| q.p95_ms as f64);
+    Ok(Figures {
+        machines,
+        tasks_running: mean(&|s| s.tasks_running as f64),
+        starts_per_s: since(&|s| s.tasks_started),
+        leader_cores: leader,
+        other_cores: others,
+        memory_mb: most(&|u| u.memory_mb),
+        threads: most(&|u| f64::from(u.threads)),
+        sockets: most(&|u| f64::from(u.sockets)),
+        state_requests_per_s: since(&|s| s.state_requests),
+        state_changes_per_s: since(&|s| s.state_changes),
+        reports_per_s: of_worker(0),
+        commands_per_s: of_worker(1),
+        bytes_sent_per_s: of_worker(2),
+        bytes_received_per_s: of_worker(3),
+        unanswered: since(&|s| s.traffic[4]) * time,
+        accept_p95_ms: outcome.accept.p95_ms as f64,
+        wait_p95_ms: waits.fold(0.0, f64::max),
+    })
+}
+
+/// Processor time of each controller that was there all the time, a second.
+fn cores(first: &Seen, last: &Seen, time: f64) -> Vec<f64> {
+    let both = first.usage.iter().zip(&last.usage);
+    let used = both.filter_map(|(a, b)| Some((b.as_ref()?.cpu_s - a.as_ref()?.cpu_s) / time));
+    used.filter(|c| *c >= 0.0).collect()
+}
+
+/// The scenario with so many times its machines and jobs.
+pub fn scaled(scenario: &Scenario, by: f64) -> Scenario {
+    let mut scaled = scenario.clone();
+    for m in &mut scaled.machines {
+        m.ordinary = (f64::from(m.ordinary) * by).round() as u32;
+        m.spot = (f64::from(m.spot) * by).round() as u32;
+    }
+    for j in &mut scaled.jobs {
+        let tasks = f64::from(*j.tasks.get_ref()) * by;
+        *j.tasks.get_mut() = tasks.round().max(1.0) as u32;
+    }
+    scaled
+}
+
+/// Names of the figures, in their order.
+pub fn columns() -> Vec<String> {
+    Figures::default().values().into_keys().collect()
+}
+
+impl Figures {
+    /// Each by its name.
+    pub fn values(&self) -> BTreeMap<String, f64> {
+        let all = serde_json::to_value(self).unwrap_or_default();
+        let all = all.as_object().cloned().unwrap_or_default();
+        let number = |(name, value): (String, serde_json::Value)| Some((name, value.as_f64()?));
+        all.into_iter().filter_map(number).collect()
+    }
+}
+
+/// A line through each figure against the number of machines.
+pub fn lines(all: &[Figures]) -> BTreeMap<String, Line> {
+    let mut lines = BTreeMap::new();
+    for name in columns() {
+        let points: Vec<(f64, f64)> = all
+            .iter()
+            .map(|f| (f.machines, f.values()[&name]))
+            .collect();
+        if name != "machines"
+            && let Some(line) = line(&points)
+        {
+            lines.insert(name, line);
+        }
+    }
+    lines
+}
+
+/// The figures of several sizes as a table of comma-separated values, and under it the lines through them.
+pub fn table(all: &[Figures]) -> String {
+    let names = columns();
+    let mut out = format!("{}\n", names.join(","));
+    for f in all {
+        let values = f.values();
+        let cells: Vec<String> = names.iter().map(|n| format!("{:.4}", values[n])).collect();
+        out.push_str(&format!("{}\n", cells.join(",")));
+    }
+    out
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/scale/src/run/tests.rs
@@ -0,0 +1,96 @@
+use super::*;
+
+fn sample() -> Scenario {
+    let text = include_str!("../../../../scenarios/hollow.toml");
+    Scenario::parse("hollow.toml", text).unwrap()
+}
+
+#[test]
+fn a_scaled_scenario_has_so_many_times_the_machines_and_tasks() {
+    let (one, three) = (sample(), scaled(&sample(), 3.0));
+    assert_eq!(most_machines(&three), 3 * most_machines(&one));
+    let tasks = |s: &Scenario| *s.jobs[0].tasks.get_ref();
+    assert_eq!(tasks(&three), 3 * tasks(&one));
+}
+
+#[test]
+fn what_has_no_room_is_refused_before_anything_is_begun() {
+    let huge = scaled(&sample(), 1e6);
+    let refused = check_room(&huge).unwrap_err();
+    assert!(refused.contains("open files"), "{refused}");
+    assert!(check_room(&sample()).is_ok());
+}
+
+#[test]
+fn figures_are_differences_over_the_time_between() {
+    let seen = |at_s: f64, cpu: [f64; 2], n: u64| Seen {
+        at_s,
+        machines: 10,
+        tasks_running: 50,
+        tasks_started: n,
+        usage: cpu
+            .map(|cpu_s| {
+                Some(Usage {
+                    cpu_s,
+                    memory_mb: at_s,
+                    threads: 7,
+                    sockets: 9,
+                })
+            })
+            .into(),
+        state_requests: n,
+        state_changes: n / 2,
+        traffic: [n; 5],
+    };
+    let outcome = Outcome {
+        submitted: 1,
+        accepted: 1,
+        done: 1,
+        tasks_started: 1,
+        tasks_started_again: 0,
+        tasks_lost: 0,
+        machines_ordinary: 1,
+        machines_spot: 0,
+        offers_refused: 0,
+        spent: 0.0,
+        work: BTreeMap::new(),
+        spread: 0.0,
+        tolerance: 1.0,
+        accept: burlusher_standin::records::quantiles(&burlusher_standin::records::histogram()),
+        wait: BTreeMap::new(),
+        finish: BTreeMap::new(),
+        state_requests: 0,
+        state_changes: 0,
+        broken: Vec::new(),
+    };
+    let all = [seen(10.0, [1.0, 5.0], 100), seen(20.0, [2.0, 9.0], 300)];
+    let f = figures(&all, &outcome).unwrap();
+    assert!((f.leader_cores - 0.4).abs() < 1e-9 && (f.other_cores - 0.1).abs() < 1e-9);
+    assert_eq!(
+        (f.state_requests_per_s, f.state_changes_per_s),
+        (20.0, 10.0)
+    );
+    assert_eq!((f.reports_per_s, f.memory_mb), (2.0, 20.0));
+    assert_eq!((f.tasks_running, f.starts_per_s), (50.0, 20.0));
+    assert!(figures(&all[..1], &outcome).is_err());
+}
+
+#[test]
+fn a_table_has_a_row_a_size_and_lines_go_through_it() {
+    let mut small = Figures {
+        machines: 100.0,
+        ..Figures::default()
+    };
+    small.leader_cores = 0.1;
+    let large = Figures {
+        machines: 200.0,
+        leader_cores: 0.2,
+        ..small.clone()
+    };
+    let text = table(&[small.clone(), large.clone()]);
+    assert_eq!(text.lines().count(), 3);
+    assert!(text.starts_with("accept_p95_ms,"), "{text}");
+    let lines = lines(&[small, large]);
+    assert!((lines["leader_cores"].slope - 0.001).abs() < 1e-9);
+    assert!(!lines.contains_key("machines"));
+}
--- a/crates/standin/src/cloud.rs
+++ b/crates/standin/src/cloud.rs
@@ -30,7 +30,31 @@
     refused: u64,
 }
 
+/// How machines that come up are run.
+pub trait Hosting: Send + Sync {
+    /// The machine is up after this time, and takes direct commands there from then on.
+    fn host(&self, worker: Arc<Worker>, listener: TcpListener, boot: Duration);
+}
+
+/// Two threads for each machine, and one for each connection to it.
+pub struct Threads;
+
+impl Hosting for Threads {
+    fn host(&self, worker: Arc<Worker>, listener: TcpListener, boot: Duration) {
+        std::thread::spawn(move || {
+            std::thread::sleep(boot);
+            let serving = worker.clone();
+            std::thread::spawn(move || {
+                let answer = move |r: Request| serving.answer(&r);
+                http::serve(listener, 16, Arc::new(answer));
+            });
+            worker.live();
+        });
+    }
+}
+
 pub struct Cloud {
+    hosting: Arc<dyn Hosting>,
     types: Vec<MachineType>,
     most: BTreeMap<Offer, u32>,
     world: Arc<World>,
@@ -46,7 +70,7 @@
 }
 
 impl Cloud {
-    pub fn new(scenario: &Scenario, world: Arc<World>) -> Cloud {
+    pub fn new(scenario: &Scenario, world: Arc<World>, hosting: Arc<dyn Hosting>) -> Cloud {
         let mut most = BTreeMap::new();
         let mut types = Vec::new();
         for m in &scenario.machines {
@@ -68,6 +92,7 @@
             });
         }
         Cloud {
+            hosting,
             types,
             most,
             world,
@@ -246,16 +271,8 @@
         };
         let worker = Worker::new(id, addr, offer.clone(), room, self.world.clone());
         let worker = Arc::new(worker);
-        let (up, serving) = (worker.clone(), worker.clone());
         let boot = Duration::from_secs_f64(t.boot_s);
-        std::thread::spawn(move || {
-            std::thread::sleep(boot);
-            std::thread::spawn(move || {
-                let answer = move |r: Request| serving.answer(&r);
-                http::serve(listener, 16, Arc::new(answer));
-            });
-            up.live();
-        });
+        self.hosting.host(worker.clone(), listener, boot);
         Some(worker)
     }
 }
--- a/crates/standin/src/cluster.rs
+++ b/crates/standin/src/cluster.rs
@@ -1,11 +1,11 @@
 //! Starts everything, plays the events, and tells what came of it.
 
-use crate::cloud::Cloud;
+use crate::cloud::{Cloud, Hosting, Threads};
 use crate::records::{Quantiles, quantiles};
 use crate::scenario::{Scenario, What};
 use crate::state::StateService;
 use crate::users::{Users, load};
-use crate::worker::{LEASE, REPORT, World};
+use crate::worker::World;
 use burlusher::http::{self, Answer, Request};
 use burlusher::wire::PATH_STATUS;
 use burlusher_market::Spread;
@@ -38,10 +38,25 @@
     pub accept: Quantiles,
     pub wait: BTreeMap<String, Quantiles>,
     pub finish: BTreeMap<String, Quantiles>,
+    /// Requests to the state service, and puts and deletions in them.
+    pub state_requests: u64,
+    pub state_changes: u64,
     /// All that should not have been; none if all is well.
     pub broken: Vec<String>,
 }
 
+/// How things stand, once a second.
+pub struct Sample {
+    pub at_s: f64,
+    /// Process ids of the controllers that are there.
+    pub controllers: Vec<Option<u32>>,
+    pub machines: usize,
+    pub tasks_running: u64,
+    pub tasks_started: u64,
+    pub state_requests: u64,
+    pub state_changes: u64,
+}
+
 /// Controllers of the real program.
 struct Controllers {
     program: PathBuf,
@@ -96,6 +111,11 @@
         ended.map(|s| s.success()).map_err(|e| e.to_string())
     }
 
+    fn pids(&self) -> Vec<Option<u32>> {
+        let children = self.children.lock().expect("no panic holds it");
+        children.iter().map(|c| c.as_ref().map(Child::id)).collect()
+    }
+
     fn kill(&self, number: usize) {
         if let Some(mut child) = self.children.lock().expect("no panic")[number].take() {
             let _ = child.kill();
@@ -150,6 +170,17 @@
 
 /// Plays a scenario with controllers of `program`, whose files go into `dir`.
 pub fn play(scenario: &Scenario, program: &Path, dir: &Path) -> Result<Outcome, String> {
+    play_with(scenario, program, dir, Arc::new(Threads), &mut |_| {})
+}
+
+/// The same with machines run in another way, and somebody who looks on once a second.
+pub fn play_with(
+    scenario: &Scenario,
+    program: &Path,
+    dir: &Path,
+    hosting: Arc<dyn Hosting>,
+    look: &mut dyn FnMut(&Sample),
+) -> Result<Outcome, String> {
     std::fs::create_dir_all(dir).map_err(|e| format!("{}: {e}", dir.display()))?;
     let count = *scenario.controllers.get_ref();
     // Ports are found by taking them for a moment.
@@ -165,9 +196,11 @@
         jobs: Mutex::default(),
         records: Mutex::default(),
         nodes: (0..count).map(|n| (name(n), public[n])).collect(),
+        report: Duration::from_secs_f64(scenario.report_s),
+        lease: Duration::from_secs_f64(scenario.lease_s),
     });
     let state = Arc::new(StateService::default());
-    let cloud = Arc::new(Cloud::new(scenario, world.clone()));
+    let cloud = Arc::new(Cloud::new(scenario, world.clone(), hosting));
     let (s, c) = (state.clone(), cloud.clone());
     let state_addr = serve(move |r| s.answer(r))?;
     let cloud_addr = serve(move |r| c.answer(r))?;
@@ -199,8 +232,8 @@
             "params": {
                 "zones": scenario.zones, "objectives": objectives,
                 "teams": [{"name": "all"}],
-                "workers": {"report_s": REPORT.as_secs_f64(), "lease_s": LEASE.as_secs_f64(),
-                            "cancel_s": 30.0},
+                "workers": {"report_s": scenario.report_s, "lease_s": scenario.lease_s,
+                            "cancel_s": scenario.lease_s + 22.0},
                 "state": {"rps": 300.0, "write_rps": 120.0, "value_kb": 8.0, "txn_ops": 32},
                 "cloud": {"rps": 10.0, "list_lag_s": 0.1},
                 "quota": {"mem_mb": 256.0, "fd_limit": 2000}
@@ -244,6 +277,7 @@
     events.sort_by(|a, b| a.at_s.total_cmp(&b.at_s));
     let mut events = events.into_iter().peekable();
     let mut told = Instant::now();
+    let mut looked = Instant::now();
     while threads.iter().any(|t| !t.is_finished()) {
         std::thread::sleep(Duration::from_millis(50));
         let at = begin.elapsed().as_secs_f64();
@@ -255,6 +289,22 @@
             println!("{at:6.1} s  {:?}", e.what);
             carry_out(&e.what, &world, &cloud, &state, &controllers);
         }
+        if looked.elapsed() >= Duration::from_secs(1) {
+            looked = Instant::now();
+            let (state_requests, state_changes) = state.counts();
+            let records = world.records.lock().expect("no panic holds it");
+            let (tasks_running, tasks_started) = (records.present(), records.starts);
+            drop(records);
+            look(&Sample {
+                at_s: at,
+                controllers: controllers.pids(),
+                machines: cloud.held().values().sum(),
+                tasks_running,
+                tasks_started,
+                state_requests,
+                state_changes,
+            });
+        }
         if told.elapsed() >= Duration::from_secs(5) {
             told = Instant::now();
             let seen = users.seen.lock().expect("no panic holds it");
@@ -313,6 +363,8 @@
         accept: seen.accept(),
         wait: waits.map(|(c, h)| (c.clone(), quantiles(h))).collect(),
         finish: seen.finish(),
+        state_requests: state.counts().0,
+        state_changes: state.counts().1,
         broken,
     })
 }
--- a/crates/standin/src/records.rs
+++ b/crates/standin/src/records.rs
@@ -97,6 +97,11 @@
         }
     }
 
+    /// Tasks that are on machines now.
+    pub fn present(&self) -> u64 {
+        self.jobs.values().map(|rows| rows.present.len()).sum()
+    }
+
     /// Rows of a job that completed.
     pub fn done(&self, job: &str) -> u64 {
         self.jobs.get(job).map_or(0, |r| r.done.len())
--- a/crates/standin/src/scenario.rs
+++ b/crates/standin/src/scenario.rs
@@ -20,6 +20,11 @@
     /// Whether a process keeps snapshots of the state service.
     #[serde(default)]
     pub archivist: bool,
+    /// How often workers report, and how long they go on without an answer, in seconds.
+    #[serde(default = "report_s")]
+    pub report_s: f64,
+    #[serde(default = "lease_s")]
+    pub lease_s: f64,
     pub zones: Vec<String>,
     #[serde(rename = "machine")]
     pub machines: Vec<Machine>,
@@ -29,6 +34,14 @@
     pub events: Vec<Event>,
 }
 
+fn report_s() -> f64 {
+    1.0
+}
+
+fn lease_s() -> f64 {
+    8.0
+}
+
 fn whole() -> f64 {
     1.0
 }
@@ -129,6 +142,13 @@
         if !(0.0..=1.0).contains(&s.tolerance) {
             return fault(find("tolerance"), "tolerance: not between 0 and 1".into());
         }
+        if !(0.2..=60.0).contains(&s.report_s) {
+            return fault(find("report_s"), "report_s: not between 0.2 and 60".into());
+        }
+        if !(s.report_s * 3.0..=600.0).contains(&s.lease_s) {
+            let why = "lease_s: not between three times report_s and 600";
+            return fault(find("lease_s"), why.into());
+        }
         if s.zones.is_empty() || s.machines.is_empty() || s.jobs.is_empty() {
             return fault(0, "zones, a [[machine]] and a [[job]] are needed".into());
         }
--- a/crates/standin/src/scenario/tests.rs
+++ b/crates/standin/src/scenario/tests.rs
@@ -19,5 +19,8 @@
     assert!(told("tolerance = ", "tolerances = ").contains("tolerances"));
     assert!(told("tasks = 12", "tasks = 0").contains("tasks"));
     assert!(told("a_minute = 24", "a_minute = 'x'").contains("f64"));
+    let with = |line: &str| format!("{line}\nload_s = 45");
+    assert!(told("load_s = 45", &with("report_s = 0.01")).contains("report_s"));
+    assert!(told("load_s = 45", &with("lease_s = 2.5")).contains("lease_s"));
     assert!(Scenario::parse("s", "").unwrap_err().starts_with("s:1: "));
 }
--- a/crates/standin/src/state.rs
+++ b/crates/standin/src/state.rs
@@ -6,6 +6,7 @@
 };
 use serde_json::Value;
 use std::collections::{BTreeMap, VecDeque};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Condvar, Mutex};
 use std::time::{Duration, Instant};
 
@@ -29,6 +30,8 @@
     store: Mutex<Store>,
     backups: Mutex<VecDeque<(Instant, Store)>>,
     changed: Condvar,
+    requests: AtomicU64,
+    changes: AtomicU64,
 }
 
 impl Store {
@@ -170,7 +173,14 @@
         *self.store.lock().expect("no panic holds it") = store;
     }
 
+    /// How many requests came, and how many puts and deletions they had.
+    pub fn counts(&self) -> (u64, u64) {
+        let of = |n: &AtomicU64| n.load(Ordering::Relaxed);
+        (of(&self.requests), of(&self.changes))
+    }
+
     pub fn answer(&self, r: &Request) -> Answer {
+        self.requests.fetch_add(1, Ordering::Relaxed);
         let now = Instant::now();
         let mut s = self.store.lock().expect("no panic holds it");
         if s.down_until.is_some_and(|t| now < t) {
@@ -211,8 +221,12 @@
                     Answer::new(404, to_json(&body))
                 }
             },
-            ("POST", "/txn") => match serde_json::from_slice(&r.body) {
-                Ok(txn) => s.commit(txn),
+            ("POST", "/txn") => match serde_json::from_slice::<Txn>(&r.body) {
+                Ok(txn) => {
+                    let changes = txn.changes.len() as u64;
+                    self.changes.fetch_add(changes, Ordering::Relaxed);
+                    s.commit(txn)
+                }
                 Err(e) => Answer::error(400, &e.to_string()),
             },
             ("POST", "/leases") => match serde_json::from_slice::<LeaseBody>(&r.body) {
--- a/crates/standin/src/worker.rs
+++ b/crates/standin/src/worker.rs
@@ -12,10 +12,10 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-pub const REPORT: Duration = Duration::from_secs(1);
-pub const LEASE: Duration = Duration::from_secs(8);
 const FETCH: Duration = Duration::from_millis(300);
 const TICK: Duration = Duration::from_millis(30);
+/// A change is reported this long after the last report at the earliest.
+const AFTER_A_CHANGE: Duration = Duration::from_millis(500);
 
 /// What all machines share: the jobs that users uploaded, the records, the controllers.
 pub struct World {
@@ -23,6 +23,21 @@
     pub records: Mutex<Records>,
     /// Name and public address of each controller.
     pub nodes: Vec<(String, SocketAddrV4)>,
+    /// How often workers report, and how long they go on without an answer.
+    pub report: Duration,
+    pub lease: Duration,
+}
+
+impl World {
+    /// Where a worker turns next: to the controller that it is referred to, or the one after its own. Says as
+    /// well whether it is to wait a second first.
+    pub fn next_node(&self, node: usize, referred: Option<&str>) -> (usize, bool) {
+        let to = referred.and_then(|name| self.nodes.iter().position(|n| n.0 == name));
+        match to.filter(|to| *to != node) {
+            Some(to) => (to, false),
+            None => ((node + 1) % self.nodes.len(), true),
+        }
+    }
 }
 
 struct Task {
@@ -87,6 +102,10 @@
         }
     }
 
+    pub fn world(&self) -> &Arc<World> {
+        &self.world
+    }
+
     /// The machine will be taken after this time.
     pub fn notice(&self, after: Duration) {
         let mut w = self.inner.lock().expect("no panic holds it");
@@ -123,7 +142,7 @@
             self.forget_all(w);
             w.gone = true;
         }
-        if now > w.answered + LEASE {
+        if now > w.answered + self.world.lease {
             self.forget_all(w);
             w.session += 1;
             w.answered = now;
@@ -272,25 +291,31 @@
         Some(Answer::new(status, to_json(&report)))
     }
 
+    /// The report to send now, if one is due: an interval after the last one was sent, or sooner where something
+    /// has changed.
+    pub fn report_due(&self, last: Instant) -> Option<Vec<u8>> {
+        let mut w = self.inner.lock().expect("no panic holds it");
+        self.advance(&mut w);
+        let interval = self.world.report;
+        let sooner = (interval / 2).min(AFTER_A_CHANGE);
+        let waited = last.elapsed();
+        let due = waited >= interval || (w.news && waited >= sooner);
+        if w.gone || !due {
+            return None;
+        }
+        w.news = false;
+        Some(to_json(&self.report(&mut w)))
+    }
+
     /// Reports until the machine is gone.
     pub fn live(&self) {
         let mut node = 0;
         let mut client = Client::new(self.world.nodes[node].1, Duration::from_millis(500));
-        let mut last = Instant::now() - REPORT;
-        loop {
+        let mut last = Instant::now() - self.world.report;
+        while !self.is_gone() {
             std::thread::sleep(TICK);
-            let report = {
-                let mut w = self.inner.lock().expect("no panic holds it");
-                self.advance(&mut w);
-                if w.gone {
-                    return;
-                }
-                let due = last.elapsed() >= REPORT || (w.news && last.elapsed() >= REPORT / 2);
-                if !due {
-                    continue;
-                }
-                w.news = false;
-                to_json(&self.report(&mut w))
+            let Some(report) = self.report_due(last) else {
+                continue;
             };
             last = Instant::now();
             let answer = client.call("POST", PATH_REPORT, &report, Duration::from_secs(4), false);
@@ -303,25 +328,23 @@
                 }
                 Ok((421, body)) => {
                     let to = serde_json::from_slice::<Redirect>(&body).ok();
-                    let name = to.and_then(|r| r.leader);
-                    self.world.nodes.iter().position(|n| Some(&*n.0) == name)
+                    self.world.next_node(node, to.and_then(|r| r.leader))
                 }
-                _ => None,
+                _ => self.world.next_node(node, None),
             };
-            if next.is_none_or(|n| n == node) {
+            if next.1 {
                 std::thread::sleep(Duration::from_secs(1));
             }
-            node = next
-                .filter(|n| *n != node)
-                .unwrap_or((node + 1) % self.world.nodes.len());
+            node = next.0;
             client = Client::new(self.world.nodes[node].1, Duration::from_millis(500));
-            last = Instant::now() - REPORT;
+            last = Instant::now() - self.world.report;
         }
     }
 
-    fn take_in(&self, answer: ReportAnswer, sent: Instant) {
+    /// The answer to a report that was sent at this moment.
+    pub fn take_in(&self, answer: ReportAnswer, sent: Instant) {
         let mut w = self.inner.lock().expect("no panic holds it");
-        if answer.token < w.token || w.gone || Instant::now() > w.answered + LEASE {
+        if answer.token < w.token || w.gone || Instant::now() > w.answered + self.world.lease {
             return;
         }
         w.token = answer.token;
