Among what is overdue, what has waited longest comes first

Cause: what has not begun after 75 s comes before all others, but among such jobs rank decided, so that a low rank was passed for ever where more of a high one waits that long than there is room for. Change: overdue jobs are ordered by how long they have waited, without regard to rank and guarantee; each still takes one task first. A scenario fails with the guard out.

--- a/src/core/cancellation_scenarios.rs
+++ b/src/core/cancellation_scenarios.rs
@@ -412,3 +412,40 @@
         together_with_a_row_that_may_be_elsewhere,
     );
 }
+
+/// More of a high rank than its team may use, without end: a job of a low rank begins within four minutes.
+fn a_low_rank_behind_more_than_the_limit() {
+    let (mut w, leader) = begin(1370);
+    let mut low = sample("wk-900001", 4, 4.0, 5);
+    low.rank = Rank::Low;
+    let mut submitted = None;
+    for n in 0..560u32 {
+        let mut urgent = sample(&format!("wk-{n:06}"), 1, 4.0, 8);
+        urgent.rank = Rank::High;
+        w.ask_at_once_of(leader, &urgent);
+        w.knows(&urgent);
+        w.run(0.6);
+        if n == 117 {
+            assert_eq!(w.submit(leader, &low), 201);
+            submitted = Some(w.now);
+        }
+        let begun = !w.places("wk-900001").is_empty() || w.any_completed("wk-900001");
+        if let Some(at) = submitted {
+            let waited = w.now - at;
+            assert!(
+                begun || waited < Duration::from_secs(240),
+                "it has not begun"
+            );
+        }
+    }
+}
+
+#[test]
+fn a_low_rank_begins_behind_more_than_its_teams_limit() {
+    a_low_rank_behind_more_than_the_limit();
+    fails_without(
+        Guard::Longest,
+        "it has not begun",
+        a_low_rank_behind_more_than_the_limit,
+    );
+}
--- a/src/core/scheduling.rs
+++ b/src/core/scheduling.rs
@@ -357,11 +357,17 @@
             let estimate = view.estimate(job);
             let urgency = lead.urgency_of(id, job);
             let facts = self.facts(job, run, &urgency, estimate, run.guaranteed);
-            let order = self.policy.number(Entry::Order, &facts);
             // What was tried and failed was not passed.
             let overdue = run.failures.is_empty()
                 && self.policy.truth(Entry::Overdue, &facts)
                 && stands(Guard::Overdue);
+            // Among those that were passed for too long, the one that has waited longest.
+            let longest_first = overdue && stands(Guard::Longest);
+            let order = if longest_first {
+                facts.submitted
+            } else {
+                self.policy.number(Entry::Order, &facts)
+            };
             line.push(InLine {
                 overdue,
                 rank: urgency.rank,
@@ -375,9 +381,13 @@
             });
         }
         line.sort_by(|a, b| {
-            // A suspect job is never the head for which room is kept.
-            let precedence =
-                |x: &InLine| (x.run.suspect(), !x.overdue, !x.facts.guaranteed, x.rank);
+            // A suspect job is never the head for which room is kept. Where more of a high rank waits for too long
+            // than there is room for, what is overdue of a low one would be passed for ever by rank.
+            let precedence = |x: &InLine| {
+                let by_rank = !x.overdue || !stands(Guard::Longest);
+                let rank = by_rank.then_some((!x.facts.guaranteed, x.rank));
+                (x.run.suspect(), !x.overdue, rank)
+            };
             precedence(a)
                 .cmp(&precedence(b))
                 .then(a.order.total_cmp(&b.order))
--- a/src/guard.rs
+++ b/src/guard.rs
@@ -52,6 +52,8 @@
     Forget,
     /// A machine is avoided for its failures for less than a minute.
     Avoid,
+    /// Of what was passed for too long, the job that has waited longest comes first.
+    Longest,
     /// Zones count in which a row only may be.
     Zones,
     /// A controller that has just begun calls no job unknown.
