An attempt to lead refused by a copy as new as the refusal reads the store afresh

Cause: a store that was lost and rolled back within half a second holds a term older than the revision that the copies have come to. The watch tells nothing of it, every attempt to lead is refused for its version, and nobody led any more. Change: such a refusal, where the copy is as new as it, is a sign of a loss.

--- a/src/core/histories.rs
+++ b/src/core/histories.rs
@@ -568,3 +568,21 @@
         ],
     );
 }
+
+/// Found by these histories: the store was lost and, before it was named again, rolled back to what it had held.
+#[test]
+fn a_store_rolled_back_right_after_its_loss_comes_to_be_whole() {
+    super::world::with_log();
+    play(
+        0,
+        &[
+            event(Trouble::CutOff(0), None, 2676),
+            event(Trouble::Calm, None, 1975),
+            event(Trouble::Calm, Some((1, 1.0, 1, Kind::Service)), 3026),
+            event(Trouble::Lag { node: 0, ms: 1576 }, None, 975),
+            event(Trouble::Freeze(0), None, 2475),
+            event(Trouble::Lose, Some(SHORT), 425),
+            event(Trouble::RollBack, None, 50),
+        ],
+    );
+}
--- a/src/core/leadership.rs
+++ b/src/core/leadership.rs
@@ -304,9 +304,12 @@
     pub(super) fn took_over(&mut self, outcome: StateOutcome) {
         let pause = match outcome {
             StateOutcome::Committed { .. } => Duration::from_millis(1500),
-            StateOutcome::Conflict { failed, .. } => {
+            StateOutcome::Conflict { failed, revision } => {
                 if self.names_store(&failed) {
                     self.doubt("its identity is gone");
+                } else if self.mirror.revision >= revision && self.vacancy().is_some() {
+                    // Refused for versions that differ, though the copy is as new as the refusal.
+                    self.doubt("it has other versions of what a leader begins with");
                 }
                 Duration::from_millis(300)
             }
