--- a/src/core/scheduling.rs
+++ b/src/core/scheduling.rs
@@ -523,7 +523,6 @@
                 held: &run.held,
                 whole,
                 probe: run.suspect() || (entry.overdue && job.spec.kind == Kind::Array),
-                overdue: entry.overdue && stands(Guard::Longest),
                 estimate: entry.estimate,
                 zones,
                 avoid,
--- a/src/plan.rs
+++ b/src/plan.rs
@@ -32,8 +32,6 @@
     pub whole: bool,
     /// It is only tried: one of its rows is started.
     pub probe: bool,
-    /// It was passed for too long: what its team's limit leaves is kept for it until it fits.
-    pub overdue: bool,
     /// Expected run time of a task.
     pub estimate: Duration,
     /// Tasks of this job that hold room already, by zone; only kept where its zones are bound.
@@ -115,11 +113,6 @@
         within(self.cpus, needs.cpus, self.cpus_max) && within(self.gpus, needs.gpus, self.gpus_max)
     }
 
-    /// Nothing more of the team is started in this step.
-    fn close(&mut self) {
-        (self.cpus_max, self.gpus_max) = (Some(self.cpus), Some(self.gpus));
-    }
-
     fn add(&mut self, needs: &Resources, n: f64) {
         self.cpus += needs.cpus * n;
         self.gpus += needs.gpus * n;
@@ -564,10 +557,6 @@
         let mut finder = None;
         for row in w.rows(now) {
             if !teams[w.team].takes(&w.spec.needs, 1) {
-                // Smaller tasks of its team would take each bit of the limit that comes free.
-                if w.overdue {
-                    teams[w.team].close();
-                }
                 break;
             }
             let finder = finder.get_or_insert_with(|| Finder::new(board, &hosts, w));
@@ -647,9 +636,6 @@
         };
         for row in w.rows(now) {
             if !use_with[w.team].takes(needs, w.per_entry()) {
-                if w.overdue && !w.whole {
-                    use_with[w.team].close();
-                }
                 break;
             }
             if entries.len() >= LOOKAHEAD {
--- a/src/plan/tests.rs
+++ b/src/plan/tests.rs
@@ -85,14 +85,12 @@
 }
 
 /// A job in the queue, with the rows that it lends to the plan.
-#[derive(Clone)]
 struct Line {
     spec: JobSpec,
     rows: BTreeSet<u32>,
     held: BTreeMap<u32, Instant>,
     zones: BTreeMap<String, u32>,
     whole: bool,
-    overdue: bool,
     guaranteed: bool,
     may_preempt: bool,
 }
@@ -103,7 +101,6 @@
         held: BTreeMap::new(),
         zones: BTreeMap::new(),
         whole: false,
-        overdue: false,
         guaranteed: false,
         may_preempt: false,
         spec,
@@ -121,7 +118,6 @@
             held: &self.held,
             whole: self.whole,
             probe: false,
-            overdue: self.overdue,
             estimate: self.spec.estimate,
             zones: self.zones.clone(),
             avoid: Vec::new(),
@@ -269,33 +265,6 @@
     assert_eq!(p.starts.len(), 11);
 }
 
-/// Smaller tasks of its team took each bit of the limit that came free.
-#[test]
-fn what_a_limit_leaves_is_kept_for_what_is_overdue() {
-    let now = Instant::now();
-    let limited = || TeamUse {
-        cpus: 2.0,
-        cpus_max: Some(4.0),
-        ..TeamUse::default()
-    };
-    let mut large = line(spec("wk-1", 1, 3.0, 10));
-    let small = line(spec("wk-2", 4, 1.0, 10));
-    for overdue in [false, true] {
-        large.overdue = overdue;
-        let mut b = Board::default();
-        host(&mut b, "m", "a", 8.0, vec![]);
-        let p = decide(&mut b, &[large.clone(), small.clone()], limited(), now);
-        assert_eq!(p.starts.len(), if overdue { 0 } else { 2 });
-    }
-    // What fits is started, and what comes after it may have the rest.
-    large.spec.needs.cpus = 1.0;
-    let mut b = Board::default();
-    host(&mut b, "m", "a", 8.0, vec![]);
-    let p = decide(&mut b, &[large, small], limited(), now);
-    let jobs: Vec<usize> = p.starts.iter().map(|s| s.job).collect();
-    assert_eq!(jobs, [0, 1]);
-}
-
 #[test]
 fn a_gang_waits_for_the_end_that_lets_all_of_it_start() {
     let now = Instant::now();
