--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -2,7 +2,7 @@
 # Runs the case; see claim.txt. TROUBLE=0 leaves the disruption out.
 here=$(cd "$(dirname "$0")" && pwd)
 root=$(cd "$here/../.." && pwd)
-program=$root/target/review/release/swarm
+program=$root/target/review/release/relay
 if [ ! -x "$program" ] || [ ! -x "$root/target/release/burlusher" ]; then
     echo "could not run: build the deploy file and review/build.sh first" | tee "$here/record.txt"
     exit 2
--- a/review/tools/src/lib.rs
+++ b/review/tools/src/lib.rs
@@ -1,6 +1,7 @@
 //! Shared parts of the review's test programs: a small deployment on loopback with the project's controllers as
 //! separate processes, started with the command of the deploy file, and stand-ins of everything around them.
 
+pub mod links;
 pub mod platform;
 pub mod state;
 
@@ -70,6 +71,19 @@
     }
 }
 
+/// Returns addresses for the controllers. Their ports are below those that the system gives to outgoing connections,
+/// so that none of these takes one before its controller does; runs side by side begin at different ports.
+fn free_addresses(count: usize) -> Vec<SocketAddrV4> {
+    let begin = 20_000 + (std::process::id() % 600) as u16 * 20;
+    let ports = (begin..32_000).chain(20_000..begin);
+    let addrs = ports.map(|port| SocketAddrV4::new(Ipv4Addr::LOCALHOST, port));
+    let free: Vec<SocketAddrV4> = (addrs.filter(|addr| TcpListener::bind(addr).is_ok()))
+        .take(count)
+        .collect();
+    assert!(free.len() == count, "no free ports");
+    free
+}
+
 pub fn serve(handle: impl Fn(&Request) -> Response + Send + Sync + 'static) -> SocketAddrV4 {
     let (listener, addr) = listen();
     let respond = move |request: Request| Some(handle(&request));
@@ -145,9 +159,7 @@
     /// Like `prepare`, with other ways to the state service and between controllers.
     pub fn prepare_with(d: &Deployment, repository: &Path, dir: &Path, hooks: &Hooks) -> Cluster {
         std::fs::create_dir_all(dir).expect("a temporary folder");
-        let listeners: Vec<_> = (0..2 * d.controllers).map(|_| listen()).collect();
-        let addrs: Vec<SocketAddrV4> = listeners.iter().map(|(_, addr)| *addr).collect();
-        drop(listeners);
+        let addrs = free_addresses(2 * d.controllers);
         let (public, back) = addrs.split_at(d.controllers);
         let name = |n: usize| format!("drone-{n}");
         let state = Arc::new(StateService::new(d.state));
@@ -250,6 +262,16 @@
         }
     }
 
+    /// Returns the number of the controller that holds the leader key.
+    pub fn leader(&self) -> Option<usize> {
+        let value = self.state.value("burlusher/leader")?;
+        let value: Value = serde_json::from_str(&value).ok()?;
+        let controllers = self.controllers.lock().unwrap();
+        controllers
+            .iter()
+            .position(|c| value["name"] == c.name.as_str())
+    }
+
     pub fn pid(&self, n: usize) -> Option<u32> {
         (self.controllers.lock().unwrap()[n].child.as_ref()).map(Child::id)
     }
--- a/review/tools/src/platform.rs
+++ b/review/tools/src/platform.rs
@@ -27,6 +27,8 @@
     pub startup: Duration,
     /// Numbers of ordinary and of spot machines in each zone.
     pub count: (u32, u32),
+    /// The only zone that has machines of this type, if not all have.
+    pub parcel: Option<&'static str>,
 }
 
 /// What the workers did, and what of it breaks a rule.
@@ -35,6 +37,8 @@
     /// Machines that a task is on: it holds its image there and has not ended.
     on: BTreeMap<String, BTreeSet<String>>,
     completed: BTreeSet<String>,
+    /// When the lease of each worker runs out.
+    leases: BTreeMap<String, Instant>,
     pub starts: u64,
     /// Tasks that were on a machine and were killed with it, or when its worker's lease ran out.
     pub lost: u64,
@@ -49,11 +53,19 @@
 
 impl Records {
     fn start(&mut self, row: &str, machine: &str) {
+        let now = Instant::now();
         self.starts += 1;
         let on = self.on.entry(row.into()).or_default();
-        if !on.is_empty() {
-            let text = format!("ran_twice: {row} starts on {machine} while it is on {on:?}");
-            self.violations.push(text);
+        for other in on.iter() {
+            // A worker kills its tasks when its lease runs out.
+            let lease = self.leases.get(other).map_or(now, |end| *end);
+            let left = lease.saturating_duration_since(now).as_secs_f64();
+            if left > 0.0 {
+                let text = format!(
+                    "ran_twice: {row} starts on {machine} while it is on {other}, whose lease runs for another {left:.2} s"
+                );
+                self.violations.push(text);
+            }
         }
         on.insert(machine.into());
     }
@@ -96,6 +108,10 @@
     pub lease: Duration,
     pub zones: Vec<&'static str>,
     pub breeds: Vec<Breed>,
+    /// Time that a request to the cloud takes.
+    cloud_latency: Mutex<Duration>,
+    /// Zone whose workers reach no controller, while direct commands reach them.
+    mute: Mutex<Option<&'static str>>,
     cloud: Mutex<CloudState>,
 }
 
@@ -104,8 +120,6 @@
     machines: BTreeMap<String, (Arc<Machine>, Instant)>,
     hires: BTreeMap<String, Vec<String>>,
     last: u32,
-    /// Whether spot machines are refused.
-    no_spot: bool,
 }
 
 #[derive(Clone, Copy, PartialEq)]
@@ -135,8 +149,6 @@
     images: BTreeSet<String>,
     changed: bool,
     gone: bool,
-    /// When the cloud takes the machine away.
-    reclaim: Option<Instant>,
 }
 
 struct Machine {
@@ -156,10 +168,6 @@
     fn advance(&self, state: &mut WorkerState, platform: &Platform) {
         let now = Instant::now();
         let mut records = platform.records.lock().unwrap();
-        if state.reclaim.is_some_and(|at| now >= at) && !state.gone {
-            self.lose_tasks(state, &mut records);
-            state.gone = true;
-        }
         if now > state.renewed + platform.lease {
             records.leases_run_out += 1;
             self.lose_tasks(state, &mut records);
@@ -167,6 +175,7 @@
             state.renewed = now;
             state.changed = true;
         }
+        (records.leases).insert(self.id.clone(), state.renewed + platform.lease);
         for ((row, _), task) in &mut state.tasks {
             if task.standing == Standing::Fetching && now >= task.until {
                 task.standing = Standing::Running;
@@ -274,7 +283,6 @@
 
     fn report(&self, state: &mut WorkerState) -> Value {
         state.tally += 1;
-        let remaining = |at: Instant| at.saturating_duration_since(Instant::now()).as_secs_f64();
         let rows: Vec<Value> = (state.tasks.iter())
             .map(|((row, sowing), task)| match task.standing {
                 Standing::Fetching => json!({"row": row, "sowing": sowing, "standing": "fetching"}),
@@ -287,7 +295,7 @@
         json!({
             "drone": self.id, "endpoint": self.endpoint.to_string(), "breed": self.breed.label,
             "parcel": self.parcel, "gleanable": self.spot, "tenure": state.tenure, "tally": state.tally,
-            "deed": state.deed, "reclaim_s": state.reclaim.map(remaining), "rows": rows
+            "deed": state.deed, "reclaim_s": null, "rows": rows
         })
     }
 
@@ -313,12 +321,25 @@
         Some(reply(200, &self.report(&mut state)))
     }
 
+    /// Lets time pass for the tasks and the lease, also while a report waits for its answer.
+    fn tick(&self, platform: &Platform) {
+        loop {
+            std::thread::sleep(Duration::from_millis(20));
+            let mut state = self.state.lock().unwrap();
+            if state.gone {
+                return;
+            }
+            self.advance(&mut state, platform);
+        }
+    }
+
     /// Reports to the controllers until the machine is gone.
     fn run(&self, platform: &Platform) {
         let mut node = 0;
         let mut client = Client::new(platform.nodes[node].1, Duration::from_millis(500));
         let mut last_sent: Option<Instant> = None;
-        let mut turn = 0;
+        // The machines report at different times.
+        let mut turn: u32 = self.id.bytes().map(|byte| u32::from(byte) * 7).sum();
         loop {
             std::thread::sleep(Duration::from_millis(20));
             let (body, sent, tenure) = {
@@ -339,7 +360,10 @@
             };
             turn += 1;
             last_sent = Some(sent);
-            let answer = client.call("POST", "/hello", &body, REPORT_TIMEOUT);
+            let answer = match platform.is_mute(self.parcel) {
+                true => Err(http::CallError::NotSent("no controller is reached".into())),
+                false => client.call("POST", "/hello", &body, REPORT_TIMEOUT),
+            };
             let status = answer.as_ref().map_or(0, |answer| answer.status);
             {
                 let mut records = platform.records.lock().unwrap();
@@ -379,6 +403,8 @@
         state.changed |= deed > state.deed;
         state.deed = deed;
         state.renewed = sent;
+        let lease_ends = sent + platform.lease;
+        (platform.records.lock().unwrap().leases).insert(self.id.clone(), lease_ends);
         self.execute(&mut state, &answer["orders"], platform);
     }
 }
@@ -399,56 +425,34 @@
             lease,
             zones,
             breeds,
+            cloud_latency: Mutex::default(),
+            mute: Mutex::default(),
             cloud: Mutex::default(),
         })
     }
 
+    fn is_mute(&self, zone: &str) -> bool {
+        *self.mute.lock().unwrap() == Some(zone)
+    }
+
+    /// From now on the workers of this zone reach no controller, while direct commands still reach them.
+    pub fn make_mute(&self, zone: &'static str) {
+        *self.mute.lock().unwrap() = Some(zone);
+    }
+
     /// Returns the number of machines that are rented.
     pub fn machines(&self) -> usize {
         self.cloud.lock().unwrap().machines.len()
     }
 
-    /// Takes all spot machines back after this notice; no more are to be had afterwards.
-    pub fn take_spot_back(&self, notice: Duration) {
-        let mut cloud = self.cloud.lock().unwrap();
-        cloud.no_spot = true;
-        for (machine, _) in cloud.machines.values().filter(|(machine, _)| machine.spot) {
-            let mut state = machine.state.lock().unwrap();
-            state.reclaim = Some(Instant::now() + notice);
-            state.changed = true;
-        }
-    }
-
-    /// Returns the machines that are up and not taken back, and have room for a task: their names and kinds, with the
-    /// CPUs and the GB of memory that no task takes.
-    pub fn machines_with_room(&self, cpus: f64, ram: f64) -> Vec<String> {
-        let cloud = self.cloud.lock().unwrap();
-        let mut found = Vec::new();
-        for (machine, hired) in cloud.machines.values() {
-            let state = machine.state.lock().unwrap();
-            let live = || {
-                state
-                    .tasks
-                    .values()
-                    .filter(|task| task.standing != Standing::Ended)
-            };
-            let free_cpus = machine.breed.cpus - live().map(|task| task.cpus).sum::<f64>();
-            let free_ram = machine.breed.ram_gb - live().map(|task| task.ram).sum::<f64>();
-            let up =
-                !state.gone && state.reclaim.is_none() && hired.elapsed() > machine.breed.startup;
-            if up && free_cpus >= cpus && free_ram >= ram {
-                let kind = if machine.spot { "spot" } else { "ordinary" };
-                let (id, label) = (&machine.id, machine.breed.label);
-                found.push(format!(
-                    "{id} ({label}, {kind}): {free_cpus} CPUs, {free_ram} GB free"
-                ));
-            }
-        }
-        found
+    pub fn set_cloud_latency(&self, latency: Duration) {
+        *self.cloud_latency.lock().unwrap() = latency;
     }
 
     /// Serves a request to the cloud.
     pub fn serve_cloud(self: &Arc<Platform>, request: &Request) -> Response {
+        let latency = *self.cloud_latency.lock().unwrap();
+        std::thread::sleep(latency);
         let path = request.path.split('?').next().unwrap_or("");
         let body: Value = serde_json::from_slice(&request.body).unwrap_or(Value::Null);
         match (request.method.as_str(), path) {
@@ -465,7 +469,8 @@
             .map(|b| {
                 json!({"label": b.label, "cpus": b.cpus, "accelerators": 0, "ram_gb": b.ram_gb, "local_gb": 50,
                        "fetch_gb_per_s": 4.0, "rate": b.rate, "low_price": b.low_price,
-                       "startup_s": b.startup.as_secs_f64(), "parcels": self.zones})
+                       "startup_s": b.startup.as_secs_f64(),
+                       "parcels": b.parcel.map_or(self.zones.clone(), |only| vec![only])})
             })
             .collect();
         reply(200, &json!({"breeds": breeds}))
@@ -507,7 +512,8 @@
             |m: &Machine| m.breed.label == breed.label && m.parcel == *zone && m.spot == spot;
         let used = cloud.machines.values().filter(|(m, _)| of_kind(m)).count() as u64;
         let room = u64::from(if spot { breed.count.1 } else { breed.count.0 }).saturating_sub(used);
-        if room == 0 || (spot && cloud.no_spot) {
+        let elsewhere = breed.parcel.is_some_and(|only| only != *zone);
+        if room == 0 || elsewhere {
             return reply(503, &json!({"error": "no capacity"}));
         }
         let mut drones = Vec::new();
@@ -549,7 +555,6 @@
                 images: BTreeSet::new(),
                 changed: false,
                 gone: false,
-                reclaim: None,
             }),
         });
         let (worker, platform) = (machine.clone(), self.clone());
@@ -558,6 +563,8 @@
             let (serving, of) = (worker.clone(), platform.clone());
             let respond = move |request: Request| serving.serve(&request, &of);
             std::thread::spawn(move || http::serve(listener, 16, Arc::new(respond)));
+            let (ticking, of) = (worker.clone(), platform.clone());
+            std::thread::spawn(move || ticking.tick(&of));
             worker.run(&platform);
         });
         machine
@@ -588,6 +595,7 @@
         low_price: 0.13,
         startup: Duration::from_secs(2),
         count,
+        parcel: None,
     }
 }
 
@@ -601,18 +609,6 @@
         low_price: 2.38,
         startup: Duration::from_secs(2),
         count,
-    }
-}
-
-/// BRIEF, Furrowline: "`combine` (16 CPUs, 128 GB, 1.35 an hour, 0.52 when cheap [...])".
-pub fn combine(count: (u32, u32)) -> Breed {
-    Breed {
-        label: "combine",
-        cpus: 16.0,
-        ram_gb: 128.0,
-        rate: 1.35,
-        low_price: 0.52,
-        startup: Duration::from_secs(2),
-        count,
+        parcel: None,
     }
 }
