Lists of the store resume after a refused page and keep within the rate limit

Cause: the watch thread read the pages of a list unpaced, outside of the budget of the store pool, and a refused or late page dropped all pages read before. With three controllers and 80 pages, some page of every list got 429.

Evidence: on the untouched code 6,986 pages were read and 675 requests refused in 75 s, and no list was read to its end.

Change: ListReader sends one request at a time and keeps what was read; a request that failed is repeated. Its requests count towards the controller's budget for calls to the state service. As a list may now take longer, pages from before and after a loss of data are told apart by the revision and by the identity. Ended jobs of a list are kept in a compact form. The snapshotter uses the same reader, and no longer lists the store again after each failed watch. If no thread can be started for another list, the present watch goes on.

Why it works: together the controllers ask for at most their shares of the rate limit, so pages are granted, and one that is refused all the same costs one request and not the list.

--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -12,7 +12,7 @@
 use burlusher::logging::{self, LogFormat};
 use burlusher::policy::Policy;
 use burlusher::settings::Settings;
-use burlusher::snapshotter::Snapshotter;
+use burlusher::snapshotter::{Snapshotter, archive_limiter};
 use burlusher::{core, service, status_view, wire};
 use call::call;
 use error::with_subject;
@@ -92,8 +92,8 @@
 fn archive(config: &Path, dir: &Path, log_format: LogFormat) -> Result<(), CommandError> {
     start_log(log_format)?;
     let settings = Settings::load(config)?;
-    let mut snapshotter =
-        Snapshotter::open(settings.store_addr, dir).map_err(with_subject(dir.display()))?;
+    let mut snapshotter = Snapshotter::open(settings.store_addr, archive_limiter(&settings), dir)
+        .map_err(with_subject(dir.display()))?;
     snapshotter.run()
 }
 
--- a/src/cli/snapshot.rs
+++ b/src/cli/snapshot.rs
@@ -52,7 +52,8 @@
 
 fn take(dir: &Path, config: &Path) -> Result<(), CommandError> {
     let settings = Settings::load(config)?;
-    let revision = Snapshotter::open(settings.store_addr, dir)?.take_snapshot()?;
+    let limiter = snapshotter::archive_limiter(&settings);
+    let revision = Snapshotter::open(settings.store_addr, limiter, dir)?.take_snapshot()?;
     println!("{}", json!({"revision": revision}));
     Ok(())
 }
--- a/src/core/command.rs
+++ b/src/core/command.rs
@@ -6,13 +6,14 @@
 use crate::core::jobs::creation::{Creation, PartsCreation};
 use crate::core::jobs::requests::UserRequest;
 use crate::core::store::barrier_request::BarrierRequest;
+use crate::core::store::cache::StoreList;
 use crate::http::Response;
 use crate::job::MachineId;
 use crate::peer::cache_exchange::{CachePage, CacheRequest};
 use crate::peer::heartbeat_batch::{HeartbeatBatch, HeartbeatBatchResponse};
 use crate::peer::{PeerAnswer, PeerRequest};
 use crate::store_client::{StoreOutcome, StoreRequest};
-use crate::wire::{Condition, Heartbeat, Item, WatchEvent};
+use crate::wire::{Condition, Heartbeat, WatchEvent};
 use crate::worker_client::{DirectOutcome, DirectRequest};
 use std::net::SocketAddrV4;
 use std::time::Instant;
@@ -80,7 +81,7 @@
     /// A complete list of the keys under this program's prefix in the store.
     StoreListed {
         /// All keys with their values.
-        items: Vec<Item>,
+        list: StoreList,
         /// Revision than which the list is no older; single items may be newer.
         revision: u64,
     },
--- a/src/core/leadership/store_events.rs
+++ b/src/core/leadership/store_events.rs
@@ -1,9 +1,10 @@
 //! Effects of lists and changes of the store on leadership: a leadership begins or ends with the leader key.
 
 use crate::core::Core;
+use crate::core::store::cache::StoreList;
 use crate::core::store::commit::{committed_in_events, committed_in_list};
 use crate::core::store::keys::identity_key;
-use crate::wire::{Item, WatchEvent};
+use crate::wire::WatchEvent;
 
 /// Holder of the leader key in the cache.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -19,10 +20,10 @@
 
 impl Core {
     /// Handles a complete list of the store's keys.
-    pub(in crate::core) fn store_listed(&mut self, items: Vec<Item>, revision: u64) {
+    pub(in crate::core) fn store_listed(&mut self, list: StoreList, revision: u64) {
         self.store_reachable_at = self.now.mono;
-        self.observe_commit(|txn| committed_in_list(txn, &items));
-        self.reconcile_store_list(items, revision);
+        self.observe_commit(|txn| committed_in_list(txn, &list));
+        self.reconcile_store_list(list, revision);
         tracing::info!(
             revision,
             jobs = self.store_cache.jobs.len(),
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -39,7 +39,7 @@
 pub use leadership::lease::LEASE_TTL;
 pub use machines::cancellation_bound::cancellation_warning;
 pub use stats::{Stats, WORK_NAMES, Work, record};
-pub use store::cache::StoreCache;
+pub use store::cache::{StoreCache, StoreList};
 
 use crate::core::command::PendingCall;
 use crate::core::leadership::candidacy::Candidacy;
@@ -182,7 +182,7 @@
     /// Loads a snapshot into the cached copy of the store, before anything is read from the store. If the store has
     /// lost no data, its own contents replace the snapshot.
     pub fn load_snapshot(&mut self, items: Vec<Item>, revision: u64) {
-        self.store_cache.reset(items, revision);
+        self.store_cache.reset(items.into(), revision);
         self.store_cache.loaded = false;
     }
 
@@ -265,7 +265,7 @@
             } => self.lease_renewed(lease, sent, confirmed_key_version),
             Command::LeadershipDisproved { key_version } => self.leadership_disproved(key_version),
             Command::LeaseLost => self.lease_lost(),
-            Command::StoreListed { items, revision } => self.store_listed(items, revision),
+            Command::StoreListed { list, revision } => self.store_listed(list, revision),
             Command::StoreChanged { events, revision } => self.store_changed(events, revision),
             Command::CacheRequest { ticket, request } => self.serve_cache_request(ticket, &request),
             Command::CachePage {
--- a/src/core/simulation/cluster.rs
+++ b/src/core/simulation/cluster.rs
@@ -464,8 +464,8 @@
         let revision = self.store.revision;
         match node.watch_revision {
             None => {
-                let items = self.store.items();
-                node.inbox.push(Command::StoreListed { items, revision });
+                let list = self.store.items().into();
+                node.inbox.push(Command::StoreListed { list, revision });
             }
             // After a data loss, the store may be at an earlier revision than the one that the watch
             // waits for. An empty response after 10 s shows the controller the present revision.
--- a/src/core/simulation/faults.rs
+++ b/src/core/simulation/faults.rs
@@ -204,7 +204,8 @@
     pub fn finish_listing(&mut self, node: usize) {
         let n = &mut self.nodes[node];
         if let Some((items, revision)) = n.pending_listing.take() {
-            n.inbox.push(Command::StoreListed { items, revision });
+            let list = items.into();
+            n.inbox.push(Command::StoreListed { list, revision });
             (n.watch_revision, n.watch_delayed) = (Some(revision), false);
         }
     }
--- a/src/core/simulation/scenarios/size.rs
+++ b/src/core/simulation/scenarios/size.rs
@@ -5,7 +5,7 @@
 use crate::core::simulation::{SETUP, settings};
 use crate::core::store::cache::{JobValue, MachineValue, PageValue, ResidualTasks};
 use crate::core::workers::commands::MAX_DIRECT_CALLS;
-use crate::core::{Command, Core, Effect, Now, Ticket};
+use crate::core::{Command, Core, Effect, Now, StoreList, Ticket};
 use crate::job::{JobOutcome, MachineId, Resources, sample};
 use crate::peer;
 use crate::peer::heartbeat_batch::{
@@ -73,8 +73,8 @@
         wall: SystemTime::UNIX_EPOCH + Duration::from_secs(1_700_000_000),
     };
     let mut core = Core::new(settings, policy(), 1, now);
-    let (items, revision) = (Vec::new(), 1);
-    core.step(now, vec![Command::StoreListed { items, revision }]);
+    let (list, revision) = (StoreList::default(), 1);
+    core.step(now, vec![Command::StoreListed { list, revision }]);
     (core, now)
 }
 
--- a/src/core/store/cache.rs
+++ b/src/core/store/cache.rs
@@ -7,12 +7,14 @@
 //!
 //! - `apply`: application of the store's changes to the copy.
 //! - `loss`: comparison of the store with the copy, and the copy's state after a loss of data.
+//! - `list`: a full list of the store.
 //! - `exchange`: the copy's export to other controllers, and the merging of theirs.
 //! - `stored`: the stored form of each value.
 //! - `task_set`: sets of a job's tasks, stored as ranges.
 
 mod apply;
 mod exchange;
+mod list;
 mod loss;
 mod stored;
 mod task_set;
@@ -21,11 +23,12 @@
 use crate::core::store::large_jobs::LargeJobParts;
 use crate::core::store::versions::KeyVersions;
 use crate::job::{JobId, JobOutcome, JobSpec, MachineId};
-use crate::wire::{Change, Item, MachineType, WatchEvent};
+use crate::wire::{Change, MachineType, WatchEvent};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::SystemTime;
 
+pub use list::StoreList;
 pub use stored::{
     DoneValue, IdentityValue, JobValue, LeaderValue, MachineValue, PageValue, RebuildingValue,
     ResidualTasks, TermValue,
@@ -135,7 +138,7 @@
     /// Replaces the copy by a full list of the store, but keeps the ends of jobs. The list may have been begun before
     /// this process's latest writes, and lacks results that are not written yet: so jobs that are newer than the list
     /// are kept too, and so are the done tasks of all jobs.
-    pub fn reset(&mut self, items: Vec<Item>, revision: u64) {
+    pub fn reset(&mut self, list: StoreList, revision: u64) {
         let finished = std::mem::take(&mut self.finished);
         let before = std::mem::take(&mut self.jobs);
         let unconfirmed_ends = std::mem::take(&mut self.unconfirmed_ends);
@@ -153,9 +156,7 @@
             revision,
             ..StoreCache::default()
         };
-        for item in items {
-            self.put(&item.key, item.value, item.version);
-        }
+        self.put_list(list);
         for (id, job) in before {
             if let Some(known) = self.jobs.get_mut(&id) {
                 known.done.union_with(&job.done);
--- a/src/core/store/cache/apply.rs
+++ b/src/core/store/cache/apply.rs
@@ -1,11 +1,12 @@
 //! Application of the store's changes to the copy, with a method for each kind of key.
 
+use super::list::{EndedJob, ListEntry, StoreList};
 use super::stored::is_ended;
 use super::{
     DoneValue, IdentityValue, JobRecord, JobValue, LeaderValue, MachineValue, PageValue,
     ResidualTasks, StoreCache, TaskSet, TermValue,
 };
-use crate::core::store::keys::{PartGeneration, StoreKey, done_key};
+use crate::core::store::keys::{PartGeneration, StoreKey, done_key, job_key};
 use crate::core::store::large_jobs::{MultipartHeader, PartValue};
 use crate::fault_injection::{Safeguard, is_enabled};
 use crate::job::{JobId, JobOutcome, JobSpec, MachineId};
@@ -16,6 +17,21 @@
 use std::time::{Duration, SystemTime};
 
 impl StoreCache {
+    /// Applies all items of a full list.
+    pub(super) fn put_list(&mut self, list: StoreList) {
+        for entry in list.into_entries() {
+            match entry {
+                ListEntry::EndedJob(ended) => self.put_listed_end(ended),
+                ListEntry::Item(item) => self.put(&item.key, item.value, item.version),
+            }
+        }
+    }
+
+    fn put_listed_end(&mut self, ended: EndedJob) {
+        self.update_version(&job_key(&ended.id), true, ended.version);
+        self.put_job(&ended.id, ended.value(), ended.version);
+    }
+
     /// Applies a key's value in the store to the copy. An unreadable value is logged and ignored.
     pub(super) fn put(&mut self, key: &str, value: Value, version: u64) {
         if !key.starts_with(PREFIX) {
@@ -23,12 +39,7 @@
         }
         let kind = StoreKey::parse(key);
         let ended = matches!(kind, Some(StoreKey::Job(_))) && is_ended(&value);
-        // The key of an ended job is never written again, so its version is not needed.
-        if ended && is_enabled(Safeguard::VersionPruning) {
-            self.versions.forget(key);
-        } else {
-            self.versions.put(key, version);
-        }
+        self.update_version(key, ended, version);
         let Some(kind) = kind else {
             return;
         };
@@ -37,6 +48,16 @@
         }
     }
 
+    /// Records the version of a key; `ended` tells whether it is the key of an ended job. That key is never written
+    /// again, so its version is not needed.
+    fn update_version(&mut self, key: &str, ended: bool, version: u64) {
+        if ended && is_enabled(Safeguard::VersionPruning) {
+            self.versions.forget(key);
+        } else {
+            self.versions.put(key, version);
+        }
+    }
+
     fn put_value(
         &mut self,
         kind: StoreKey,
--- /dev/null
+++ b/src/core/store/cache/list.rs
@@ -0,0 +1,189 @@
+//! A full list of the store. Most keys of a store with a history are those of ended jobs; these are kept in a compact
+//! form, as a list is in memory beside the copy of the store while the two are compared.
+
+use super::stored::{JobValue, ResidualTasks, is_ended};
+use crate::core::store::keys::{JOB_PREFIX, StoreKey, job_key};
+use crate::job::{JobId, JobOutcome};
+use crate::store_client::ListedKeys;
+use crate::wire::{Item, to_json_value};
+use serde_json::Value;
+use std::borrow::Cow;
+use std::cmp::Ordering;
+
+/// Number of fields of the stored form of an ended job without residual tasks.
+const ENDED_JOB_FIELDS: usize = 1;
+
+/// All keys of the store with their values, ordered by key.
+#[derive(Clone, Debug, Default)]
+pub struct StoreList {
+    entries: Vec<ListEntry>,
+}
+
+/// A key with its value.
+#[derive(Clone, Debug)]
+pub(super) enum ListEntry {
+    /// Key of an ended job.
+    EndedJob(EndedJob),
+    /// Any other key, or one of a form that this version does not know.
+    Item(Box<Item>),
+}
+
+/// The key of an ended job, with its value.
+#[derive(Clone, Debug)]
+pub(super) struct EndedJob {
+    pub id: JobId,
+    pub version: u64,
+    pub outcome: JobOutcome,
+    pub residual_tasks: Option<Box<ResidualTasks>>,
+}
+
+/// State of a job in a list.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ListedJob {
+    /// The list does not contain the job.
+    Absent,
+    /// The job has not ended.
+    Live,
+    /// The job has ended.
+    Ended,
+}
+
+impl EndedJob {
+    /// Returns the ended job that an item stores, if the item can be restored from it in full.
+    fn from_item(item: &Item) -> Option<EndedJob> {
+        let Some(StoreKey::Job(id)) = StoreKey::parse(&item.key) else {
+            return None;
+        };
+        let fields = item.value.as_object()?;
+        if item.lease.is_some() || !fields.contains_key("end") {
+            return None;
+        }
+        let Ok(JobValue::Ended {
+            end,
+            residual_tasks,
+        }) = serde_json::from_value(item.value.clone())
+        else {
+            return None;
+        };
+        let ended = EndedJob {
+            id: id.into(),
+            version: item.version,
+            outcome: end,
+            residual_tasks: residual_tasks.map(Box::new),
+        };
+        // An item with more fields than this version knows is kept as it is.
+        let complete = match &ended.residual_tasks {
+            None => fields.len() == ENDED_JOB_FIELDS,
+            Some(_) => ended.stored_value() == item.value,
+        };
+        complete.then_some(ended)
+    }
+
+    pub(super) fn value(&self) -> JobValue {
+        JobValue::Ended {
+            end: self.outcome,
+            residual_tasks: self.residual_tasks.as_deref().cloned(),
+        }
+    }
+
+    fn stored_value(&self) -> Value {
+        to_json_value(&self.value())
+    }
+
+    fn to_item(&self) -> Item {
+        Item {
+            key: job_key(&self.id),
+            value: self.stored_value(),
+            version: self.version,
+            lease: None,
+        }
+    }
+}
+
+impl ListEntry {
+    fn from_item(item: Item) -> ListEntry {
+        match EndedJob::from_item(&item) {
+            Some(ended) => ListEntry::EndedJob(ended),
+            None => ListEntry::Item(Box::new(item)),
+        }
+    }
+
+    fn compare_key(&self, key: &str) -> Ordering {
+        match self {
+            ListEntry::Item(item) => item.key.as_str().cmp(key),
+            ListEntry::EndedJob(ended) => match key.strip_prefix(JOB_PREFIX) {
+                Some(id) => (*ended.id).cmp(id),
+                None => JOB_PREFIX.cmp(key),
+            },
+        }
+    }
+
+    /// Returns the state of the job whose key this is.
+    fn job_state(&self) -> ListedJob {
+        let ended = match self {
+            ListEntry::EndedJob(_) => true,
+            ListEntry::Item(item) => is_ended(&item.value),
+        };
+        if ended {
+            ListedJob::Ended
+        } else {
+            ListedJob::Live
+        }
+    }
+}
+
+impl StoreList {
+    fn find_entry(&self, key: &str) -> Option<&ListEntry> {
+        let index = self
+            .entries
+            .binary_search_by(|entry| entry.compare_key(key));
+        index.ok().map(|index| &self.entries[index])
+    }
+
+    /// Returns the item with this key.
+    pub fn find(&self, key: &str) -> Option<Cow<'_, Item>> {
+        match self.find_entry(key)? {
+            ListEntry::Item(item) => Some(Cow::Borrowed(item)),
+            ListEntry::EndedJob(ended) => Some(Cow::Owned(ended.to_item())),
+        }
+    }
+
+    /// Returns the version of a key.
+    pub fn version_of(&self, key: &str) -> Option<u64> {
+        match self.find_entry(key)? {
+            ListEntry::Item(item) => Some(item.version),
+            ListEntry::EndedJob(ended) => Some(ended.version),
+        }
+    }
+
+    /// Returns the state of a job.
+    pub fn job(&self, id: &str) -> ListedJob {
+        let key = job_key(id);
+        match self.find_entry(&key) {
+            None => ListedJob::Absent,
+            Some(entry) => entry.job_state(),
+        }
+    }
+
+    pub(super) fn into_entries(self) -> impl Iterator<Item = ListEntry> {
+        self.entries.into_iter()
+    }
+}
+
+impl ListedKeys for StoreList {
+    fn add_page(&mut self, items: Vec<Item>) {
+        self.entries
+            .extend(items.into_iter().map(ListEntry::from_item));
+    }
+}
+
+impl From<Vec<Item>> for StoreList {
+    fn from(items: Vec<Item>) -> StoreList {
+        let mut list = StoreList::default();
+        list.add_page(items);
+        list
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/src/core/store/cache/loss.rs
+++ b/src/core/store/cache/loss.rs
@@ -1,20 +1,21 @@
 //! Comparison of the stored data with this copy, to detect data loss, and the merging of both after a loss.
 
 use super::StoreCache;
+use super::list::{ListedJob, StoreList};
 use super::stored::is_ended;
-use crate::core::store::keys::{TERM, identity_key, job_key, key as stored_key};
+use crate::core::store::keys::{TERM, identity_key, key as stored_key};
 use crate::core::store::large_jobs::LargeJobParts;
 use crate::core::store::versions::KeyVersions;
 use crate::job::JobId;
 use crate::wire::Item;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 use std::ops::Bound;
 
 impl StoreCache {
     /// Returns the reason why a full list of the store contradicts this copy, if it does. The reason is stored in the
     /// mark of an incomplete store. A list that was begun before this process's latest writes may lack them without
-    /// contradiction. The list must be ordered by key.
-    pub fn find_contradiction(&self, items: &[Item], revision: u64) -> Option<String> {
+    /// contradiction.
+    pub fn find_contradiction(&self, list: &StoreList, revision: u64) -> Option<String> {
         if revision < self.revision {
             let before = self.revision;
             return Some(format!(
@@ -22,19 +23,20 @@
             ));
         }
         if let Some((id, version)) = &self.identity
-            && find_item(items, &identity_key(id)).is_none_or(|i| i.version != *version)
+            && list.version_of(&identity_key(id)) != Some(*version)
         {
             return Some(format!("it is not the store {id} any more"));
         }
         if self.term_version > 0
-            && find_item(items, &stored_key(TERM)).is_none_or(|i| i.version < self.term_version)
+            && (list.version_of(&stored_key(TERM)))
+                .is_none_or(|version| version < self.term_version)
         {
             return Some(format!("it has forgotten term {}", self.term));
         }
-        if let Some(id) = self.find_absent_job(items, revision) {
+        if let Some(id) = self.find_absent_job(list, revision) {
             return Some(format!("it has forgotten job {id}"));
         }
-        let id = self.find_absent_end(items, revision)?;
+        let id = self.find_absent_end(list, revision)?;
         Some(format!("it has forgotten how job {id} ended"))
     }
 
@@ -44,8 +46,8 @@
     }
 
     /// Returns a live job whose key is missing from the list.
-    fn find_absent_job(&self, items: &[Item], revision: u64) -> Option<&JobId> {
-        let absent = |id: &JobId| find_item(items, &job_key(id)).is_none();
+    fn find_absent_job(&self, list: &StoreList, revision: u64) -> Option<&JobId> {
+        let absent = |id: &JobId| list.job(id) == ListedJob::Absent;
         let mut jobs = self.jobs.iter();
         let (id, _) =
             jobs.find(|(id, job)| !self.may_lack(id, job.version, revision) && absent(id))?;
@@ -53,10 +55,9 @@
     }
 
     /// Returns a job that has ended in this copy but not in the list.
-    fn find_absent_end(&self, items: &[Item], revision: u64) -> Option<&JobId> {
+    fn find_absent_end(&self, list: &StoreList, revision: u64) -> Option<&JobId> {
         let written_at = |id: &JobId| self.unconfirmed_ends.get(id).copied().unwrap_or(0);
-        let not_over =
-            |id: &JobId| find_item(items, &job_key(id)).is_none_or(|item| !is_ended(&item.value));
+        let not_over = |id: &JobId| list.job(id) != ListedJob::Ended;
         let mut finished = self.finished.keys();
         finished.find(|id| !self.may_lack(id, written_at(id), revision) && not_over(id))
     }
@@ -98,37 +99,31 @@
 
     /// Merges a full list of a store that has lost data into the copy. Jobs and ends that only the copy has are
     /// recorded as missing from the store. Versions of keys are reset.
-    pub fn merge_after_loss(&mut self, items: Vec<Item>, revision: u64) {
-        let prefix = stored_key("j/");
-        let stored: BTreeMap<JobId, bool> = (items.iter())
-            .filter_map(|i| {
-                Some((
-                    JobId::from(i.key.strip_prefix(&prefix)?),
-                    is_ended(&i.value),
-                ))
-            })
-            .collect();
+    pub fn merge_after_loss(&mut self, list: StoreList, revision: u64) {
+        let missing = self.jobs_missing_from(&list);
         for job in self.jobs.values_mut() {
             // Marks the job as older than any later leadership: its tasks may be on any machine.
             job.version = 0;
             job.stored_ranges.clear();
         }
         self.clear_store_metadata(revision);
-        for item in items {
-            self.put(&item.key, item.value, item.version);
-        }
-        let live = self.jobs.keys().filter(|id| !stored.contains_key(*id));
-        let ended = self
-            .finished
-            .keys()
-            .filter(|id| stored.get(*id) != Some(&true));
-        self.missing_from_store = live.chain(ended).cloned().collect();
+        self.put_list(list);
+        self.missing_from_store = missing;
         self.changed_jobs.extend(self.jobs.keys().cloned());
         self.changed_jobs
             .extend(self.missing_from_store.iter().cloned());
         self.loaded = true;
     }
 
+    /// Returns the jobs of this copy whose key, or whose end, a full list lacks.
+    fn jobs_missing_from(&self, list: &StoreList) -> BTreeSet<JobId> {
+        let live = self.jobs.keys();
+        let live = live.filter(|id| list.job(id) == ListedJob::Absent);
+        let ended = self.finished.keys();
+        let ended = ended.filter(|id| list.job(id) != ListedJob::Ended);
+        live.chain(ended).cloned().collect()
+    }
+
     /// Clears what is known about the store itself, such as its identity, versions and pages; jobs, terms and
     /// machines stay.
     fn clear_store_metadata(&mut self, revision: u64) {
@@ -155,9 +150,3 @@
         self.expects_new_identity = self.identity.is_some();
     }
 }
-
-/// Returns the item of a key from a list ordered by key.
-fn find_item<'a>(items: &'a [Item], key: &str) -> Option<&'a Item> {
-    let at = items.binary_search_by(|item| item.key.as_str().cmp(key));
-    at.ok().map(|n| &items[n])
-}
--- a/src/core/store/cache/tests.rs
+++ b/src/core/store/cache/tests.rs
@@ -66,7 +66,7 @@
         7000,
         "1,000 jobs were cancelled before the expiry time"
     );
-    store_cache.reset(Vec::new(), 9000);
+    store_cache.reset(StoreList::default(), 9000);
     store_cache.put_job("wk-100000", cancelled(9999), 9001);
     assert_eq!(
         store_cache.residual_tasks.len(),
--- a/src/core/store/commit.rs
+++ b/src/core/store/commit.rs
@@ -4,7 +4,8 @@
 //! happened at one revision. The watch reports them like any other change; a full list contains the written
 //! values, all with the same version.
 
-use crate::wire::{Change, CompareAndSwap, Condition, Item, WatchEvent};
+use crate::core::store::cache::StoreList;
+use crate::wire::{Change, CompareAndSwap, Condition, WatchEvent};
 use serde_json::Value;
 
 /// Returns the revision at which the transaction was committed, if these events contain its commit.
@@ -47,15 +48,11 @@
     }
 }
 
-/// Returns the revision at which the transaction was committed, if a list, ordered by key, contains its values.
-pub fn committed_in_list(txn: &CompareAndSwap, items: &[Item]) -> Option<u64> {
-    let find = |key: &str| {
-        let at = items.binary_search_by(|item| item.key.as_str().cmp(key));
-        at.ok().map(|n| &items[n])
-    };
+/// Returns the revision at which the transaction was committed, if a list contains its values.
+pub fn committed_in_list(txn: &CompareAndSwap, list: &StoreList) -> Option<u64> {
     let mut revision = None;
     for change in &txn.changes {
-        let item = find(change.key());
+        let item = list.find(change.key());
         let Change::Put { value, .. } = change else {
             if item.is_some() {
                 return None;
--- a/src/core/store/commit/tests.rs
+++ b/src/core/store/commit/tests.rs
@@ -1,4 +1,5 @@
 use super::{committed_in_events, committed_in_list};
+use crate::core::StoreList;
 use crate::wire::{Change, CompareAndSwap, Condition, Item, WatchEvent};
 use serde_json::{Value, json};
 
@@ -94,7 +95,7 @@
     let mut no_op = txn();
     no_op.changes.drain(..3);
     assert_eq!(committed_in_events(&no_op, &commit_events(9)), None);
-    assert_eq!(committed_in_list(&no_op, &[]), None);
+    assert_eq!(committed_in_list(&no_op, &StoreList::default()), None);
 }
 
 #[test]
@@ -106,7 +107,7 @@
             item("leader", json!("n0"), 2),
         ];
         edit(&mut items);
-        committed_in_list(&txn(), &items)
+        committed_in_list(&txn(), &items.into())
     };
     assert_eq!(committed_after(&|_| {}), Some(9));
     assert_eq!(committed_after(&|i| i[1].version = 10), None);
--- a/src/core/store/integrity/data_loss.rs
+++ b/src/core/store/integrity/data_loss.rs
@@ -2,10 +2,10 @@
 
 use super::{CHECK_INTERVAL, DataLoss, REREAD_INTERVAL, is_due};
 use crate::core::leadership::lease::LEASE_TTL;
+use crate::core::store::cache::StoreList;
 use crate::core::{CallId, Core, Effect};
 use crate::fault_injection::{Safeguard, is_enabled};
 use crate::store_client::StoreOutcome;
-use crate::wire::Item;
 use std::time::{Duration, Instant};
 
 /// Time within which the other controllers have detected a loss, the former leader has stopped acting, and the store is
@@ -54,20 +54,20 @@
     }
 
     /// Compares a full list of the store with the copy, and updates the copy.
-    pub(in crate::core) fn reconcile_store_list(&mut self, items: Vec<Item>, revision: u64) {
+    pub(in crate::core) fn reconcile_store_list(&mut self, list: StoreList, revision: u64) {
         let now = self.now.mono;
         self.store_integrity.reread.finished = true;
         let first = !self.store_cache.loaded;
-        match self.store_cache.find_contradiction(&items, revision) {
-            Some(reason) => self.handle_contradiction(items, revision, reason),
+        match self.store_cache.find_contradiction(&list, revision) {
+            Some(reason) => self.handle_contradiction(list, revision, reason),
             // Data that the store lacks is kept in the copy until it has been written back.
             None if self.has_missing_data() => {
-                self.store_cache.merge_after_loss(items, revision);
+                self.store_cache.merge_after_loss(list, revision);
                 if self.store_integrity.data_loss.is_some() {
                     self.store_cache.expect_new_identity();
                 }
             }
-            None => self.store_cache.reset(items, revision),
+            None => self.store_cache.reset(list, revision),
         }
         let integrity = &mut self.store_integrity;
         if first && self.store_cache.identity.is_some() {
@@ -83,14 +83,14 @@
 
     /// Handles a full list that contradicts the copy: this process stops leading, and the copy keeps what the store has
     /// lost.
-    fn handle_contradiction(&mut self, items: Vec<Item>, revision: u64, reason: String) {
+    fn handle_contradiction(&mut self, list: StoreList, revision: u64, reason: String) {
         tracing::error!(reason, "the state service has lost data");
         // The store may since have given this lease's id to another process. A leader key that was restored with the
         // store expires with its lease.
         self.step_down("the state service has lost data");
         self.replace_lease();
         let before = self.store_cache.identity.as_ref().map(|(id, _)| id.clone());
-        self.store_cache.merge_after_loss(items, revision);
+        self.store_cache.merge_after_loss(list, revision);
         let integrity = &mut self.store_integrity;
         integrity.revision_at_call.clear();
         integrity.newest_revision = revision;
--- a/src/core/store/keys.rs
+++ b/src/core/store/keys.rs
@@ -9,9 +9,11 @@
 //! - `m/<machine>`: single machines of this kind, written by earlier versions;
 //! - `i/<identity>`: the identity of the store.
 
-use crate::store_client::PREFIX;
+use crate::store_client::{IDENTITY_PREFIX, PREFIX};
 use crate::wire::Condition;
 
+/// Prefix of the keys of jobs.
+pub const JOB_PREFIX: &str = "burlusher/j/";
 /// Name of the key that holds the current leader.
 pub const LEADER: &str = "leader";
 /// Name of the key with the newest term.
@@ -111,7 +113,7 @@
 
 /// Returns the key of a job.
 pub fn job_key(id: &str) -> String {
-    format!("{PREFIX}j/{id}")
+    format!("{JOB_PREFIX}{id}")
 }
 
 /// Returns the key of a job's done tasks, counted from `base`.
@@ -122,7 +124,7 @@
 /// Returns the key of the store's identity. The identity is part of the key's name, so that a condition
 /// on the key's version cannot hold by chance in a store that restarted at revision 0.
 pub fn identity_key(id: &str) -> String {
-    format!("{PREFIX}i/{id}")
+    format!("{IDENTITY_PREFIX}{id}")
 }
 
 /// Returns the condition that the store has this identity, which is given with the version of its key.
--- a/src/rate_limiter.rs
+++ b/src/rate_limiter.rs
@@ -1,6 +1,7 @@
 //! A token bucket, which keeps this process within its part of a rate limit that it shares with
 //! others.
 
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
 /// A budget of calls that refills at a constant rate, up to a burst of one second's worth of calls.
@@ -57,5 +58,30 @@
     }
 }
 
+/// A budget of calls that several threads share.
+#[derive(Clone)]
+pub struct SharedRateLimiter(Arc<Mutex<RateLimiter>>);
+
+impl SharedRateLimiter {
+    /// Returns a limiter with a full budget of `per_second` calls.
+    pub fn new(per_second: f64) -> SharedRateLimiter {
+        let limiter = RateLimiter::new(per_second, Instant::now());
+        SharedRateLimiter(Arc::new(Mutex::new(limiter)))
+    }
+
+    /// Takes one call from the budget and sleeps until it may be made.
+    pub fn wait(&self) {
+        let wait = self.reserve();
+        if !wait.is_zero() {
+            std::thread::sleep(wait);
+        }
+    }
+
+    fn reserve(&self) -> Duration {
+        let mut limiter = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        limiter.reserve(Instant::now())
+    }
+}
+
 #[cfg(test)]
 mod tests;
--- a/src/service/mod.rs
+++ b/src/service/mod.rs
@@ -34,7 +34,7 @@
 use crate::core::Core;
 use crate::http::{Limits, Server};
 use crate::policy::Policy;
-use crate::rate_limiter::RateLimiter;
+use crate::rate_limiter::SharedRateLimiter;
 use crate::settings::Settings;
 use crate::snapshotter::{self, Snapshotter};
 use cloud_pool::CLOUD_THREADS;
@@ -49,14 +49,14 @@
 use std::path::Path;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
-use std::time::Instant;
 use store_pool::STORE_THREADS;
 use threads::spawn;
 use watch::StoreWatch;
 
-/// Fraction of this controller's share of the state service's rate limit that the store pool may use.
-/// The rest is for the lease, the watch, and differences in how the state service counts requests.
-const STORE_POOL_SHARE: f64 = 0.6;
+/// Fraction of this controller's share of the state service's rate limit for its reads and transactions, full
+/// lists of the store included. The rest is for the lease, the watch, and differences in how the state service
+/// counts requests.
+const STORE_CALLS_SHARE: f64 = 0.6;
 /// Number of descriptors reserved for the lease, the watch, the listeners and the process's own files.
 const OTHER_SOCKETS: usize = 32;
 /// Minimum number of public connections, allowed even if sockets and memory would allow fewer.
@@ -80,7 +80,8 @@
     let public_listener = TcpListener::bind(settings.listen)?;
     let peer_listener = TcpListener::bind(settings.peer_listen)?;
     let inbox = Inbox::new(RESPONSE_TIMEOUT);
-    let handlers = start_effect_handlers(&settings, &inbox)?;
+    let store_limiter = share_limiter(&settings, STORE_CALLS_SHARE);
+    let handlers = start_effect_handlers(&settings, &store_limiter, &inbox)?;
     lease_keeper::start(settings.store_addr, &inbox, handlers.lease.clone())?;
     handlers.watch.restart()?;
     peer_server::start(peer_listener, inbox.clone())?;
@@ -101,17 +102,24 @@
         if let Some(snapshot) = snapshotter::newest_snapshot(dir)? {
             core.load_snapshot(snapshot.items, snapshot.revision);
         }
-        let mut snapshotter = Snapshotter::open(store_addr, dir)?;
+        let mut snapshotter = Snapshotter::open(store_addr, store_limiter, dir)?;
         spawn("snapshotter", move || snapshotter.run())?;
     }
     owner::run(core, &inbox, &handlers)
 }
 
-/// Starts the threads that execute effects.
-fn start_effect_handlers(settings: &Settings, inbox: &Inbox) -> io::Result<EffectHandlers> {
+/// Returns a budget of calls to the state service: a fraction of this controller's share of the rate limit.
+fn share_limiter(settings: &Settings, fraction: f64) -> SharedRateLimiter {
     let controllers = settings.peers.len() as f64 + 1.0;
-    let store_rate = settings.store_rps / controllers * STORE_POOL_SHARE;
-    let store_limiter = RateLimiter::new(store_rate, Instant::now());
+    SharedRateLimiter::new(settings.store_rps / controllers * fraction)
+}
+
+/// Starts the threads that execute effects.
+fn start_effect_handlers(
+    settings: &Settings,
+    store_limiter: &SharedRateLimiter,
+    inbox: &Inbox,
+) -> io::Result<EffectHandlers> {
     Ok(EffectHandlers {
         store: store_pool::start(settings.store_addr, store_limiter, inbox)?,
         cloud: cloud_pool::start(settings.cloud_addr, inbox)?,
@@ -119,7 +127,7 @@
         peers: peer_pool::start(&settings.peers, inbox)?,
         heartbeat_batches: peer_pool::start_heartbeat_batches(&settings.peers, inbox)?,
         responses: owner::start_responses(inbox)?,
-        watch: StoreWatch::new(settings.store_addr, inbox),
+        watch: StoreWatch::new(settings.store_addr, store_limiter, inbox),
         lease: Arc::new(LeaseControl::default()),
         ready: Arc::new(AtomicBool::new(false)),
     })
--- a/src/service/store_pool.rs
+++ b/src/service/store_pool.rs
@@ -1,14 +1,12 @@
 //! Thread pool for calls to the state service; each thread keeps a connection.
 
 use super::inbox::Inbox;
-use super::threads::{ThreadPool, lock};
+use super::threads::ThreadPool;
 use crate::core::{CallId, Command};
-use crate::rate_limiter::RateLimiter;
+use crate::rate_limiter::SharedRateLimiter;
 use crate::store_client::{StoreClient, StoreRequest};
 use std::io;
 use std::net::SocketAddrV4;
-use std::sync::{Arc, Mutex};
-use std::time::Instant;
 
 /// Number of threads. A call whose response is lost occupies its thread until it times out; the leader's
 /// writes and the creation of jobs must continue meanwhile.
@@ -24,24 +22,16 @@
 /// Starts the pool, whose threads share `limiter`.
 pub(super) fn start(
     addr: SocketAddrV4,
-    limiter: RateLimiter,
+    limiter: &SharedRateLimiter,
     inbox: &Inbox,
 ) -> io::Result<ThreadPool<StoreCall>> {
-    let limiter = Arc::new(Mutex::new(limiter));
     ThreadPool::start("store", STORE_THREADS, || {
         let (inbox, limiter) = (inbox.clone(), limiter.clone());
         let mut client = StoreClient::new(addr);
         move |StoreCall { call, request }| {
-            wait_for_rate_limit(&limiter);
+            limiter.wait();
             let outcome = client.perform(&request);
             inbox.put(Command::StoreOutcome { call, outcome });
         }
     })
 }
-
-fn wait_for_rate_limit(limiter: &Mutex<RateLimiter>) {
-    let wait = lock(limiter).reserve(Instant::now());
-    if !wait.is_zero() {
-        std::thread::sleep(wait);
-    }
-}
--- a/src/service/tests.rs
+++ b/src/service/tests.rs
@@ -10,7 +10,7 @@
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::Mutex;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 const HEARTBEAT: &str = r#"{"drone":"i-1","endpoint":"127.0.0.1:1","breed":"b","parcel":"a",
             "tenure":1,"tally":1}"#;
--- a/src/service/watch.rs
+++ b/src/service/watch.rs
@@ -3,8 +3,9 @@
 
 use super::inbox::Inbox;
 use super::threads::{lock, spawn};
-use crate::core::Command;
-use crate::store_client::{Listing, StoreClient, StoreError, WatchResult};
+use crate::core::{Command, StoreList};
+use crate::rate_limiter::SharedRateLimiter;
+use crate::store_client::{ListReader, Listing, StoreClient, StoreError, WatchResult};
 use std::io;
 use std::net::SocketAddrV4;
 use std::sync::{Arc, Mutex};
@@ -25,6 +26,8 @@
 /// thread is started, and later results of the previous one are discarded.
 pub(super) struct StoreWatch {
     addr: SocketAddrV4,
+    /// Limiter of the requests of full lists, shared with the other calls of this controller.
+    list_limiter: SharedRateLimiter,
     inbox: Inbox,
     /// Number of the newest thread. Locked while a command is put into the inbox, so that no command of
     /// an earlier thread can follow the first listing by the newest one.
@@ -32,9 +35,14 @@
 }
 
 impl StoreWatch {
-    pub(super) fn new(addr: SocketAddrV4, inbox: &Inbox) -> Arc<StoreWatch> {
+    pub(super) fn new(
+        addr: SocketAddrV4,
+        list_limiter: &SharedRateLimiter,
+        inbox: &Inbox,
+    ) -> Arc<StoreWatch> {
         Arc::new(StoreWatch {
             addr,
+            list_limiter: list_limiter.clone(),
             inbox: inbox.clone(),
             newest_thread: Mutex::new(0),
         })
@@ -42,13 +50,13 @@
 
     /// Starts a thread that reads the whole store again and replaces the present thread.
     pub(super) fn restart(self: &Arc<StoreWatch>) -> io::Result<()> {
-        let number = {
-            let mut newest_thread = lock(&self.newest_thread);
-            *newest_thread += 1;
-            *newest_thread
-        };
+        let mut newest_thread = lock(&self.newest_thread);
+        let number = *newest_thread + 1;
         let watch = self.clone();
-        spawn("watch", move || watch.run(number)).map(drop)
+        // If no thread can be started, the present one goes on.
+        spawn("watch", move || watch.run(number))?;
+        *newest_thread = number;
+        Ok(())
     }
 
     fn is_newest(&self, number: u64) -> bool {
@@ -65,11 +73,12 @@
 
     fn run(&self, number: u64) {
         let mut client = StoreClient::new(self.addr);
+        let mut reader = ListReader::default();
         // `None` until the store has been listed.
         let mut revision: Option<u64> = None;
         while self.is_newest(number) {
             let next = match revision {
-                None => self.list(number, &mut client).map(Some),
+                None => self.continue_list(number, &mut client, &mut reader),
                 Some(since) => self.watch(number, &mut client, since),
             };
             match next {
@@ -82,11 +91,26 @@
         }
     }
 
-    /// Lists the store and returns the revision from which to watch.
-    fn list(&self, number: u64, client: &mut StoreClient) -> Result<u64, StoreError> {
-        let Listing { items, revision } = client.list()?;
-        self.put(number, Command::StoreListed { items, revision });
-        Ok(revision)
+    /// Reads the next part of a full list of the store. Returns the revision from which to watch once the list is
+    /// complete. A part that failed is read again by the next call.
+    fn continue_list(
+        &self,
+        number: u64,
+        client: &mut StoreClient,
+        reader: &mut ListReader<StoreList>,
+    ) -> Result<Option<u64>, StoreError> {
+        self.list_limiter.wait();
+        let Some(Listing { keys, revision }) = reader.read_next(client)? else {
+            return Ok(None);
+        };
+        self.put(
+            number,
+            Command::StoreListed {
+                list: keys,
+                revision,
+            },
+        );
+        Ok(Some(revision))
     }
 
     /// Waits for changes and returns the revision from which to continue; `None` if the store has to be
@@ -114,3 +138,6 @@
         StoreError::Invalid(_) | StoreError::Unknown(_) => FAILED_RETRY,
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/snapshotter.rs
+++ b/src/snapshotter.rs
@@ -5,8 +5,11 @@
 //! a new timeline in the archive, so that the content from before the loss can be restored.
 
 use crate::core::StoreCache;
+use crate::rate_limiter::SharedRateLimiter;
+use crate::settings::Settings;
 use crate::store_client::{
-    Listing, PREFIX, StoreClient, StoreError, StoreOutcome, StoreRequest, WatchResult,
+    ListReader, ListedKeys, Listing, PREFIX, StoreClient, StoreError, StoreOutcome, StoreRequest,
+    WatchResult,
 };
 use crate::wire::{Item, SnapshotPage, WatchEvent};
 use burlusher_snapshot::archive::{Archive, ArchivedTimeline};
@@ -27,6 +30,9 @@
 const BATCHING_DELAY: Duration = Duration::from_millis(50);
 /// Delay before the store is followed again after an error.
 const RETRY_DELAY: Duration = Duration::from_millis(500);
+/// Fraction of the state service's rate limit for the lists of a snapshotter in a process of its own, which the
+/// controllers do not count.
+const ARCHIVE_LISTS_SHARE: f64 = 0.05;
 /// Size of the items in one request that offers a snapshot, in bytes.
 const PAGE_BYTES: usize = 48 * 1024;
 /// Keys below `PREFIX`: the store's identity, jobs, and the marker of a store that is being rebuilt.
@@ -37,6 +43,9 @@
 /// Writes the content of the state service and its changes to an archive.
 pub struct Snapshotter {
     client: StoreClient,
+    /// Limiter of the requests of which a list of the store consists.
+    limiter: SharedRateLimiter,
+    reader: ListReader<ListedImage>,
     archive: Archive,
     /// Content of the store at the revision that was written last.
     image: Image,
@@ -48,6 +57,11 @@
     identity_checked_at: Instant,
 }
 
+/// Returns the budget of the lists that a snapshotter reads in a process of its own.
+pub fn archive_limiter(settings: &Settings) -> SharedRateLimiter {
+    SharedRateLimiter::new(settings.store_rps * ARCHIVE_LISTS_SHARE)
+}
+
 /// Content of a snapshot, as the state service would list it.
 pub struct Snapshot {
     /// All keys with their values.
@@ -67,14 +81,19 @@
     Entry { version, value }
 }
 
-fn image_of(items: &[Item], revision: u64) -> Image {
-    let mut image = Image::default();
-    let change = |item: &Item| Change {
-        key: item.key.clone(),
-        entry: Some(entry_of(&item.value, item.version)),
-    };
-    image.apply(items.iter().map(change).collect(), revision);
-    image
+/// Image of a store that is being listed.
+#[derive(Default)]
+struct ListedImage(Image);
+
+impl ListedKeys for ListedImage {
+    fn add_page(&mut self, items: Vec<Item>) {
+        let change = |item: Item| Change {
+            entry: Some(entry_of(&item.value, item.version)),
+            key: item.key,
+        };
+        let changes = items.into_iter().map(change).collect();
+        self.0.apply(changes, 0);
+    }
 }
 
 fn change_of(event: WatchEvent) -> Option<Change> {
@@ -105,14 +124,20 @@
 }
 
 impl Snapshotter {
-    /// Opens an archive; creates its folder if it does not exist.
+    /// Opens an archive; creates its folder if it does not exist. Lists of the store are paced by `limiter`.
     ///
     /// # Errors
     /// The folder cannot be read or written.
-    pub fn open(store_addr: SocketAddrV4, dir: &Path) -> io::Result<Snapshotter> {
+    pub fn open(
+        store_addr: SocketAddrV4,
+        limiter: SharedRateLimiter,
+        dir: &Path,
+    ) -> io::Result<Snapshotter> {
         let now = Instant::now();
         Ok(Snapshotter {
             client: StoreClient::new(store_addr),
+            limiter,
+            reader: ListReader::default(),
             archive: Archive::open(dir)?,
             image: Image::default(),
             store: String::new(),
@@ -122,7 +147,7 @@
         })
     }
 
-    /// Follows the store until the process ends; after an error, it lists the store again.
+    /// Follows the store until the process ends. After an error of the archive, it lists the store again.
     pub fn run(&mut self) -> ! {
         loop {
             if let Err(error) = self.follow_once() {
@@ -138,12 +163,12 @@
     /// # Errors
     /// The state service does not respond or is empty, or the archive cannot be written.
     pub fn take_snapshot(&mut self) -> io::Result<u64> {
-        let Listing { items, revision } = self.client.list().map_err(io_error)?;
-        if items.is_empty() {
+        let image = self.read_store()?;
+        let revision = image.revision;
+        if image.items.is_empty() {
             let text = "the state service is empty";
             return Err(io::Error::new(io::ErrorKind::NotFound, text));
         }
-        let image = image_of(&items, revision);
         let store = identity(&image);
         let newest = self
             .archive
@@ -162,15 +187,37 @@
         Ok(revision)
     }
 
+    /// Reads the whole store. After an error, the next call continues with the page that failed.
+    fn read_store(&mut self) -> io::Result<Image> {
+        loop {
+            self.limiter.wait();
+            let listing = self.reader.read_next(&mut self.client);
+            if let Some(Listing { keys, revision }) = listing.map_err(io_error)? {
+                let mut image = keys.0;
+                image.revision = revision;
+                return Ok(image);
+            }
+        }
+    }
+
     /// Lists the store, or watches it once and writes the changes.
     fn follow_once(&mut self) -> io::Result<()> {
         if self.writer.is_none() {
             self.take_snapshot()?;
             return Ok(());
         }
-        let Some((revision, events)) = self.watch()? else {
-            self.writer = None;
-            return Ok(());
+        let (revision, events) = match self.watch() {
+            Ok(Some(changes)) => changes,
+            Ok(None) => {
+                self.writer = None;
+                return Ok(());
+            }
+            // The image is unchanged, so the next watch begins at its revision.
+            Err(error) => {
+                tracing::warn!(%error, "watch for the snapshot failed");
+                std::thread::sleep(RETRY_DELAY);
+                return Ok(());
+            }
         };
         let changes: Vec<Change> = events.into_iter().filter_map(change_of).collect();
         let has_changes = !changes.is_empty();
@@ -188,7 +235,7 @@
     }
 
     /// Watches the store; `None` if it has to be listed again.
-    fn watch(&mut self) -> io::Result<Option<(u64, Vec<WatchEvent>)>> {
+    fn watch(&mut self) -> Result<Option<(u64, Vec<WatchEvent>)>, StoreError> {
         let sync_pending = self.synced_at.elapsed() < SYNC_INTERVAL;
         let wait = if sync_pending {
             SYNC_INTERVAL
@@ -196,7 +243,7 @@
             MAX_WATCH_WAIT
         };
         let since = self.image.revision;
-        match self.client.watch(since, wait).map_err(io_error)? {
+        match self.client.watch(since, wait)? {
             WatchResult::Changes { events, revision } if revision >= since => {
                 Ok(Some((revision, events)))
             }
@@ -308,7 +355,7 @@
 
 fn store_cache(image: &Image) -> StoreCache {
     let mut store_cache = StoreCache::default();
-    store_cache.reset(store_items(image), image.revision);
+    store_cache.reset(store_items(image).into(), image.revision);
     store_cache
 }
 
--- a/src/store_client.rs
+++ b/src/store_client.rs
@@ -1,5 +1,11 @@
 //! Client of the state service, a consensus-backed key-value store: reads, transactions, leases and
-//! the watch.
+//! the watch. `list` reads the whole store.
+
+mod list;
+
+#[cfg(test)]
+pub(crate) use list::tests as list_tests;
+pub use list::{ListReader, ListedKeys, Listing};
 
 use crate::http::{CallError, Client, ClientResponse};
 use crate::wire::{
@@ -12,14 +18,13 @@
 
 /// Prefix of all keys of burlusher.
 pub const PREFIX: &str = "burlusher/";
+/// Prefix of the keys that name the identity of the store. A store is given a new identity after it has lost data.
+pub const IDENTITY_PREFIX: &str = "burlusher/i/";
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 const TIMEOUT: Duration = Duration::from_millis(1500);
 /// Timeout of a lease renewal. Shorter than the others, so that a renewal without a response can be
 /// repeated before the lease expires.
 const RENEWAL_TIMEOUT: Duration = Duration::from_millis(900);
-/// Timeout of one page when all items are listed.
-const LIST_TIMEOUT: Duration = Duration::from_millis(3000);
-const LIST_PAGE_ITEMS: usize = 500;
 /// Time beyond a watch's waiting time after which the watch is given up.
 const WATCH_MARGIN: Duration = Duration::from_secs(3);
 /// Number of bytes of an error response that are copied into the error message.
@@ -120,14 +125,6 @@
     }
 }
 
-/// All items under `PREFIX`.
-pub struct Listing {
-    /// Items, sorted by key.
-    pub items: Vec<Item>,
-    /// Store revision that the list is at least as new as; single items may be newer.
-    pub revision: u64,
-}
-
 /// Result of a watch.
 pub enum WatchResult {
     /// Changes; none if the waiting time ended without any.
@@ -274,27 +271,6 @@
         }
     }
 
-    /// Reads all items under `PREFIX`, page by page.
-    ///
-    /// # Errors
-    /// A page was refused or got no readable response.
-    pub fn list(&mut self) -> Result<Listing, StoreError> {
-        let mut items: Vec<Item> = Vec::new();
-        let mut first_revision = None;
-        loop {
-            let after = items.last().map_or(String::new(), |item| item.key.clone());
-            let page = self.fetch_page(PREFIX, &after, LIST_PAGE_ITEMS, LIST_TIMEOUT)?;
-            // The revision of the first page: a watch from there repeats the changes made while the
-            // other pages are read, and so misses none.
-            let revision = *first_revision.get_or_insert(page.revision);
-            let is_last = !page.more || page.items.is_empty();
-            items.extend(page.items);
-            if is_last {
-                return Ok(Listing { items, revision });
-            }
-        }
-    }
-
     /// Waits up to `wait` for changes after the revision `since`.
     ///
     /// # Errors
