A full read of the store in progress is not replaced at the next sign of data loss

A store whose list takes longer than a second was then never read to its end, and the loss never confirmed.

Change: while a read is in progress, further signs only request one more read after it; after 60 s without a list a read no longer prevents another.

recurring_signs_of_loss_do_not_replace_a_read_in_progress failed before: left 1, right 0. Not seen on running processes.

--- a/src/core/simulation/scenarios/loss_of_store.rs
+++ b/src/core/simulation/scenarios/loss_of_store.rs
@@ -605,6 +605,37 @@
     assert_eq!(simulation.counters.starts, starts);
 }
 
+/// Guards against full reads that never end: the read of a large store took longer than the time to the next sign of a
+/// loss, which started another read in its place.
+#[test]
+fn recurring_signs_of_loss_do_not_replace_a_read_in_progress() {
+    let (mut simulation, leader) = six_machines(32);
+    let (items, revision) = (simulation.store.items(), simulation.store.revision);
+    let core = &mut simulation.nodes[leader].core;
+    core.effects.clear();
+    let rereads = |core: &mut Core| {
+        let effects = core.effects.drain(..);
+        let reread = |effect: &Effect| matches!(effect, Effect::RereadStore);
+        effects.filter(reread).count()
+    };
+    core.suspect_data_loss("a sign");
+    assert_eq!(rereads(core), 1);
+    for _ in 0..5 {
+        core.now.mono += Duration::from_secs(2);
+        core.suspect_data_loss("another sign");
+        core.check_store_integrity();
+        assert_eq!(rereads(core), 0);
+    }
+    // The signs since the read was started are followed up by one more read.
+    core.store_listed(items.into(), revision);
+    core.check_store_integrity();
+    assert_eq!(rereads(core), 1);
+    // A read without a result does not prevent others for ever.
+    core.now.mono += Duration::from_secs(61);
+    core.suspect_data_loss("a later sign");
+    assert_eq!(rereads(core), 1);
+}
+
 /// A page of an audit was read before a job ended, and reached the leader after that. The difference is no sign of a
 /// loss: taken for one, it made leaders read the whole store again several times a day.
 #[test]
--- a/src/core/store/integrity.rs
+++ b/src/core/store/integrity.rs
@@ -32,6 +32,8 @@
 const CHECK_INTERVAL: Duration = Duration::from_secs(3);
 /// Minimum interval between two full reads because of suspected data loss.
 const REREAD_INTERVAL: Duration = Duration::from_secs(1);
+/// Time after which a full read without a result no longer prevents another one.
+const REREAD_TIMEOUT: Duration = Duration::from_secs(60);
 
 /// Loss of data that this process has detected; kept until a leader has begun to rebuild the store.
 #[derive(Clone, Debug)]
@@ -112,6 +114,19 @@
     suspected_again: bool,
 }
 
+impl Reread {
+    /// Returns whether a read was started and its list can still be expected.
+    fn is_in_progress(&self, now: Instant) -> bool {
+        !self.finished && self.started.is_some_and(|at| now < at + REREAD_TIMEOUT)
+    }
+
+    /// Returns whether another read may be started. A read in progress is not replaced: that of a large store takes
+    /// longer than `REREAD_INTERVAL`, and would never be completed if the signs of a loss recur.
+    fn may_start(&self, now: Instant) -> bool {
+        !self.is_in_progress(now) && is_due(self.started, REREAD_INTERVAL, now)
+    }
+}
+
 impl StoreIntegrity {
     /// Records that a worker or another controller has seen `term`.
     pub(in crate::core) fn observe_term(&mut self, term: u64, now: Instant) {
--- a/src/core/store/integrity/checks.rs
+++ b/src/core/store/integrity/checks.rs
@@ -1,6 +1,6 @@
 //! Periodic checks that the store has kept its data: its identity, its revision, and the keys of jobs.
 
-use super::{CHECK_INTERVAL, REREAD_INTERVAL, is_due};
+use super::{CHECK_INTERVAL, is_due};
 use crate::core::Core;
 use crate::core::command::PendingCall;
 use crate::core::store::keys::{NEVER_WRITTEN, REBUILDING, identity_key, key};
@@ -15,7 +15,7 @@
         let now = self.now.mono;
         self.request_peer_summaries();
         let reread = &self.store_integrity.reread;
-        if reread.suspected_again && is_due(reread.started, REREAD_INTERVAL, now) {
+        if reread.suspected_again && reread.may_start(now) {
             self.suspect_data_loss("there was another sign of a loss");
         }
         self.mark_as_incomplete();
--- a/src/core/store/integrity/data_loss.rs
+++ b/src/core/store/integrity/data_loss.rs
@@ -1,6 +1,6 @@
 //! Signs that the store has lost data, the full read that they trigger, and the detection of a loss.
 
-use super::{CHECK_INTERVAL, DataLoss, REREAD_INTERVAL, is_due};
+use super::{CHECK_INTERVAL, DataLoss};
 use crate::core::leadership::lease::LEASE_TTL;
 use crate::core::store::cache::StoreList;
 use crate::core::{CallId, Core, Effect};
@@ -28,7 +28,7 @@
             return;
         }
         let reread = &mut self.store_integrity.reread;
-        if !is_due(reread.started, REREAD_INTERVAL, now) {
+        if !reread.may_start(now) {
             // The store is read again later, so that this sign is not lost.
             reread.suspected_again = true;
             return;
