The watch of the state service has a share of the rate limit

With changes all the time each controller fetched every one of them at once; three controllers together can exceed the rate limit of a small site, and then renewals of leases are refused.

Change: the watch has a budget of three tenths of the controller's share. With the six tenths of the calls and lists, a tenth remains for the lease.

watch_of_a_store_that_always_changes_stays_within_its_share failed before: 98 watches in 1.5 s where 26 are allowed.

--- a/src/service/mod.rs
+++ b/src/service/mod.rs
@@ -54,9 +54,11 @@
 use watch::StoreWatch;
 
 /// Fraction of this controller's share of the state service's rate limit for its reads and transactions, full
-/// lists of the store included. The rest is for the lease, the watch, and differences in how the state service
-/// counts requests.
+/// lists of the store included.
 const STORE_CALLS_SHARE: f64 = 0.6;
+/// Fraction of the same share for the watch. The rest is for the lease, and for differences in how the state service
+/// counts requests.
+const STORE_WATCH_SHARE: f64 = 0.3;
 /// Number of descriptors reserved for the lease, the watch, the listeners and the process's own files.
 const OTHER_SOCKETS: usize = 32;
 /// Minimum number of public connections, allowed even if sockets and memory would allow fewer.
@@ -120,6 +122,7 @@
     store_limiter: &SharedRateLimiter,
     inbox: &Inbox,
 ) -> io::Result<EffectHandlers> {
+    let watch_limiter = share_limiter(settings, STORE_WATCH_SHARE);
     Ok(EffectHandlers {
         store: store_pool::start(settings.store_addr, store_limiter, inbox)?,
         cloud: cloud_pool::start(settings.cloud_addr, inbox)?,
@@ -127,7 +130,7 @@
         peers: peer_pool::start(&settings.peers, inbox)?,
         heartbeat_batches: peer_pool::start_heartbeat_batches(&settings.peers, inbox)?,
         responses: owner::start_responses(inbox)?,
-        watch: StoreWatch::new(settings.store_addr, store_limiter, inbox),
+        watch: StoreWatch::new(settings.store_addr, store_limiter, watch_limiter, inbox),
         lease: Arc::new(LeaseControl::default()),
         ready: Arc::new(AtomicBool::new(false)),
     })
--- a/src/service/watch.rs
+++ b/src/service/watch.rs
@@ -28,6 +28,7 @@
     addr: SocketAddrV4,
     /// Limiter of the requests of full lists, shared with the other calls of this controller.
     list_limiter: SharedRateLimiter,
+    watch_limiter: SharedRateLimiter,
     inbox: Inbox,
     /// Number of the newest thread. Locked while a command is put into the inbox, so that no command of
     /// an earlier thread can follow the first listing by the newest one.
@@ -38,11 +39,13 @@
     pub(super) fn new(
         addr: SocketAddrV4,
         list_limiter: &SharedRateLimiter,
+        watch_limiter: SharedRateLimiter,
         inbox: &Inbox,
     ) -> Arc<StoreWatch> {
         Arc::new(StoreWatch {
             addr,
             list_limiter: list_limiter.clone(),
+            watch_limiter,
             inbox: inbox.clone(),
             newest_thread: Mutex::new(0),
         })
@@ -121,6 +124,7 @@
         client: &mut StoreClient,
         since: u64,
     ) -> Result<Option<u64>, StoreError> {
+        self.watch_limiter.wait();
         match client.watch(since, WATCH_WAIT)? {
             WatchResult::Changes { events, revision } => {
                 self.put(number, Command::StoreChanged { events, revision });
--- a/src/service/watch/tests.rs
+++ b/src/service/watch/tests.rs
@@ -10,6 +10,10 @@
 const PAGES: usize = 40;
 const PAGE_ITEMS: usize = 5;
 
+fn unlimited() -> SharedRateLimiter {
+    SharedRateLimiter::new(1e6)
+}
+
 /// Returns the number of ended jobs in the first list that a watch delivers, if it does before `deadline`.
 fn jobs_listed(inbox: &Inbox, deadline: Instant) -> Option<usize> {
     while Instant::now() < deadline {
@@ -48,7 +52,9 @@
         .collect();
     for inbox in &inboxes {
         let share = SharedRateLimiter::new(STORE_RPS / CONTROLLERS as f64 / 2.0);
-        StoreWatch::new(addr, &share, inbox).restart().unwrap();
+        StoreWatch::new(addr, &share, unlimited(), inbox)
+            .restart()
+            .unwrap();
     }
     let deadline = Instant::now() + Duration::from_secs(20);
     for inbox in &inboxes {
@@ -56,3 +62,34 @@
     }
     assert_eq!(*lock(&refused), 0, "the lists stay within their share");
 }
+
+/// Guards against watches that use up the rate limit of the state service: each change was fetched at once by every
+/// controller, and renewals of leases could be refused.
+#[test]
+fn watch_of_a_store_that_always_changes_stays_within_its_share() {
+    const WATCHES_PER_SECOND: f64 = 10.0;
+    const OBSERVED: Duration = Duration::from_millis(1500);
+    let store = Mutex::new(FakeStore::with_ended_jobs(1, PAGE_ITEMS));
+    let watches = Arc::new(Mutex::new(0));
+    let counted = watches.clone();
+    let addr = serve_store(move |request| {
+        let mut store = lock(&store);
+        if request.path.starts_with("/changes") {
+            *lock(&counted) += 1;
+            store.revision += 1;
+        }
+        store.respond(request)
+    });
+    let inbox = Inbox::new(Duration::from_secs(60));
+    let share = SharedRateLimiter::new(WATCHES_PER_SECOND);
+    let begun = Instant::now();
+    StoreWatch::new(addr, &unlimited(), share, &inbox)
+        .restart()
+        .unwrap();
+    std::thread::sleep(OBSERVED);
+    let count = *lock(&watches);
+    // A burst of a second's worth, and the watch that is being sent.
+    let allowed = WATCHES_PER_SECOND * (begun.elapsed().as_secs_f64() + 1.0) + 1.0;
+    assert!(count >= 5, "{count}");
+    assert!(f64::from(count) <= allowed, "{count}");
+}
