A follower reports its answers again when a batch gets no response

The leader took a worker's lease for expired one report too early, when the connections between controllers had been reset just before the worker was cut off.

Cause: a follower took the list of the heartbeats that it had answered itself out of its memory when it built a batch. When the batch got no response, was refused, or came back without a grant, only the queued heartbeats were kept. The next batch acknowledged the revocation of the silent workers all the same, and the leader ended their delegations without knowing of the last renewals. An answer was also dropped when its worker was referred to another controller first.

Evidence: with new log fields, the expired lease had been renewed 27.7 s before by the leader's record, 3.1 s before the two batches that were lost; the revocation was confirmed 2.4 s after these; no answer was ignored by the leader.

Change: LocalAnswers keeps each answer until a batch that contains it is answered. Log lines on lost batches, ignored answers, confirmed revocations, and the last renewal of an expired lease.

Why it works: the acknowledgement of a revocation needs all answers in a batch; those of a lost batch count as not reported.

The recorded decisions differ in frames of heartbeat batches and in the responses to them only: batches after a lost one contain its answers. The number of effects is the same in each schedule. The setup of two tests of the relay's state uses the new type; what they check is the same.

--- a/src/core/machines/removal.rs
+++ b/src/core/machines/removal.rs
@@ -25,7 +25,16 @@
             machine.lease_expired = true;
         }
         let tasks: Vec<TaskId> = machine.tasks.keys().cloned().collect();
-        tracing::warn!(machine = %id, tasks = tasks.len(), "worker lease expired, tasks lost");
+        let renewed_ms_ago = now
+            .saturating_duration_since(machine.lease_renewed)
+            .as_millis() as u64;
+        tracing::warn!(
+            machine = %id,
+            tasks = tasks.len(),
+            renewed_ms_ago,
+            via = machine.via.as_deref(),
+            "worker lease expired, tasks lost"
+        );
         self.tasks_lost(id, tasks, "lease expired");
         self.resolve_machine(id, "lease expired");
     }
--- a/src/core/simulation/recorded_decisions.rs
+++ b/src/core/simulation/recorded_decisions.rs
@@ -556,7 +556,7 @@
             1002,
             DELEGATING,
             1139,
-            0x4d82_25e0_511a_5eeb,
+            0x70b3_ce8d_d17f_f7a4,
         ),
         recorded(
             "takeover-bidding",
@@ -585,7 +585,7 @@
             6002,
             DELEGATING,
             1423,
-            0xb23a_e213_b21a_3f5c,
+            0x10f9_f2bd_cfa9_3627,
         ),
         recorded(
             "failures-bidding",
@@ -599,7 +599,7 @@
             6004,
             BIDDING_AND_DELEGATING,
             1361,
-            0xbb26_3b97_f3b4_c119,
+            0xf933_eca8_b72d_7d26,
         ),
     ];
     assert_recorded(&cases, failures_and_deadlines);
@@ -620,7 +620,7 @@
             5002,
             DELEGATING,
             4146,
-            0x2b21_6191_dac3_0b00,
+            0xea3a_b993_76fa_18fa,
         ),
         recorded(
             "many-machines-bidding",
@@ -634,7 +634,7 @@
             5004,
             BIDDING_AND_DELEGATING,
             4256,
-            0xaea8_5dd3_dc55_7eb7,
+            0x658c_bc78_2acc_0ca3,
         ),
     ];
     assert_recorded(&cases, many_machines);
@@ -649,7 +649,7 @@
             2002,
             DELEGATING,
             2139,
-            0x44d5_fe18_e605_a483,
+            0x8461_11fa_d64a_fe99,
         ),
         recorded(
             "store-loss-bidding",
@@ -663,7 +663,7 @@
             2004,
             BIDDING_AND_DELEGATING,
             2329,
-            0x557e_db0b_5dde_ba25,
+            0x5b71_6657_65dc_c1b5,
         ),
     ];
     assert_recorded(&cases, store_losses);
@@ -684,7 +684,7 @@
             3002,
             DELEGATING,
             2151,
-            0x3bd3_27ca_b515_16a5,
+            0x4e86_b0d5_b796_5cd8,
         ),
         recorded(
             "faulty-network-bidding",
@@ -731,7 +731,7 @@
         4004,
         BIDDING_AND_DELEGATING,
         2398,
-        0xa9d2_07a2_0fb6_7a56,
+        0x8720_baeb_1b6f_842f,
     ),
     recorded(
         "mixed-faults-alone-2",
@@ -773,7 +773,7 @@
         4010,
         DELEGATING,
         4106,
-        0xfbbf_b5fe_b02f_1dfc,
+        0xba72_1661_f863_f6be,
     ),
     recorded(
         "mixed-faults-bidding-3",
--- a/src/core/simulation/scenarios/delegation.rs
+++ b/src/core/simulation/scenarios/delegation.rs
@@ -251,6 +251,48 @@
     }
 }
 
+/// A follower answers workers while its batches to the leader are lost, and the workers reach no controller afterwards.
+/// Guards against tasks that run twice: the follower forgot which workers it had answered when the batch that said so
+/// got no response, and the leader took their leases for expired.
+#[test]
+fn answers_in_a_lost_batch_renew_leases() {
+    for answered_after in [2.0, 2.2, 2.4, 2.6] {
+        let (mut simulation, leader) = delegating_cluster(505, 4);
+        let other = (leader + 1) % 3;
+        let mut service = unlimited_job("wk-1", 4, 2.0, 0);
+        service.job_kind = JobKind::Service;
+        simulation.submit(leader, &service);
+        simulation.run_until(5.0, "replicas", |simulation| {
+            simulation.placements("wk-1").len() == 4
+        });
+        move_workers_to(&mut simulation, other);
+        simulation.run(5.0);
+        let delay_next_heartbeat = |simulation: &mut Simulation, seconds: f64| {
+            let at = simulation.now + Duration::from_secs_f64(seconds);
+            let workers = simulation.workers.values_mut();
+            workers.for_each(|m| m.next_heartbeat = at);
+        };
+        // All workers are answered at the same time, and once more just before they reach no controller.
+        delay_next_heartbeat(&mut simulation, 0.0);
+        simulation.run(0.5);
+        assert!(delegated_responses(&simulation, leader) > 0);
+        delay_next_heartbeat(&mut simulation, answered_after - 0.5);
+        simulation.run(answered_after - 1.0);
+        simulation.faults.cloud_down = true;
+        simulation.nodes[other].peers_reachable = false;
+        simulation.run(0.7);
+        let workers = simulation.workers.values_mut();
+        workers.for_each(|m| m.partitioned_from.extend(0..3));
+        simulation.nodes[other].peers_reachable = true;
+        // Other machines have capacity for their tasks.
+        for _ in 0..4 {
+            simulation.add_machine("small", "a");
+        }
+        simulation.run(40.0);
+        assert_eq!(simulation.placements("wk-1").len(), 4);
+    }
+}
+
 /// Workers of a paused controller wait 4 s for a response before they switch to another controller. Guards
 /// against a leader that declares them dead meanwhile, because other machines in their zones are heard.
 #[test]
--- a/src/core/workers/delegation/delegations.rs
+++ b/src/core/workers/delegation/delegations.rs
@@ -43,6 +43,7 @@
             || m.incarnation != answered.incarnation
             || m.lease_expired
         {
+            tracing::debug!(machine = %m.id, controller = &**from, "answered heartbeat ignored");
             return;
         }
         let received = now.checked_sub(answered.age).unwrap_or(now);
@@ -112,6 +113,7 @@
             {
                 m.delegated_to = None;
                 m.revoked = false;
+                tracing::debug!(machine = %id, controller = &**from, "revocation confirmed");
             }
         }
     }
--- a/src/core/workers/relay.rs
+++ b/src/core/workers/relay.rs
@@ -10,10 +10,12 @@
 //! leader, and this controller shows them its fencing token (`probes`).
 //!
 //! - `state`: the workers served here, the grant, and the batch in flight.
+//! - `local_answers`: the heartbeats answered here, until the leader knows of them.
 //! - `backoff`: retry delays for a leader that does not respond to batches.
 //! - `probes`: showing workers the fencing token of a new term.
 
 mod backoff;
+mod local_answers;
 mod probes;
 mod state;
 
@@ -32,7 +34,7 @@
 use crate::wire::{Heartbeat, HeartbeatResponse, TaskCommand, to_json};
 use burlusher_membership::grant::HeldGrant;
 use burlusher_membership::view::Capabilities;
-use state::{BATCH_INTERVAL, BatchInFlight};
+use state::{BATCH_INTERVAL, BatchContent, BatchInFlight};
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -83,10 +85,11 @@
         if !grant.is_valid(self.store_cache.term, now) && is_enabled(Safeguard::GrantExpiry) {
             return None;
         }
-        let fencing_token = self.relay.cached_response_token(heartbeat, now)?;
+        let fencing_token = self.relay.cached_response_token(heartbeat)?;
         if let Some(to) = self.relay.next_reassignment(&heartbeat.machine) {
             return Some(redirect_to(&to));
         }
+        self.relay.record_local_answer(heartbeat, now);
         let until = is_enabled(Safeguard::GrantExpiry).then_some(grant.expires_at);
         Some(accepted_response(fencing_token, Vec::new()).until(until))
     }
@@ -178,7 +181,7 @@
         let now = self.now.mono;
         let recent = self.recent_heartbeat_age();
         let term = self.store_cache.term;
-        let (batch, heartbeats) = self
+        let (batch, content) = self
             .relay
             .next_batch(&self.settings.name, term, recent, now);
         let number = batch.number;
@@ -187,7 +190,7 @@
             number,
             sent_at: now,
             leader: leader.clone(),
-            heartbeats,
+            content,
         });
         self.effects.push(Effect::HeartbeatBatch {
             peer: leader,
@@ -215,8 +218,14 @@
         let now = self.now.mono;
         let granted_recently = self.relay.was_granted_recently(now);
         self.relay.backoff.record_failure(now, granted_recently);
-        tracing::debug!(leader = batch.leader, "heartbeat batch not answered");
-        self.requeue_heartbeats(batch.heartbeats);
+        tracing::debug!(
+            leader = batch.leader,
+            number = batch.number,
+            heartbeats = batch.content.heartbeats.len(),
+            answers = batch.content.answers.len(),
+            "heartbeat batch not answered"
+        );
+        self.take_back(batch.content);
     }
 
     fn handle_batch_response(
@@ -229,20 +238,21 @@
         self.peer_reachable_at = now;
         if response.refused {
             self.relay.backoff.record_refusal(now);
-            return self.requeue_heartbeats(batch.heartbeats);
+            return self.take_back(batch.content);
         }
         // The sender is not the leader, or its term is over.
         if response.grant.is_zero() || self.relay.is_superseded(response.term) {
-            return self.requeue_heartbeats(batch.heartbeats);
+            return self.take_back(batch.content);
         }
         let grant = HeldGrant::new(response.term, batch.sent_at, response.grant);
         self.update_members(&batch.leader, &response.members);
+        let heartbeats = batch.content.heartbeats;
         self.relay.apply_response(grant, &mut response, now);
         if self.relay.register_term(response.term) {
-            self.begin_token_probes(response.term, &batch.heartbeats);
+            self.begin_token_probes(response.term, &heartbeats);
         }
         self.add_token_probes(response.probes);
-        self.deliver_responses(batch.heartbeats, response.responses, grant);
+        self.deliver_responses(heartbeats, response.responses, grant);
     }
 
     /// Merges the leader's view of the other controllers, and records that the leader is alive.
@@ -310,10 +320,12 @@
         self.answer(ticket, answer);
     }
 
-    /// Puts the heartbeats of a failed batch back into the queue. If they should not wait for the
-    /// leader, the workers of all queued heartbeats are redirected to it instead.
-    fn requeue_heartbeats(&mut self, heartbeats: Vec<QueuedHeartbeat>) {
-        self.relay.queue.put_back(heartbeats);
+    /// Takes back the content of a failed batch: the answers given here are reported again, and the heartbeats are put
+    /// back into the queue. If they should not wait for the leader, the workers of all queued heartbeats are redirected
+    /// to it instead.
+    fn take_back(&mut self, content: BatchContent) {
+        self.relay.put_back_answers(content.answers);
+        self.relay.queue.put_back(content.heartbeats);
         if self.may_wait_for_leader() {
             return;
         }
--- a/src/core/workers/relay/state.rs
+++ b/src/core/workers/relay/state.rs
@@ -2,11 +2,12 @@
 //! leader's grant, and the batch of heartbeats in flight.
 
 use super::backoff::LeaderBackoff;
+use super::local_answers::{LocalAnswer, LocalAnswers, ReportedAnswers, answered_heartbeats};
 use crate::core::leadership::state::LeaderState;
 use crate::core::workers::heartbeat_queue::{HeartbeatQueue, QueuedHeartbeat};
 use crate::job::MachineId;
 use crate::peer::heartbeat_batch::{
-    self, AnsweredHeartbeat, HeartbeatBatch, HeartbeatBatchResponse, RelayedHeartbeat,
+    self, HeartbeatBatch, HeartbeatBatchResponse, RelayedHeartbeat,
 };
 use crate::wire::Heartbeat;
 use burlusher_membership::digest::{Digest, Digester};
@@ -65,7 +66,13 @@
     pub number: u64,
     pub sent_at: Instant,
     pub leader: String,
+    pub content: BatchContent,
+}
+
+/// Parts of a batch that are sent again if it gets no response.
+pub(super) struct BatchContent {
     pub heartbeats: Vec<QueuedHeartbeat>,
+    pub answers: ReportedAnswers,
 }
 
 /// A worker that is to be shown a new fencing token.
@@ -100,11 +107,10 @@
     incarnation: u64,
     grant: Option<HeldGrant>,
     pub(super) workers: BTreeMap<MachineId, ServedWorker>,
-    /// Workers whose heartbeats were answered here, and whose lease renewal is still to be reported
-    /// to the leader.
-    unreported: BTreeSet<MachineId>,
-    /// Number of the newest batch response that may be acknowledged: after it was applied, all workers in
-    /// `unreported` have been reported.
+    /// Heartbeats that were answered here, until the leader has received the report.
+    answers: LocalAnswers,
+    /// Number of the newest batch response that may be acknowledged: after it was applied, all `answers` have been
+    /// reported.
     acknowledged: u64,
     /// Number of the newest batch response that was applied.
     last_response: u64,
@@ -149,7 +155,8 @@
 
     /// Returns the number of heartbeats that wait for the leader's response.
     pub fn waiting(&self) -> usize {
-        let sent = self.in_flight.as_ref().map_or(0, |b| b.heartbeats.len());
+        let in_flight = self.in_flight.as_ref();
+        let sent = in_flight.map_or(0, |b| b.content.heartbeats.len());
         self.queue.len() + sent
     }
 
@@ -218,14 +225,9 @@
     }
 
     /// Returns the fencing token of the cached response, if the worker has one and the heartbeat is
-    /// unchanged. The heartbeat then counts as answered here.
-    pub(super) fn cached_response_token(
-        &mut self,
-        heartbeat: &Heartbeat,
-        now: Instant,
-    ) -> Option<u64> {
-        let digest = self.digest(heartbeat);
-        let worker = self.workers.get_mut(&heartbeat.machine)?;
+    /// unchanged.
+    pub(super) fn cached_response_token(&self, heartbeat: &Heartbeat) -> Option<u64> {
+        let worker = self.workers.get(&heartbeat.machine)?;
         let cached = worker.cached_response?;
         let unchanged = heartbeat.incarnation == worker.incarnation
             && heartbeat.sequence > worker.sequence
@@ -233,16 +235,22 @@
             // reporting here until its lease expires.
             && heartbeat.fencing_token == cached.fencing_token
             && heartbeat.reclaim_in_s.is_none()
-            && digest == cached.digest;
-        if !unchanged {
-            return None;
-        }
-        worker.sequence = heartbeat.sequence;
-        worker.last_heartbeat = now;
-        if !self.unreported.contains(&heartbeat.machine) {
-            self.unreported.insert(heartbeat.machine.clone());
+            && self.digest(heartbeat) == cached.digest;
+        unchanged.then_some(cached.fencing_token)
+    }
+
+    /// Records that a heartbeat is answered here, which renews its worker's lease.
+    pub(super) fn record_local_answer(&mut self, heartbeat: &Heartbeat, now: Instant) {
+        if let Some(worker) = self.workers.get_mut(&heartbeat.machine) {
+            worker.sequence = heartbeat.sequence;
+            worker.last_heartbeat = now;
         }
-        Some(cached.fencing_token)
+        let answer = LocalAnswer {
+            incarnation: heartbeat.incarnation,
+            sequence: heartbeat.sequence,
+            answered_at: now,
+        };
+        self.answers.record(&heartbeat.machine, answer);
     }
 
     /// Records a worker to whose heartbeat the leader has responded. If `cached_token` is given, the
@@ -297,7 +305,7 @@
             for worker in self.workers.values_mut() {
                 worker.cached_response = None;
             }
-            self.unreported.clear();
+            self.answers.clear();
         }
         self.grant = Some(grant);
     }
@@ -310,36 +318,21 @@
         is_new
     }
 
-    /// Takes as many of the heartbeats that were answered here and not yet reported as fit into a frame.
-    fn take_answered_for_frame(&mut self, now: Instant) -> Vec<AnsweredHeartbeat> {
-        let mut answered = Vec::new();
-        let mut size = 0;
-        while size < heartbeat_batch::MAX_ANSWERED_BYTES
-            && let Some(id) = self.unreported.pop_first()
-        {
-            if let Some(worker) = self.workers.get(&id) {
-                size += heartbeat_batch::answered_heartbeat_size(&id);
-                answered.push(AnsweredHeartbeat {
-                    machine: id,
-                    incarnation: worker.incarnation,
-                    sequence: worker.sequence,
-                    age: now.saturating_duration_since(worker.last_heartbeat),
-                });
-            }
-        }
-        answered
-    }
-
     /// Returns the number of the response to acknowledge to the leader. With the acknowledgement, the
     /// leader treats the delegations that were revoked by this response as ended. All heartbeats that
     /// were answered here under them must therefore have been reported first.
     fn acknowledge(&mut self) -> u64 {
-        if self.unreported.is_empty() {
+        if self.answers.all_reported() {
             self.acknowledged = self.last_response;
         }
         self.acknowledged
     }
 
+    /// Takes back the answers in a batch without a response.
+    pub(super) fn put_back_answers(&mut self, answers: ReportedAnswers) {
+        self.answers.put_back(answers);
+    }
+
     /// Periodically removes workers whose lease has expired.
     pub(super) fn drop_expired_workers(&mut self, now: Instant, lease: Duration) {
         let last_scan = self.last_expiry_scan;
@@ -357,8 +350,8 @@
         self.in_flight.is_none() && !early && !self.backoff.defers(now)
     }
 
-    /// Builds the next batch for the leader of this term, and returns it with the queued heartbeats that
-    /// it contains. `recent` is the maximum age of a worker's newest heartbeat at which the worker counts
+    /// Builds the next batch for the leader of this term, and returns it with what is to be sent again if there is no
+    /// response. `recent` is the maximum age of a worker's newest heartbeat at which the worker counts
     /// as reporting here.
     pub(super) fn next_batch(
         &mut self,
@@ -366,11 +359,11 @@
         term: u64,
         recent: Duration,
         now: Instant,
-    ) -> (HeartbeatBatch, Vec<QueuedHeartbeat>) {
+    ) -> (HeartbeatBatch, BatchContent) {
         self.last_number += 1;
         self.last_sent = Some(now);
         let unanswered_probes = self.probes.take_unanswered_for_frame();
-        let answered = self.take_answered_for_frame(now);
+        let answers = self.answers.take_frame();
         let acknowledged = self.acknowledge();
         let heartbeats = self.queue.take_frame();
         let batch = HeartbeatBatch {
@@ -384,10 +377,14 @@
             term: self.grant.map_or(0, |g| g.term),
             served: self.served_for_frame(term, recent, now),
             unanswered_probes,
-            answered,
+            answered: answered_heartbeats(&answers, now),
             heartbeats: relayed_heartbeats(&heartbeats),
         };
-        (batch, heartbeats)
+        let content = BatchContent {
+            heartbeats,
+            answers,
+        };
+        (batch, content)
     }
 
     fn recent_workers(
--- a/src/core/workers/relay/state/tests.rs
+++ b/src/core/workers/relay/state/tests.rs
@@ -7,6 +7,14 @@
     format!("instance-0123456789abcdef-0123456-{number:06}").into()
 }
 
+fn answer(now: Instant) -> LocalAnswer {
+    LocalAnswer {
+        incarnation: 1,
+        sequence: 7,
+        answered_at: now,
+    }
+}
+
 /// Returns the relay of a controller that has just answered a heartbeat of each of `MACHINES` workers itself.
 fn relay_with_served_workers(now: Instant) -> Relay {
     let mut relay = Relay::new(1);
@@ -20,7 +28,7 @@
             cached_response: None,
         };
         relay.workers.insert(machine(number), worker);
-        relay.unreported.insert(machine(number));
+        relay.answers.record(&machine(number), answer(now));
     }
     relay
 }
@@ -30,18 +38,18 @@
     let now = Instant::now();
     let mut relay = relay_with_served_workers(now);
     relay.last_response = 41;
-    let first = relay.take_answered_for_frame(now);
+    let first = relay.answers.take_frame();
     assert!(!first.is_empty() && first.len() < MACHINES);
     assert_eq!(
         relay.acknowledge(),
         0,
         "some answered heartbeats are not reported yet"
     );
-    let second = relay.take_answered_for_frame(now);
+    let second = relay.answers.take_frame();
     assert_eq!(first.len() + second.len(), MACHINES);
     assert_eq!(relay.acknowledge(), 41);
     relay.last_response = 42;
-    assert!(relay.take_answered_for_frame(now).is_empty());
+    assert!(relay.answers.take_frame().is_empty());
     assert_eq!(relay.acknowledge(), 42);
 }
 
@@ -58,3 +66,62 @@
     assert_eq!(reported, (0..MACHINES).map(machine).collect::<Vec<_>>());
     assert_eq!(frames, 3);
 }
+
+fn grant(term: u64, expires_at: Instant) -> HeldGrant {
+    HeldGrant { term, expires_at }
+}
+
+#[test]
+fn an_answer_is_reported_even_if_its_worker_has_left() {
+    let now = Instant::now();
+    let mut relay = Relay::new(1);
+    relay.answers.record(&machine(0), answer(now));
+    relay.workers.clear();
+    let (batch, _) = relay.next_batch("n0", 1, Duration::from_secs(3), now);
+    assert_eq!(batch.answered.len(), 1);
+}
+
+/// Guards against answers that are forgotten with a batch that got no response, or one that takes no note of it.
+#[test]
+fn answers_are_taken_back_whatever_fails() {
+    let setup = crate::core::simulation::SETUP;
+    let settings = crate::core::simulation::settings("n0", setup);
+    let responses = [
+        None,
+        Some(HeartbeatBatchResponse::default()),
+        Some(HeartbeatBatchResponse {
+            refused: true,
+            ..HeartbeatBatchResponse::default()
+        }),
+        Some(HeartbeatBatchResponse {
+            term: 2,
+            grant: Duration::from_secs(1),
+            ..HeartbeatBatchResponse::default()
+        }),
+    ];
+    for response in responses {
+        let now = Instant::now();
+        let clock = crate::core::Now {
+            mono: now,
+            wall: std::time::SystemTime::UNIX_EPOCH,
+        };
+        let policy = crate::policy::Policy::parse("relay", "delegate = true").unwrap();
+        let mut core = crate::core::Core::new(settings.clone().into(), policy.into(), 1, clock);
+        core.relay.renew_grant(grant(3, now), now);
+        core.relay.answers.record(&machine(0), answer(now));
+        let (batch, content) = core.relay.next_batch("n0", 3, Duration::from_secs(3), now);
+        core.relay.set_in_flight(BatchInFlight {
+            number: batch.number,
+            sent_at: now,
+            leader: "n1".into(),
+            content,
+        });
+        assert!(core.relay.answers.all_reported());
+        let response = response.map(|response| HeartbeatBatchResponse {
+            number: batch.number,
+            ..response
+        });
+        core.batch_answered(batch.number, response.map(Box::new));
+        assert_eq!(core.relay.answers.take_frame().len(), 1);
+    }
+}
