The leader reads a batch's answers before it ends delegations with it

Change: answers first. A leader of an earlier version keeps the other order, so a follower acknowledges a revocation only after a batch with the last answers of the revoked machines was answered.

The recorded decisions differ in frames of heartbeat batches and in the responses to them only, in two schedules: revocations are acknowledged a batch later.

--- a/src/core/simulation/recorded_decisions.rs
+++ b/src/core/simulation/recorded_decisions.rs
@@ -620,7 +620,7 @@
             5002,
             DELEGATING,
             4146,
-            0xea3a_b993_76fa_18fa,
+            0x4592_2d23_9a6f_17e4,
         ),
         recorded(
             "many-machines-bidding",
@@ -684,7 +684,7 @@
             3002,
             DELEGATING,
             2151,
-            0x4e86_b0d5_b796_5cd8,
+            0x4eb8_c9b2_8ae6_15ba,
         ),
         recorded(
             "faulty-network-bidding",
--- a/src/core/workers/delegation.rs
+++ b/src/core/workers/delegation.rs
@@ -73,10 +73,16 @@
                 return None;
             }
             // The process with cached responses has ended, and its successor has none.
-            RequestOrder::NewIncarnation => leader.reset_delegate(&from),
-            RequestOrder::Next => leader.confirm_revocations(&from, batch.acknowledged),
+            RequestOrder::NewIncarnation => {
+                leader.reset_delegate(&from);
+                leader.record_batch(&from, &batch, now);
+            }
+            RequestOrder::Next => {
+                leader.record_batch(&from, &batch, now);
+                // The answers in this batch may have been given under a delegation that ends with it.
+                leader.confirm_revocations(&from, batch.acknowledged);
+            }
         }
-        leader.record_batch(&from, &batch, now);
         Some(PendingBatch {
             ticket,
             number: batch.number,
--- a/src/core/workers/delegation/tests.rs
+++ b/src/core/workers/delegation/tests.rs
@@ -1,7 +1,12 @@
 use super::probes::MAX_PROBES_PER_DELEGATE;
 use super::*;
+use crate::core::machines::machine::Machine;
+use crate::core::simulation::Simulation;
 use crate::core::workers::commands::MAX_COMMANDS;
+use crate::peer::heartbeat_batch::AnsweredHeartbeat;
+use crate::policy::Policy;
 use crate::wire::TaskCommand;
+use std::time::Duration;
 
 const MACHINES: usize = 6000;
 
@@ -78,3 +83,78 @@
         Some(response)
     );
 }
+
+/// Returns a cluster of three controllers whose followers serve workers for the leader, and its leader.
+fn delegating_cluster(seed: u64) -> (Simulation, usize) {
+    let policy = Policy::parse("delegation", "delegate = true").unwrap();
+    let mut simulation = Simulation::with_policy(seed, policy);
+    simulation.capacity.clear();
+    simulation.add_machines("small", 60);
+    let leader = simulation.run_until_leader(4.0);
+    simulation.run(5.0);
+    (simulation, leader)
+}
+
+/// Returns a machine that the leader has delegated to the controller `delegate`.
+fn delegated_machine(simulation: &Simulation, leader: usize, delegate: usize) -> MachineId {
+    let name = format!("n{delegate}");
+    let state = simulation.nodes[leader].core.leader.as_ref().unwrap();
+    let mut machines = state.machines.values();
+    let delegated = machines.find(|m| m.delegated_to.as_deref() == Some(&*name) && !m.revoked);
+    delegated.unwrap().id.clone()
+}
+
+/// Delivers a batch of the controller `delegate` to the leader: it acknowledges the end of the machine's delegation, and
+/// `skipped` batches before it are missing. Returns how long ago the leader then takes the worker's lease to have been
+/// renewed.
+fn acknowledge_revocation(
+    simulation: &mut Simulation,
+    leader: usize,
+    delegate: usize,
+    skipped: u64,
+    answered: impl Fn(&Machine) -> Vec<AnsweredHeartbeat>,
+) -> Duration {
+    let machine = delegated_machine(simulation, leader, delegate);
+    let name: Arc<str> = format!("n{delegate}").into();
+    let core = &mut simulation.nodes[leader].core;
+    let state = core.leader.as_mut().unwrap();
+    state.revoke_delegation(&machine);
+    let delegate = state.delegates.by_name.get_mut(&name).unwrap();
+    let sent = delegate.issued.last_number;
+    delegate.revocations.insert(machine.clone(), Some(sent));
+    let record = state.machines.get_mut(&machine).unwrap();
+    record.lease_renewed -= Duration::from_secs(5);
+    let batch = HeartbeatBatch {
+        from: name.to_string(),
+        incarnation: delegate.issued.incarnation,
+        number: sent + 1 + skipped,
+        acknowledged: sent,
+        term: state.term,
+        answered: answered(record),
+        ..HeartbeatBatch::default()
+    };
+    core.receive_batch(0, batch);
+    let state = core.leader.as_ref().unwrap();
+    let record = state.machines.get(&machine).unwrap();
+    assert_eq!(record.delegated_to, None, "the delegation has ended");
+    core.now.mono - record.lease_renewed
+}
+
+/// Guards against tasks that run twice: the leader ended a delegation before it read the answers in the batch that
+/// acknowledged its end, and ignored them.
+#[test]
+fn answers_in_the_batch_that_acknowledges_a_revocation_renew_leases() {
+    let (mut simulation, leader) = delegating_cluster(515);
+    let age = Duration::from_millis(300);
+    let answer = |machine: &Machine| {
+        vec![AnsweredHeartbeat {
+            machine: machine.id.clone(),
+            incarnation: machine.incarnation,
+            sequence: machine.sequence + 1,
+            age,
+        }]
+    };
+    let other = (leader + 1) % 3;
+    let renewed = acknowledge_revocation(&mut simulation, leader, other, 0, answer);
+    assert_eq!(renewed, age);
+}
--- a/src/core/workers/relay.rs
+++ b/src/core/workers/relay.rs
@@ -246,7 +246,11 @@
         }
         let grant = HeldGrant::new(response.term, batch.sent_at, response.grant);
         self.update_members(&batch.leader, &response.members);
-        let heartbeats = batch.content.heartbeats;
+        let BatchContent {
+            heartbeats,
+            answers,
+        } = batch.content;
+        self.relay.confirm_answers(&answers);
         self.relay.apply_response(grant, &mut response, now);
         if self.relay.register_term(response.term) {
             self.begin_token_probes(response.term, &heartbeats);
--- a/src/core/workers/relay/local_answers.rs
+++ b/src/core/workers/relay/local_answers.rs
@@ -5,7 +5,7 @@
 
 use crate::job::MachineId;
 use crate::peer::heartbeat_batch::{self, AnsweredHeartbeat};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Instant;
 
 /// The newest heartbeat of a worker that was answered here.
@@ -24,6 +24,8 @@
 pub(super) struct LocalAnswers {
     /// Answers that are not in a batch, by machine.
     unreported: BTreeMap<MachineId, LocalAnswer>,
+    /// Machines whose delegation was revoked when an answer of theirs was not in an answered batch yet.
+    revoked: BTreeSet<MachineId>,
 }
 
 impl LocalAnswers {
@@ -57,9 +59,27 @@
         }
     }
 
-    /// Returns whether all answers are in a batch.
-    pub fn all_reported(&self) -> bool {
-        self.unreported.is_empty()
+    /// Records that the leader has received these answers.
+    pub fn confirm(&mut self, answers: &ReportedAnswers) {
+        for machine in answers.keys() {
+            self.revoked.remove(machine);
+        }
+    }
+
+    /// Records that the leader has revoked the delegations of these machines.
+    pub fn revoke(&mut self, machines: &[MachineId]) {
+        for machine in machines {
+            if self.unreported.contains_key(machine) {
+                self.revoked.insert(machine.clone());
+            }
+        }
+    }
+
+    /// Returns whether the end of all revoked delegations may be acknowledged: all answers are reported, and the leader
+    /// has certainly received those of the revoked machines. A leader of an earlier version ends the delegations before
+    /// it reads the answers in the same batch, and then ignores these.
+    pub fn may_acknowledge(&self) -> bool {
+        self.unreported.is_empty() && self.revoked.is_empty()
     }
 
     /// Forgets all answers.
--- a/src/core/workers/relay/state.rs
+++ b/src/core/workers/relay/state.rs
@@ -289,6 +289,7 @@
         self.renew_grant(grant, now);
         self.last_response = response.number;
         self.reassignments = std::mem::take(&mut response.reassignments);
+        self.answers.revoke(&response.revoked);
         for id in &response.revoked {
             if let Some(worker) = self.workers.get_mut(id) {
                 worker.cached_response = None;
@@ -322,7 +323,7 @@
     /// leader treats the delegations that were revoked by this response as ended. All heartbeats that
     /// were answered here under them must therefore have been reported first.
     fn acknowledge(&mut self) -> u64 {
-        if self.answers.all_reported() {
+        if self.answers.may_acknowledge() {
             self.acknowledged = self.last_response;
         }
         self.acknowledged
@@ -333,6 +334,11 @@
         self.answers.put_back(answers);
     }
 
+    /// Records that the leader has received the answers in a batch.
+    pub(super) fn confirm_answers(&mut self, answers: &ReportedAnswers) {
+        self.answers.confirm(answers);
+    }
+
     /// Periodically removes workers whose lease has expired.
     pub(super) fn drop_expired_workers(&mut self, now: Instant, lease: Duration) {
         let last_scan = self.last_expiry_scan;
--- a/src/core/workers/relay/state/tests.rs
+++ b/src/core/workers/relay/state/tests.rs
@@ -116,7 +116,7 @@
             leader: "n1".into(),
             content,
         });
-        assert!(core.relay.answers.all_reported());
+        assert!(core.relay.answers.may_acknowledge());
         let response = response.map(|response| HeartbeatBatchResponse {
             number: batch.number,
             ..response
