A missing heartbeat batch counts as a renewal of the leases delegated to its sender

The batches are numbered, so the leader sees the gap: it takes every machine delegated to the sender as answered just then. A lease is then counted too long by some seconds, never too short.

The test failed before: a_missing_batch_counts_as_renewal_of_delegated_leases: left 5.05s, right 0ns.

--- a/src/core/workers/delegation.rs
+++ b/src/core/workers/delegation.rs
@@ -66,6 +66,7 @@
         }
         let from: Arc<str> = batch.from.as_str().into();
         let leader = self.leader.as_mut()?;
+        let follows_last = leader.follows_last_batch(&from, batch.number);
         match leader.accept_request(&from, batch.incarnation, batch.number, now) {
             // Delayed in transit: its sender has given up on it, and its heartbeats are outdated.
             RequestOrder::Stale => {
@@ -79,6 +80,9 @@
             }
             RequestOrder::Next => {
                 leader.record_batch(&from, &batch, now);
+                if !follows_last {
+                    leader.assume_renewed_leases(&from, now);
+                }
                 // The answers in this batch may have been given under a delegation that ends with it.
                 leader.confirm_revocations(&from, batch.acknowledged);
             }
@@ -205,6 +209,12 @@
 }
 
 impl LeaderState {
+    /// Returns whether no batch of the controller is missing before the one with this number.
+    fn follows_last_batch(&self, from: &Arc<str>, number: u64) -> bool {
+        let delegate = self.delegates.by_name.get(from);
+        delegate.is_none_or(|delegate| number == delegate.issued.last_number + 1)
+    }
+
     /// Records the number of a batch, which also requests a grant, and returns how the batch is ordered
     /// relative to earlier ones. Adds the controller as a delegate if it is not known.
     fn accept_request(
--- a/src/core/workers/delegation/delegations.rs
+++ b/src/core/workers/delegation/delegations.rs
@@ -55,6 +55,25 @@
         }
     }
 
+    /// Assumes that a controller has answered each machine that is delegated to it just now: a batch of this controller
+    /// did not arrive, and one of an earlier version does not report again what was in it.
+    pub(super) fn assume_renewed_leases(&mut self, from: &Arc<str>, now: Instant) {
+        let delegated: Vec<MachineId> = (self.machines.values())
+            .filter(|m| m.delegated_to.as_ref() == Some(from) && !m.lease_expired)
+            .map(|m| m.id.clone())
+            .collect();
+        tracing::debug!(
+            controller = &**from,
+            machines = delegated.len(),
+            "heartbeat batch missing"
+        );
+        for id in delegated {
+            if let Some(m) = self.machines.get_mut_untracked(&id) {
+                m.lease_renewed = m.lease_renewed.max(now);
+            }
+        }
+    }
+
     /// Revokes the delegation of a machine, if it is delegated.
     pub(super) fn revoke_delegation(&mut self, id: &MachineId) {
         let Some(m) = self.machines.get_mut_untracked(id) else {
--- a/src/core/workers/delegation/tests.rs
+++ b/src/core/workers/delegation/tests.rs
@@ -158,3 +158,16 @@
     let renewed = acknowledge_revocation(&mut simulation, leader, other, 0, answer);
     assert_eq!(renewed, age);
 }
+
+/// A controller of an earlier version does not report again what was in a lost batch. Guards against a leader that ends
+/// delegations without knowing of the answers in it.
+#[test]
+fn a_missing_batch_counts_as_renewal_of_delegated_leases() {
+    let (mut simulation, leader) = delegating_cluster(516);
+    let other = (leader + 1) % 3;
+    let no_answers = |_: &Machine| Vec::new();
+    let renewed = acknowledge_revocation(&mut simulation, leader, other, 0, no_answers);
+    assert!(renewed >= Duration::from_secs(5), "{renewed:?}");
+    let renewed = acknowledge_revocation(&mut simulation, leader, other, 1, no_answers);
+    assert_eq!(renewed, Duration::ZERO);
+}
