A follower keeps its answers when its grant is renewed late in the same term

An answer that the leader needs no more is ignored there, as before.

The test failed before: answers_outlive_a_grant_that_is_renewed_late_in_the_same_term: term 3, left false, right true. Not seen on running processes.

--- a/src/core/workers/relay/state.rs
+++ b/src/core/workers/relay/state.rs
@@ -302,10 +302,13 @@
     fn renew_grant(&mut self, grant: HeldGrant, now: Instant) {
         let unbroken = self.grant.is_some_and(|g| g.is_valid(grant.term, now));
         if !unbroken {
-            // The leader has treated every delegation as ended since the grant expired.
             for worker in self.workers.values_mut() {
                 worker.cached_response = None;
             }
+        }
+        // Within a term the leader may not have noticed that the grant expired here: by its record the grant was
+        // extended by a response that was late or lost.
+        if self.grant.is_none_or(|g| g.term != grant.term) {
             self.answers.clear();
         }
         self.grant = Some(grant);
--- a/src/core/workers/relay/state/tests.rs
+++ b/src/core/workers/relay/state/tests.rs
@@ -71,6 +71,21 @@
     HeldGrant { term, expires_at }
 }
 
+/// Guards against tasks that run twice: answers given just before the grant expired here were forgotten, while the
+/// leader, which had extended the grant, went on taking the delegations as valid.
+#[test]
+fn answers_outlive_a_grant_that_is_renewed_late_in_the_same_term() {
+    let now = Instant::now();
+    let later = now + Duration::from_secs(2);
+    for (term, kept) in [(3, true), (4, false)] {
+        let mut relay = Relay::new(1);
+        relay.renew_grant(grant(3, now), now - Duration::from_secs(1));
+        relay.answers.record(&machine(0), answer(now));
+        relay.renew_grant(grant(term, later), now + Duration::from_millis(1));
+        assert_eq!(!relay.answers.take_frame().is_empty(), kept, "term {term}");
+    }
+}
+
 #[test]
 fn an_answer_is_reported_even_if_its_worker_has_left() {
     let now = Instant::now();
