Test of a restart on a rolled back store checks the answers

restart_on_rolled_back_store ended with an assertion on a counter of its own loop, which could not fail, and only excluded some statuses.

--- a/src/core/simulation/scenarios/loss_of_store.rs
+++ b/src/core/simulation/scenarios/loss_of_store.rs
@@ -698,18 +698,12 @@
     simulation.run(0.4);
     let mut repeated = spec.clone();
     repeated.team = "nobody".into();
-    let mut answered = 0;
     for _ in 0..4 {
         let (status, _) = simulation.show(other, "wk-000001");
-        assert_ne!(status, 404, "an accepted job is reported as unknown");
+        assert_eq!(status, 503, "the state of an accepted job is not known");
         let status = simulation.submit(other, &repeated);
-        assert!(
-            !matches!(status, 400 | 422),
-            "refused as if the job were unknown"
-        );
-        answered += 1;
+        assert_eq!(status, 503, "the job may have been accepted before");
     }
-    assert_eq!(answered, 4);
     simulation.heal_controllers();
     simulation.run_until(60.0, "the store is complete", Simulation::is_store_complete);
     simulation.run_until_done("wk-000001", 90.0);
