--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -58,7 +58,7 @@
 use crate::rate_limiter::RateLimiter;
 use crate::settings::Settings;
 use crate::store_client::{StoreOutcome, StoreRequest};
-use crate::wire::{Item, MachineType};
+use crate::wire::MachineType;
 use burlusher_membership::view::MembershipView;
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
@@ -181,8 +181,8 @@
 
     /// Loads a snapshot into the cached copy of the store, before anything is read from the store. If the store has
     /// lost no data, its own contents replace the snapshot.
-    pub fn load_snapshot(&mut self, items: Vec<Item>, revision: u64) {
-        self.store_cache.reset(items.into(), revision);
+    pub fn load_snapshot(&mut self, list: StoreList, revision: u64) {
+        self.store_cache.reset(list, revision);
         self.store_cache.loaded = false;
     }
 
--- a/src/core/store/cache/list.rs
+++ b/src/core/store/cache/list.rs
@@ -177,11 +177,18 @@
     }
 }
 
+impl FromIterator<Item> for StoreList {
+    /// Builds a list from items that are ordered by key.
+    fn from_iter<I: IntoIterator<Item = Item>>(items: I) -> StoreList {
+        StoreList {
+            entries: items.into_iter().map(ListEntry::from_item).collect(),
+        }
+    }
+}
+
 impl From<Vec<Item>> for StoreList {
     fn from(items: Vec<Item>) -> StoreList {
-        let mut list = StoreList::default();
-        list.add_page(items);
-        list
+        items.into_iter().collect()
     }
 }
 
--- a/src/service/mod.rs
+++ b/src/service/mod.rs
@@ -102,7 +102,7 @@
     let mut core = Core::new(settings, Arc::new(policy), rand::random(), owner::now());
     if let Some(dir) = snapshots {
         if let Some(snapshot) = snapshotter::newest_snapshot(dir)? {
-            core.load_snapshot(snapshot.items, snapshot.revision);
+            core.load_snapshot(snapshot.list, snapshot.revision);
         }
         let mut snapshotter = Snapshotter::open(store_addr, store_limiter, dir)?;
         spawn("snapshotter", move || snapshotter.run())?;
