--- a/src/core/workers/relay/probes.rs
+++ b/src/core/workers/relay/probes.rs
@@ -1,16 +1,41 @@
 //! Token probes: calls that show a new leader's fencing token to the workers that send heartbeats here. The
 //! workers then refuse whatever earlier leaders sent, and the leader learns which tasks each of them has.
 
-use super::state::TokenProbe;
 use crate::core::command::PendingCall;
 use crate::core::machines::machine::TOKEN_EPOCH_BITS;
 use crate::core::workers::commands::MAX_DIRECT_CALLS;
 use crate::core::workers::heartbeat_queue::QueuedHeartbeat;
 use crate::core::{Core, Effect};
 use crate::job::MachineId;
+use crate::peer::heartbeat_batch;
 use crate::wire::DirectCommands;
 use crate::worker_client::{DirectOutcome, DirectRequest};
 
+/// A worker that is to be shown a new fencing token.
+pub(super) struct TokenProbe {
+    pub machine: MachineId,
+    /// The worker's incarnation; 0 if it is not known because the worker never reported here.
+    pub incarnation: u64,
+    pub addr: String,
+}
+
+/// Probes that show workers the fencing token of a new term.
+#[derive(Default)]
+pub(super) struct TokenProbes {
+    pub pending: Vec<TokenProbe>,
+    pub in_flight: usize,
+    /// Workers that did not respond, and that are still to be reported to the leader.
+    pub unanswered: Vec<MachineId>,
+}
+
+impl TokenProbes {
+    /// Takes as many of the workers that did not respond as fit into the next frame.
+    pub fn take_unanswered_for_frame(&mut self) -> Vec<MachineId> {
+        let count = heartbeat_batch::count_fitting_names(&self.unanswered);
+        self.unanswered.drain(..count).collect()
+    }
+}
+
 impl Core {
     /// Begins the probes for the leader of a new term, after its first grant. `answered` are the heartbeats that
     /// the leader responded to with that grant.
--- a/src/core/workers/relay/state.rs
+++ b/src/core/workers/relay/state.rs
@@ -3,6 +3,7 @@
 
 use super::backoff::LeaderBackoff;
 use super::local_answers::{LocalAnswer, LocalAnswers, ReportedAnswers, answered_heartbeats};
+use super::probes::{TokenProbe, TokenProbes};
 use crate::core::leadership::state::LeaderState;
 use crate::core::workers::heartbeat_queue::{HeartbeatQueue, QueuedHeartbeat};
 use crate::job::MachineId;
@@ -75,31 +76,6 @@
     pub answers: ReportedAnswers,
 }
 
-/// A worker that is to be shown a new fencing token.
-pub(super) struct TokenProbe {
-    pub machine: MachineId,
-    /// The worker's incarnation; 0 if it is not known because the worker never reported here.
-    pub incarnation: u64,
-    pub addr: String,
-}
-
-/// Probes that show workers the fencing token of a new term.
-#[derive(Default)]
-pub(super) struct TokenProbes {
-    pub pending: Vec<TokenProbe>,
-    pub in_flight: usize,
-    /// Workers that did not respond, and that are still to be reported to the leader.
-    pub unanswered: Vec<MachineId>,
-}
-
-impl TokenProbes {
-    /// Takes as many of the workers that did not respond as fit into the next frame.
-    fn take_unanswered_for_frame(&mut self) -> Vec<MachineId> {
-        let count = heartbeat_batch::count_fitting_names(&self.unanswered);
-        self.unanswered.drain(..count).collect()
-    }
-}
-
 /// State of the workers that a controller serves while it is not the leader.
 #[derive(Default)]
 pub struct Relay {
