--- a/src/core/workers/relay/local_answers.rs
+++ b/src/core/workers/relay/local_answers.rs
@@ -52,7 +52,7 @@
         taken
     }
 
-    /// Returns the answers of a batch that was not answered, so that they are reported again.
+    /// Takes back the answers of a batch that was not answered, so that they are reported again.
     pub fn put_back(&mut self, answers: ReportedAnswers) {
         for (machine, answer) in &answers {
             self.record(machine, *answer);
--- a/src/store_client/list.rs
+++ b/src/store_client/list.rs
@@ -81,7 +81,7 @@
     }
 }
 
-/// What reading a list has taken so far, for the log.
+/// Duration and failures of a list, for the log.
 struct ListStatistics {
     begun: Instant,
     logged: Instant,
