--- a/src/core/workers/relay/state/tests.rs
+++ b/src/core/workers/relay/state/tests.rs
@@ -1,6 +1,12 @@
 use super::*;
+use crate::core::simulation::{SETUP, settings};
+use crate::core::{Core, Now};
+use crate::policy::Policy;
+use std::sync::Arc;
+use std::time::SystemTime;
 
 const MACHINES: usize = 6000;
+const GRANT: Duration = Duration::from_secs(2);
 
 /// Returns a machine id of the length that some clouds use.
 fn machine(number: usize) -> MachineId {
@@ -96,47 +102,93 @@
     assert_eq!(batch.answered.len(), 1);
 }
 
+/// Returns a controller that follows the leader `n1` of term 3, whose grant is valid.
+fn follower(now: Instant) -> Core {
+    let clock = Now {
+        mono: now,
+        wall: SystemTime::UNIX_EPOCH,
+    };
+    let settings = Arc::new(settings("n0", SETUP));
+    let policy = Arc::new(Policy::parse("relay", "delegate = true").unwrap());
+    let mut core = Core::new(settings, policy, 1, clock);
+    core.relay.renew_grant(grant(3, now + GRANT), now);
+    core
+}
+
+/// Sends the next batch to the leader.
+fn send_batch(core: &mut Core) -> HeartbeatBatch {
+    let now = core.now.mono;
+    let (batch, content) = (core.relay).next_batch("n0", 3, Duration::from_secs(3), now);
+    core.relay.set_in_flight(BatchInFlight {
+        number: batch.number,
+        sent_at: now,
+        leader: "n1".into(),
+        content,
+    });
+    batch
+}
+
+fn respond(core: &mut Core, batch: &HeartbeatBatch, response: HeartbeatBatchResponse) {
+    let response = HeartbeatBatchResponse {
+        number: batch.number,
+        ..response
+    };
+    core.batch_answered(batch.number, Some(Box::new(response)));
+}
+
 /// Guards against answers that are forgotten with a batch that got no response, or one that takes no note of it.
 #[test]
 fn answers_are_taken_back_whatever_fails() {
-    let setup = crate::core::simulation::SETUP;
-    let settings = crate::core::simulation::settings("n0", setup);
-    let responses = [
+    let refused = HeartbeatBatchResponse {
+        refused: true,
+        ..HeartbeatBatchResponse::default()
+    };
+    let of_earlier_term = HeartbeatBatchResponse {
+        term: 2,
+        grant: GRANT,
+        ..HeartbeatBatchResponse::default()
+    };
+    let without_grant = HeartbeatBatchResponse::default();
+    let now = Instant::now();
+    for response in [
         None,
-        Some(HeartbeatBatchResponse::default()),
-        Some(HeartbeatBatchResponse {
-            refused: true,
-            ..HeartbeatBatchResponse::default()
-        }),
-        Some(HeartbeatBatchResponse {
-            term: 2,
-            grant: Duration::from_secs(1),
-            ..HeartbeatBatchResponse::default()
-        }),
-    ];
-    for response in responses {
-        let now = Instant::now();
-        let clock = crate::core::Now {
-            mono: now,
-            wall: std::time::SystemTime::UNIX_EPOCH,
-        };
-        let policy = crate::policy::Policy::parse("relay", "delegate = true").unwrap();
-        let mut core = crate::core::Core::new(settings.clone().into(), policy.into(), 1, clock);
-        core.relay.renew_grant(grant(3, now), now);
+        Some(refused),
+        Some(of_earlier_term),
+        Some(without_grant),
+    ] {
+        let mut core = follower(now);
         core.relay.answers.record(&machine(0), answer(now));
-        let (batch, content) = core.relay.next_batch("n0", 3, Duration::from_secs(3), now);
-        core.relay.set_in_flight(BatchInFlight {
-            number: batch.number,
-            sent_at: now,
-            leader: "n1".into(),
-            content,
-        });
-        assert!(core.relay.answers.may_acknowledge());
-        let response = response.map(|response| HeartbeatBatchResponse {
-            number: batch.number,
-            ..response
-        });
-        core.batch_answered(batch.number, response.map(Box::new));
+        let batch = send_batch(&mut core);
+        assert_eq!(batch.answered.len(), 1);
+        match response {
+            Some(response) => respond(&mut core, &batch, response),
+            None => core.batch_answered(batch.number, None),
+        }
         assert_eq!(core.relay.answers.take_frame().len(), 1);
     }
 }
+
+/// A heartbeat is answered while the response that revokes its machine's delegation is on its way. A leader of an earlier
+/// version ignores the answer if the same batch acknowledges the revocation.
+#[test]
+fn a_revocation_that_crosses_an_answer_is_acknowledged_a_batch_later() {
+    let now = Instant::now();
+    let mut core = follower(now);
+    let revocation = HeartbeatBatchResponse {
+        term: 3,
+        grant: GRANT,
+        revoked: vec![machine(0)],
+        ..HeartbeatBatchResponse::default()
+    };
+    let first = send_batch(&mut core);
+    core.relay.answers.record(&machine(0), answer(now));
+    respond(&mut core, &first, revocation.clone());
+    let second = send_batch(&mut core);
+    assert_eq!((second.answered.len(), second.acknowledged), (1, 0));
+    respond(&mut core, &second, revocation);
+    let third = send_batch(&mut core);
+    assert_eq!(
+        (third.answered.len(), third.acknowledged),
+        (0, second.number)
+    );
+}
