--- a/src/store_client/list/tests.rs
+++ b/src/store_client/list/tests.rs
@@ -155,10 +155,10 @@
 
 #[test]
 fn pages_of_a_store_before_and_after_a_loss_of_data_are_not_combined() {
-    // The store is restored to an earlier revision.
+    // The store is restored to an earlier revision, when jobs that it then lacks have been listed.
     let restored = FakeStore::with_ended_jobs(50, 10);
     let expected = restored.items.len();
-    let addr = serve_replaced_store(FakeStore::with_ended_jobs(90, 10), restored, 5);
+    let addr = serve_replaced_store(FakeStore::with_ended_jobs(90, 10), restored, 8);
     let (listing, failed) = read_list(addr, 40);
     assert_eq!((listing.unwrap().keys.len(), failed), (expected, 0));
     // The store is new, and its revision is higher than before by the time of the next page.
