--- /dev/null
+++ b/review/tools2/src/cases.rs
@@ -0,0 +1,649 @@
+//! The cases.
+
+use crate::cluster::{array, awaiting, Cluster, Setup};
+use crate::http::serve;
+use crate::json::{num, obj, text, Json};
+use crate::machines::{Cloud, Flavor, Fleet, Job};
+use crate::record::Record;
+use crate::state::{Slow, State};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::{SocketAddr, TcpListener};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+/// All of a small deployment.
+struct World {
+    record: Arc<Record>,
+    state: Arc<State>,
+    fleet: Arc<Fleet>,
+    cloud: Arc<Cloud>,
+    cluster: Cluster,
+}
+
+const ZONES: [&str; 2] = ["erie-east", "huron-west"];
+
+fn silo() -> Flavor {
+    Flavor {
+        label: "silo",
+        cpus: 64.0,
+        ram: 512.0,
+        rate: 5.44,
+        low: 2.38,
+        startup_s: 15.0,
+        zones: ZONES.to_vec(),
+    }
+}
+
+fn sprout() -> Flavor {
+    Flavor {
+        label: "sprout",
+        cpus: 4.0,
+        ram: 32.0,
+        rate: 0.34,
+        low: 0.13,
+        startup_s: 15.0,
+        zones: ZONES.to_vec(),
+    }
+}
+
+fn combine() -> Flavor {
+    Flavor {
+        label: "combine",
+        cpus: 16.0,
+        ram: 128.0,
+        rate: 1.35,
+        low: 0.52,
+        startup_s: 35.0,
+        zones: ZONES.to_vec(),
+    }
+}
+
+fn listen() -> (TcpListener, SocketAddr) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let addr = listener.local_addr().expect("its address");
+    (listener, addr)
+}
+
+impl World {
+    fn new(flavors: Vec<Flavor>, room: &[(&str, &str, bool, u32)]) -> World {
+        World::with_next(flavors, room, None)
+    }
+
+    fn with_next(
+        flavors: Vec<Flavor>,
+        room: &[(&str, &str, bool, u32)],
+        next: Option<Json>,
+    ) -> World {
+        let setup = Setup {
+            nodes: 3,
+            zones: ZONES.to_vec(),
+            teams: vec![obj([
+                ("name", text("agronomy")),
+                ("cpus", num("0.0")),
+                ("cpus_max", num("0.0")),
+                ("gpus", num("0.0")),
+                ("gpus_max", num("0.0")),
+            ])],
+            report_s: 3.0,
+            lease_s: 26.0,
+            cancel_s: 51.0,
+            next,
+        };
+        let record = Arc::new(Record::new());
+        let state = Arc::new(State::default());
+        let s = state.clone();
+        std::thread::spawn(move || s.run());
+        let mut state_addrs = Vec::new();
+        for _ in 0..setup.nodes {
+            let (listener, addr) = listen();
+            let s = state.clone();
+            serve(listener, Arc::new(move |r| s.handle_slowly(r)));
+            state_addrs.push(addr);
+        }
+        let (cloud_listener, cloud_addr) = listen();
+        let cluster = Cluster::new(&setup, &state_addrs, cloud_addr, record.clone());
+        let fleet = Arc::new(Fleet {
+            record: record.clone(),
+            jobs: Mutex::default(),
+            done: Mutex::new(BTreeSet::new()),
+            nodes: cluster
+                .nodes
+                .iter()
+                .map(|n| (n.name.clone(), n.public))
+                .collect(),
+            report: Duration::from_secs_f64(setup.report_s),
+            lease: Duration::from_secs_f64(setup.lease_s),
+            answers: Mutex::new(BTreeMap::new()),
+            largest_report: Mutex::new(0),
+        });
+        let cloud = Arc::new(Cloud::new(
+            fleet.clone(),
+            flavors,
+            room,
+            Duration::from_secs(2),
+        ));
+        let c = cloud.clone();
+        serve(cloud_listener, Arc::new(move |r| c.handle(r)));
+        World {
+            record,
+            state,
+            fleet,
+            cloud,
+            cluster,
+        }
+    }
+
+    /// Starts all controllers and waits until all are ready and one leads.
+    fn start(&mut self) -> Result<usize, String> {
+        self.cluster.start_all();
+        let end = self.record.at() + 20.0;
+        while self.record.at() < end {
+            let all_ready = (0..self.cluster.nodes.len()).all(|i| self.cluster.ready(i));
+            if let (true, Some(leader)) = (all_ready, self.leader()) {
+                self.record.say(format!(
+                    "all are ready; {} leads",
+                    self.cluster.nodes[leader].name
+                ));
+                return Ok(leader);
+            }
+            std::thread::sleep(Duration::from_millis(100));
+        }
+        Err("the controllers did not become ready".into())
+    }
+
+    /// The controller that holds the leader key.
+    fn leader(&self) -> Option<usize> {
+        self.cluster.index(&self.state.leader()?.0)
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    fn submit(
+        &mut self,
+        id: &str,
+        crop: &str,
+        rank: &str,
+        rows: u32,
+        cpus: f64,
+        ram: f64,
+        spot: bool,
+        run_s: f64,
+    ) -> bool {
+        let job = Job {
+            rows,
+            cpus,
+            ram,
+            run: Duration::from_secs_f64(run_s),
+            image: "img-01".into(),
+            fetch: Duration::from_secs(1),
+        };
+        self.fleet.jobs.lock().unwrap().insert(id.into(), job);
+        let accepted = self
+            .cluster
+            .submit(&array(id, crop, rank, rows, cpus, ram, spot, run_s));
+        self.record.say(format!(
+            "{id}: {rows} tasks of {cpus} CPUs, {run_s} s each: accepted {accepted}"
+        ));
+        accepted
+    }
+
+    /// Waits until so many tasks of a job are on machines, for 15 s at most.
+    fn await_tasks(&self, id: &str, count: usize) -> bool {
+        let end = self.record.at() + 15.0;
+        while self.record.at() < end {
+            if self
+                .cloud
+                .machines()
+                .iter()
+                .map(|m| m.count(id))
+                .sum::<usize>()
+                >= count
+            {
+                return true;
+            }
+            std::thread::sleep(Duration::from_millis(50));
+        }
+        false
+    }
+
+    fn tasks_done(&self, id: &str) -> usize {
+        let prefix = format!("{id}/");
+        self.fleet
+            .done
+            .lock()
+            .unwrap()
+            .iter()
+            .filter(|row| row.starts_with(&prefix))
+            .count()
+    }
+}
+
+pub fn run(case: &str, path: &str, trouble: bool) -> i32 {
+    let result = match case {
+        "no-leader" => no_leader(trouble),
+        "large-reports" => large_reports(trouble),
+        "lost-parts" => lost_parts(trouble),
+        "left-waiting" => left_waiting(trouble),
+        _ => (Err(format!("no case {case}")), None),
+    };
+    let (verdict, world) = result;
+    let code = match &verdict {
+        Ok(true) => 1,
+        Ok(false) => 0,
+        Err(_) => 2,
+    };
+    if let Some(mut world) = world {
+        if let Some(name) = world.cluster.ended() {
+            world.record.say(format!("{name} has ended by itself"));
+        }
+        world.record.say(match &verdict {
+            Ok(true) => "BROKEN".to_string(),
+            Ok(false) => "HELD".to_string(),
+            Err(e) => format!("NOT RUN: {e}"),
+        });
+        world.cluster.excerpt_logs();
+        world.record.write(path);
+    } else if let Err(e) = verdict {
+        eprintln!("{e}");
+    }
+    code
+}
+
+type Outcome = (Result<bool, String>, Option<World>);
+
+/// Connections between controllers are refused, one host's packet filter two seconds after the other's; the leader
+/// crashes meanwhile and comes back. 90 s after that, is a job left waiting although a machine that fits has room?
+fn no_leader(trouble: bool) -> Outcome {
+    let mut w = World::new(
+        vec![sprout()],
+        &[
+            ("sprout", "erie-east", false, 5),
+            ("sprout", "huron-west", false, 5),
+        ],
+    );
+    let leader = match w.start() {
+        Ok(leader) => leader,
+        Err(e) => return (Err(e), Some(w)),
+    };
+    if !w.submit(
+        "wk-000001",
+        "county-sweep",
+        "standard",
+        10,
+        2.5,
+        16.0,
+        false,
+        600.0,
+    ) {
+        return (Err("the first job was not accepted".into()), Some(w));
+    }
+    let others: Vec<usize> = (0..3).filter(|i| *i != leader).collect();
+    let base = w.record.at().max(7.0) + 1.0;
+    w.record.sleep_until(base);
+    let refuse = |w: &World, i: usize, refuse: bool| {
+        let does = if refuse { "refused" } else { "served again" };
+        w.record.say(format!(
+            "connections between {} and the other controllers are {does}",
+            w.cluster.nodes[i].name
+        ));
+        for j in 0..3 {
+            for proxy in [&w.cluster.proxies[i][j], &w.cluster.proxies[j][i]]
+                .into_iter()
+                .flatten()
+            {
+                proxy.refuse(refuse);
+            }
+        }
+    };
+    if trouble {
+        refuse(&w, others[0], true);
+        w.record.sleep_until(base + 2.0);
+        refuse(&w, others[1], true);
+    }
+    // The leader crashes and is back 5 s later; with and without the refused connections.
+    w.record.sleep_until(base + 7.5);
+    if w.leader() != Some(leader) {
+        return (Err("another controller leads already".into()), Some(w));
+    }
+    w.cluster.kill(leader);
+    if !w.submit(
+        "wk-000002",
+        "county-sweep",
+        "standard",
+        1,
+        1.0,
+        8.0,
+        false,
+        5.0,
+    ) {
+        return (Err("the second job was not accepted".into()), Some(w));
+    }
+    w.record.sleep_until(base + 11.0);
+    if trouble {
+        refuse(&w, others[0], false);
+        refuse(&w, others[1], false);
+    }
+    w.record.sleep_until(base + 12.5);
+    w.cluster.start(leader);
+    let over = w.record.at();
+    w.record.say("all troubles are over");
+    let mut has_room_since = None;
+    while w.record.at() < over + 91.0 {
+        std::thread::sleep(Duration::from_secs(5));
+        let standing = w.cluster.standing("wk-000002");
+        let room = w
+            .cloud
+            .machines()
+            .iter()
+            .any(|m| m.used().is_some_and(|(c, r)| c <= 3.0 && r <= 24.0));
+        let leads = w
+            .state
+            .leader()
+            .map(|(name, lease)| format!("{name}, lease {lease}"));
+        w.record.say(format!(
+            "wk-000002 is {standing}; a machine has room: {room}; leader key: {leads:?}"
+        ));
+        if standing == "done" {
+            return (Ok(false), Some(w));
+        }
+        if !room {
+            has_room_since = None;
+        } else if has_room_since.is_none() {
+            has_room_since = Some(w.record.at());
+        }
+    }
+    let started =
+        w.cloud.machines().iter().any(|m| m.has("wk-000002")) || w.tasks_done("wk-000002") > 0;
+    let waited = has_room_since.is_some_and(|at| at <= over + 6.0);
+    (Ok(!started && waited), Some(w))
+}
+
+/// Jobs of many tiny tasks come three times as often: one machine has room for all of them, and then holds more
+/// tasks than a report of 64 KiB can name. Nothing else happens. Is the work done?
+fn large_reports(trouble: bool) -> Outcome {
+    let mut w = World::new(
+        vec![silo()],
+        &[
+            ("silo", "erie-east", false, 1),
+            ("silo", "huron-west", false, 1),
+        ],
+    );
+    if let Err(e) = w.start() {
+        return (Err(e), Some(w));
+    }
+    let jobs: Vec<String> = (1..=if trouble { 3 } else { 1 })
+        .map(|n| format!("wk-00010{n}"))
+        .collect();
+    for id in &jobs {
+        if !w.submit(id, "probe-swarm", "low", 400, 0.05, 0.25, false, 45.0) {
+            return (Err(format!("{id} was not accepted")), Some(w));
+        }
+    }
+    let mut all_done = false;
+    while w.record.at() < 112.0 && !all_done {
+        std::thread::sleep(Duration::from_secs(5));
+        let standings: Vec<String> = jobs
+            .iter()
+            .map(|id| format!("{id} {}", w.cluster.standing(id)))
+            .collect();
+        let completed: usize = jobs.iter().map(|id| w.tasks_done(id)).sum();
+        let answers = w.fleet.answers.lock().unwrap().clone();
+        let largest = *w.fleet.largest_report.lock().unwrap();
+        w.record.say(format!(
+            "{}; tasks completed: {completed}; largest report {largest} bytes; answers to reports by status: {answers:?}",
+            standings.join(", ")
+        ));
+        all_done = standings.iter().all(|s| s.ends_with(" done"));
+    }
+    let killed = w.record.count("KILLED (lease ran out)");
+    let completed: usize = jobs.iter().map(|id| w.tasks_done(id)).sum();
+    w.record.say(format!("tasks killed because a lease ran out: {killed}; tasks completed: {completed}; all jobs done: {all_done}"));
+    (Ok(!all_done && killed > 0), Some(w))
+}
+
+/// A job that runs on idle time has begun on spot machines; 60 % of these are taken back in a wave, and there are no
+/// others. Once that is over, is the job left waiting for 90 s although an ordinary machine has room?
+fn left_waiting(trouble: bool) -> Outcome {
+    let room = [
+        ("silo", "erie-east", false, 1),
+        ("combine", "erie-east", true, 2),
+        ("sprout", "erie-east", true, 3),
+    ];
+    let mut w = World::new(vec![silo(), combine(), sprout()], &room);
+    if let Err(e) = w.start() {
+        return (Err(e), Some(w));
+    }
+    // An ordinary machine with room for three more tasks, and two spot machines that are full.
+    if !w.submit(
+        "wk-000201",
+        "county-sweep",
+        "standard",
+        1,
+        40.0,
+        400.0,
+        false,
+        600.0,
+    ) || !w.await_tasks("wk-000201", 1)
+        || !w.submit(
+            "wk-000202",
+            "county-sweep",
+            "standard",
+            2,
+            16.0,
+            120.0,
+            true,
+            600.0,
+        )
+        || !w.await_tasks("wk-000202", 2)
+        || !w.submit("wk-000203", "fallow-fill", "low", 12, 4.0, 28.8, true, 6.0)
+    {
+        return (
+            Err("a job was not accepted, or did not begin".into()),
+            Some(w),
+        );
+    }
+    let end = w.record.at() + 20.0;
+    while w.tasks_done("wk-000203") < 3 {
+        if w.record.at() > end {
+            return (
+                Err("the job did not begin on the spot machines".into()),
+                Some(w),
+            );
+        }
+        std::thread::sleep(Duration::from_millis(100));
+    }
+    if trouble {
+        let spots = w
+            .cloud
+            .machines()
+            .iter()
+            .filter(|m| m.spot && m.used().is_some())
+            .count();
+        let taken = w.cloud.take_spots("sprout", Duration::from_secs(5));
+        w.record.say(format!(
+            "the cloud takes back {taken} of {spots} spot machines, with a notice of 5 s"
+        ));
+        std::thread::sleep(Duration::from_secs(6));
+    }
+    let over = w.record.at();
+    w.record.say("the wave is over");
+    let mut had_room = true;
+    while w.record.at() < over + 90.5 {
+        std::thread::sleep(Duration::from_secs(3));
+        let standing = w.cluster.standing("wk-000203");
+        let room = w.cloud.machines().iter().any(|m| {
+            m.flavor.label == "silo"
+                && m.used()
+                    .is_some_and(|(c, r)| c + 4.0 <= 64.0 && r + 28.8 <= 512.0)
+        });
+        let on = w.cloud.machines().iter().any(|m| m.has("wk-000203"));
+        had_room &= room;
+        let done = w.tasks_done("wk-000203");
+        w.record.say(format!("wk-000203 is {standing}, {done} tasks done, on a machine: {on}; the silo has room: {room}"));
+        if standing == "done" || (trouble && on) {
+            return (Ok(false), Some(w));
+        }
+    }
+    (Ok(had_room), Some(w))
+}
+
+/// A job with many others to await is accepted while the state service answers slowly. A minute later all
+/// controllers crash and come back. Is the job still known, and does it run to its end?
+fn lost_parts(trouble: bool) -> Outcome {
+    let next = obj([
+        ("value_kb", num("2.0")),
+        ("txn_ops", num(10)),
+        ("write_rps", num("28.0")),
+    ]);
+    let room = [
+        ("silo", "erie-east", false, 1),
+        ("silo", "huron-west", false, 1),
+    ];
+    let mut w = World::with_next(vec![silo()], &room, Some(next));
+    let leader = match w.start() {
+        Ok(leader) => leader,
+        Err(e) => return (Err(e), Some(w)),
+    };
+    // The jobs that the large one awaits, each of one short task.
+    let others: Vec<String> = (0..150).map(|n| format!("wk-{:06}", 1000 + n)).collect();
+    for id in &others {
+        w.fleet
+            .jobs
+            .lock()
+            .unwrap()
+            .insert(id.clone(), short_job(1.0));
+        if !w
+            .cluster
+            .submit(&array(id, "tile-fetch", "low", 1, 0.25, 1.0, false, 1.0))
+        {
+            return (Err(format!("{id} was not accepted")), Some(w));
+        }
+    }
+    w.record.say("150 small jobs are accepted");
+    std::thread::sleep(Duration::from_secs(2));
+    if w.leader() != Some(leader) {
+        return (
+            Err("the leader changed before the case began".into()),
+            Some(w),
+        );
+    }
+    let small = "wk-009001";
+    let large = "wk-009002";
+    let timeout = Duration::from_secs(5);
+    w.fleet
+        .jobs
+        .lock()
+        .unwrap()
+        .insert(small.into(), short_job(1.0));
+    w.fleet
+        .jobs
+        .lock()
+        .unwrap()
+        .insert(large.into(), short_job(70.0));
+    if trouble {
+        *w.state.slow.lock().unwrap() = Some(Slow {
+            read: format!("burlusher/j/{small}"),
+            parts_written: None,
+            parts: Duration::from_millis(300),
+            list: Duration::from_millis(450),
+            most: Duration::from_millis(900),
+            held: Vec::new(),
+        });
+        w.record.say("the state service answers slowly");
+    }
+    // Users ask about a job before it is submitted, submit it, and submit the large one.
+    let cluster = &w.cluster;
+    let accepted = std::thread::scope(|scope| {
+        scope.spawn(|| {
+            cluster.ask(
+                leader,
+                "GET",
+                &format!("/api/jobs/{small}"),
+                "",
+                Duration::from_secs(2),
+            )
+        });
+        std::thread::sleep(Duration::from_millis(60));
+        let body = array(small, "tile-fetch", "low", 1, 0.25, 1.0, false, 1.0);
+        let first = cluster.ask(leader, "POST", "/api/jobs", &body, timeout).0;
+        let body = awaiting(
+            &array(large, "parcel-publish", "urgent", 1, 1.0, 4.0, false, 70.0),
+            &others,
+        );
+        let second = cluster.ask(leader, "POST", "/api/jobs", &body, timeout).0;
+        (first, second)
+    });
+    std::thread::sleep(Duration::from_millis(700));
+    if let Some(slow) = w.state.slow.lock().unwrap().take() {
+        for held in slow.held {
+            w.record.say(format!("state service: {held}"));
+        }
+        w.record.say("the state service answers as usual");
+    }
+    let accepted_at = w.record.at();
+    if accepted.1 != 201 && accepted.1 != 200 {
+        return (
+            Err(format!("the large job was not accepted: {accepted:?}")),
+            Some(w),
+        );
+    }
+    w.record.say(format!(
+        "{large}, which awaits 150 jobs, is accepted: {}",
+        accepted.1
+    ));
+    let parts = format!("burlusher/s/{large}/");
+    let mut stored = 3;
+    while w.record.at() < accepted_at + 64.0 && stored > 0 {
+        std::thread::sleep(Duration::from_secs(4));
+        let standing = w.cluster.standing(large);
+        stored = w.state.keys(&parts).len();
+        w.record.say(format!(
+            "{large} is {standing}; its parts in the state service: {stored}"
+        ));
+    }
+    w.record.say("all controllers crash");
+    for i in 0..3 {
+        w.cluster.kill(i);
+    }
+    std::thread::sleep(Duration::from_secs(5));
+    w.cluster.start_all();
+    let back = w.record.at();
+    let (mut asked, mut unanswered, mut others_answered) = (0, 0, 0);
+    while w.record.at() < 110.0 {
+        std::thread::sleep(Duration::from_secs(3));
+        let other = w.cluster.standing(&others[asked % 150]);
+        let standing = w.cluster.standing(large);
+        w.record
+            .say(format!("{large} is {standing}; another job is {other}"));
+        if w.record.at() > back + 6.0 {
+            asked += 1;
+            unanswered += usize::from(standing.starts_with("status"));
+            others_answered += usize::from(!other.starts_with("status"));
+        }
+        if standing == "done" {
+            return (Ok(false), Some(w));
+        }
+    }
+    let stopped = w.record.count(&format!("STOPPED by command {large}/0"));
+    let stored = w.state.keys(&parts).len();
+    w.record.say(format!(
+        "since 6 s after the restart: {unanswered} of {asked} polls for {large} unanswered, {others_answered} for others \
+         answered; its task was stopped by command {stopped} times; its parts in the state service: {stored}"
+    ));
+    let lost = asked >= 5
+        && unanswered == asked
+        && others_answered == asked
+        && w.tasks_done(large) == 0
+        && stored == 0;
+    (Ok(lost), Some(w))
+}
+
+fn short_job(run_s: f64) -> Job {
+    Job {
+        rows: 1,
+        cpus: 0.25,
+        ram: 1.0,
+        run: Duration::from_secs_f64(run_s),
+        image: "img-01".into(),
+        fetch: Duration::from_secs(1),
+    }
+}
