--- a/review/tools2/src/cases.rs
+++ b/review/tools2/src/cases.rs
@@ -6,7 +6,7 @@
 use crate::machines::{Cloud, Flavor, Fleet, Job};
 use crate::record::Record;
 use crate::state::{Slow, State};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 use std::net::{SocketAddr, TcpListener};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -113,8 +113,6 @@
                 .collect(),
             report: Duration::from_secs_f64(setup.report_s),
             lease: Duration::from_secs_f64(setup.lease_s),
-            answers: Mutex::new(BTreeMap::new()),
-            largest_report: Mutex::new(0),
         });
         let cloud = Arc::new(Cloud::new(
             fleet.clone(),
@@ -220,7 +218,6 @@
 pub fn run(case: &str, path: &str, trouble: bool) -> i32 {
     let result = match case {
         "no-leader" => no_leader(trouble),
-        "large-reports" => large_reports(trouble),
         "lost-parts" => lost_parts(trouble),
         "left-waiting" => left_waiting(trouble),
         _ => (Err(format!("no case {case}")), None),
@@ -357,49 +354,6 @@
     (Ok(!started && waited), Some(w))
 }
 
-/// Jobs of many tiny tasks come three times as often: one machine has room for all of them, and then holds more
-/// tasks than a report of 64 KiB can name. Nothing else happens. Is the work done?
-fn large_reports(trouble: bool) -> Outcome {
-    let mut w = World::new(
-        vec![silo()],
-        &[
-            ("silo", "erie-east", false, 1),
-            ("silo", "huron-west", false, 1),
-        ],
-    );
-    if let Err(e) = w.start() {
-        return (Err(e), Some(w));
-    }
-    let jobs: Vec<String> = (1..=if trouble { 3 } else { 1 })
-        .map(|n| format!("wk-00010{n}"))
-        .collect();
-    for id in &jobs {
-        if !w.submit(id, "probe-swarm", "low", 400, 0.05, 0.25, false, 45.0) {
-            return (Err(format!("{id} was not accepted")), Some(w));
-        }
-    }
-    let mut all_done = false;
-    while w.record.at() < 112.0 && !all_done {
-        std::thread::sleep(Duration::from_secs(5));
-        let standings: Vec<String> = jobs
-            .iter()
-            .map(|id| format!("{id} {}", w.cluster.standing(id)))
-            .collect();
-        let completed: usize = jobs.iter().map(|id| w.tasks_done(id)).sum();
-        let answers = w.fleet.answers.lock().unwrap().clone();
-        let largest = *w.fleet.largest_report.lock().unwrap();
-        w.record.say(format!(
-            "{}; tasks completed: {completed}; largest report {largest} bytes; answers to reports by status: {answers:?}",
-            standings.join(", ")
-        ));
-        all_done = standings.iter().all(|s| s.ends_with(" done"));
-    }
-    let killed = w.record.count("KILLED (lease ran out)");
-    let completed: usize = jobs.iter().map(|id| w.tasks_done(id)).sum();
-    w.record.say(format!("tasks killed because a lease ran out: {killed}; tasks completed: {completed}; all jobs done: {all_done}"));
-    (Ok(!all_done && killed > 0), Some(w))
-}
-
 /// A job that runs on idle time has begun on spot machines; 60 % of these are taken back in a wave, and there are no
 /// others. Once that is over, is the job left waiting for 90 s although an ordinary machine has room?
 fn left_waiting(trouble: bool) -> Outcome {
--- a/review/tools2/src/machines.rs
+++ b/review/tools2/src/machines.rs
@@ -29,10 +29,6 @@
     pub nodes: Vec<(String, SocketAddr)>,
     pub report: Duration,
     pub lease: Duration,
-    /// Answers to reports, by status: how often.
-    pub answers: Mutex<BTreeMap<u16, u32>>,
-    /// The largest report, in bytes.
-    pub largest_report: Mutex<usize>,
 }
 
 #[derive(Clone, Copy, PartialEq, Debug)]
@@ -323,10 +319,6 @@
                 s.changed = false;
                 (self.report(&mut s), s.tenure)
             };
-            {
-                let mut largest = self.fleet.largest_report.lock().unwrap();
-                *largest = (*largest).max(body.0.len());
-            }
             seed = seed
                 .wrapping_mul(6364136223846793005)
                 .wrapping_add(1442695040888963407);
@@ -338,13 +330,6 @@
             let (name, addr) = &self.fleet.nodes[node];
             let answer = call(*addr, "POST", "/hello", &body.0, Duration::from_secs(4));
             let status = answer.as_ref().map_or(0, |a| a.0);
-            *self
-                .fleet
-                .answers
-                .lock()
-                .unwrap()
-                .entry(status)
-                .or_default() += 1;
             if status != last_status {
                 let bytes = body.0.len();
                 self.fleet.record.line(format!(
