--- a/review/tools2/src/cases.rs
+++ b/review/tools2/src/cases.rs
@@ -273,6 +273,27 @@
     ) {
         return (Err("the first job was not accepted".into()), Some(w));
     }
+    // A job that is done early, about which users ask all controllers all the time.
+    let (known, crop) = ("wk-000003", "county-sweep");
+    if !w.submit(known, crop, "standard", 1, 1.0, 8.0, false, 0.5) {
+        return (Err("the third job was not accepted".into()), Some(w));
+    }
+    while w.cluster.standing(known) != "done" {
+        if w.record.at() > 10.0 {
+            return (Err("the third job is not done".into()), Some(w));
+        }
+        std::thread::sleep(Duration::from_millis(200));
+    }
+    w.record.say(format!(
+        "users ask every controller about {known}, ten times a second"
+    ));
+    for node in &w.cluster.nodes {
+        let (addr, path) = (node.public, format!("/api/jobs/{known}"));
+        std::thread::spawn(move || loop {
+            let _ = crate::http::call(addr, "GET", &path, "", Duration::from_secs(2));
+            std::thread::sleep(Duration::from_millis(100));
+        });
+    }
     let others: Vec<usize> = (0..3).filter(|i| *i != leader).collect();
     let base = w.record.at().max(7.0) + 1.0;
     w.record.sleep_until(base);
