Review case 5: parts of large jobs are lost after a slow answer at a job's end

Another path to the end of case 4: one slow answer makes the leader merge a list as after a loss, which forgets the parts of all large jobs.

--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -5,7 +5,7 @@
 [ -x target/release/burlusher ] && [ -x target/review2/release/review2 ] || exit 2
 PIDS=$(mktemp) || exit 2
 export PIDS
-target/review2/release/review2 left-waiting "$here/record.txt" &
+target/review2/release/review2 no-leader "$here/record.txt" &
 case=$!
 # Ends whatever the case started, also if it is interrupted itself.
 finish() {
--- a/review/tools2/src/cases.rs
+++ b/review/tools2/src/cases.rs
@@ -5,7 +5,7 @@
 use crate::json::{num, obj, text, Json};
 use crate::machines::{Cloud, Flavor, Fleet, Job};
 use crate::record::Record;
-use crate::state::{Slow, State};
+use crate::state::{Slow, SlowEnd, State};
 use std::collections::BTreeSet;
 use std::net::{SocketAddr, TcpListener};
 use std::sync::{Arc, Mutex};
@@ -218,7 +218,8 @@
 pub fn run(case: &str, path: &str, trouble: bool) -> i32 {
     let result = match case {
         "no-leader" => no_leader(trouble),
-        "lost-parts" => lost_parts(trouble),
+        "lost-parts" => lost_parts(trouble, false),
+        "slow-end" => lost_parts(trouble, true),
         "left-waiting" => left_waiting(trouble),
         _ => (Err(format!("no case {case}")), None),
     };
@@ -463,7 +464,7 @@
 
 /// A job that awaits many others is accepted, and runs, while the state service answers slowly; users ask about jobs
 /// just before these are submitted. Does it run to its end, and do the controllers go on to know it?
-fn lost_parts(trouble: bool) -> Outcome {
+fn lost_parts(trouble: bool, at_end: bool) -> Outcome {
     let next = obj([
         ("value_kb", num("2.0")),
         ("txn_ops", num(10)),
@@ -508,27 +509,26 @@
         &array(large, "parcel-publish", "urgent", 1, 0.25, 1.0, false, 75.0),
         &others,
     );
-    // A user asks the leader about a job, another submits it, and the large one is submitted.
-    w.slow(trouble, small, true, Duration::from_millis(100));
-    let first = w.ask_and_submit(
-        &[leader],
-        small,
-        60,
-        leader,
-        &[submission(small), large_submission],
-    );
-    w.quick();
-    if first
+    let first = if at_end {
+        // The large job is submitted; then a small one, whose user asks again and again until it is done.
+        let first = w.ask_and_submit(&[], small, 0, leader, &[large_submission]);
+        std::thread::sleep(Duration::from_millis(1500));
+        w.poll_to_the_end(trouble, small, leader, &submission(small));
+        first
+    } else {
+        // A user asks the leader about a job, another submits it, and the large one is submitted.
+        w.slow(trouble, small, true, Duration::from_millis(100));
+        let jobs = [submission(small), large_submission];
+        let first = w.ask_and_submit(&[leader], small, 60, leader, &jobs);
+        w.quick();
+        first
+    };
+    let accepted = first
         .last()
-        .is_none_or(|status| *status != 201 && *status != 200)
-        || w.leader() != Some(leader)
-    {
-        return (
-            Err(format!(
-                "the large job was not accepted by the leader: {first:?}"
-            )),
-            Some(w),
-        );
+        .is_some_and(|status| *status == 201 || *status == 200);
+    if !accepted || w.leader() != Some(leader) {
+        let error = format!("the large job was not accepted, or the leader changed: {first:?}");
+        return (Err(error), Some(w));
     }
     w.record
         .say(format!("{large}, which awaits 150 jobs, is accepted"));
@@ -602,6 +602,37 @@
         }
     }
 
+    /// A user submits a job and asks the leader about it until it is done, many times a second.
+    fn poll_to_the_end(&self, trouble: bool, id: &str, leader: usize, body: &str) {
+        if trouble {
+            *self.state.slow_end.lock().unwrap() = Some(SlowEnd {
+                key: format!("burlusher/j/{id}"),
+                delay: Duration::from_millis(300),
+                answer: Duration::from_millis(120),
+                more: Duration::from_millis(250),
+                ended: None,
+                held: Vec::new(),
+            });
+            self.record.say("the state service answers slowly");
+        }
+        let cluster = &self.cluster;
+        cluster.ask(leader, "POST", "/api/jobs", body, Duration::from_secs(5));
+        let path = format!("/api/jobs/{id}");
+        let end = self.record.at() + 5.0;
+        std::thread::scope(|scope| {
+            while self.record.at() < end {
+                scope.spawn(|| cluster.ask(leader, "GET", &path, "", Duration::from_secs(2)));
+                std::thread::sleep(Duration::from_millis(40));
+            }
+        });
+        if let Some(slow) = self.state.slow_end.lock().unwrap().take() {
+            for held in slow.held {
+                self.record.say(format!("state service: {held}"));
+            }
+            self.record.say("the state service answers as usual");
+        }
+    }
+
     /// Lets it answer as usual again, a second later.
     fn quick(&self) {
         std::thread::sleep(Duration::from_millis(1000));
--- a/review/tools2/src/state.rs
+++ b/review/tools2/src/state.rs
@@ -36,6 +36,19 @@
     changed: Condvar,
     /// How slowly it answers; `None`: at once. Every request is executed at once all the same.
     pub slow: Mutex<Option<Slow>>,
+    /// A spell in which the end of this job is carried out slowly.
+    pub slow_end: Mutex<Option<SlowEnd>>,
+}
+
+/// A spell in which transactions take some time: the one that ends a job is carried out `delay` late, the answers to
+/// all others take `answer`, and those to reads that show the job as not ended take until `more` after its end.
+pub struct SlowEnd {
+    pub key: String,
+    pub delay: Duration,
+    pub answer: Duration,
+    pub more: Duration,
+    pub ended: Option<Instant>,
+    pub held: Vec<String>,
 }
 
 /// A spell in which some answers take a few hundred milliseconds.
@@ -131,6 +144,9 @@
 
     /// Handles a request, and holds the answer in a slow spell.
     pub fn handle_slowly(&self, r: &Request) -> Answer {
+        if self.slow_end.lock().unwrap().is_some() {
+            return self.handle_end_slowly(r);
+        }
         let answer = self.handle(r);
         let begun = Instant::now();
         let what = format!("{} {}", r.method, r.path);
@@ -168,6 +184,63 @@
         }
     }
 
+    fn handle_end_slowly(&self, r: &Request) -> Answer {
+        let (key, delay, answer_time, more) = match &*self.slow_end.lock().unwrap() {
+            Some(s) => (s.key.clone(), s.delay, s.answer, s.more),
+            None => return self.handle(r),
+        };
+        let begun = Instant::now();
+        let body = String::from_utf8_lossy(&r.body).into_owned();
+        let is_txn = r.path == "/txn" && body.contains(r#""put""#);
+        let ends =
+            is_txn && body.contains(&format!(r#""put":"{key}""#)) && body.contains(r#""end""#);
+        let first = ends
+            && self
+                .slow_end
+                .lock()
+                .unwrap()
+                .as_ref()
+                .is_some_and(|s| s.ended.is_none());
+        if first {
+            std::thread::sleep(delay);
+        }
+        let answer = self.handle(r);
+        let status = answer.as_ref().map_or(0, |a| a.0);
+        if first {
+            if let Some(s) = &mut *self.slow_end.lock().unwrap() {
+                s.ended = Some(Instant::now());
+                s.held.push(format!(
+                    "the end of the job: carried out and answered {status} after {} ms",
+                    begun.elapsed().as_millis()
+                ));
+            }
+            return answer;
+        }
+        let is_read = r.method == "GET" && r.path == format!("/kv/{key}");
+        let shows_live =
+            is_read && status == 200 && answer.as_ref().is_some_and(|a| !a.1.contains(r#""end""#));
+        if shows_live {
+            while begun.elapsed() < Duration::from_millis(900) {
+                std::thread::sleep(Duration::from_millis(5));
+                match &*self.slow_end.lock().unwrap() {
+                    Some(s) if s.ended.is_none_or(|at| at.elapsed() < more) => {}
+                    _ => break,
+                }
+            }
+            if let Some(s) = &mut *self.slow_end.lock().unwrap() {
+                s.held.push(format!(
+                    "{} {}: executed at once, answered {status} after {} ms",
+                    r.method,
+                    r.path,
+                    begun.elapsed().as_millis()
+                ));
+            }
+        } else if is_txn {
+            std::thread::sleep(answer_time);
+        }
+        answer
+    }
+
     /// The keys that begin with this.
     pub fn keys(&self, prefix: &str) -> Vec<String> {
         self.inner
