A large job's parts stay known when a list replaces the copy

Cause: a full list that was begun before the job's key was written replaced the copy. The job was kept, as it was newer, but which parts it was read from was forgotten, and the key's event was ignored for a job that is known. The leader then deleted the parts as those of a failed submission. Change: LargeJobParts keeps the content of a large job's key until the job ends, through a list that is older, and records it for known jobs too. Test: large_jobs::parts_of_job_accepted_during_listing_are_kept, seen to fail before (the parts were gone).

--- /dev/null
+++ b/src/core/simulation/scenarios/large_jobs.rs
@@ -0,0 +1,71 @@
+//! Jobs that are stored in parts, while answers of the state service are late or its data is lost. Parts that no job
+//! refers to are deleted after a minute; those of an accepted job stay until it ends.
+
+use super::eight_machines;
+use crate::core::simulation::Simulation;
+use crate::job::{JobSpec, sample};
+use crate::wire::JobState;
+use std::time::Duration;
+
+/// Characters of an image name that is too long for one value of the store.
+const LONG_IMAGE_NAME: usize = 5000;
+/// Simulated seconds after which unclaimed parts have been deleted.
+const AFTER_PARTS_DELETION: f64 = 70.0;
+const PARTS: &str = "burlusher/s/";
+
+/// Returns a job that does not fit into one value.
+fn large_job(id: &str, seconds: u64) -> JobSpec {
+    let mut spec = sample(id, 2, 1.0, seconds);
+    spec.image = "x".repeat(LONG_IMAGE_NAME);
+    spec
+}
+
+/// Returns the keys of all stored parts.
+fn stored_parts(simulation: &Simulation) -> Vec<String> {
+    simulation.stored_values(PARTS).into_keys().collect()
+}
+
+/// Makes every controller read the whole store again, and checks that all of them still have the running job.
+fn assert_kept_after_relisting(simulation: &mut Simulation, id: &str) {
+    for node in 0..3 {
+        simulation.force_relisting(node);
+    }
+    simulation.run(1.0);
+    for node in 0..3 {
+        assert_eq!(simulation.show(node, id), (200, Some(JobState::Running)));
+    }
+}
+
+/// Guards against the loss of a large job that is accepted while its leader reads the store: the list had its parts and
+/// not yet its key, so the parts seemed to belong to no job and were deleted.
+#[test]
+fn parts_of_job_accepted_during_listing_are_kept() {
+    let (mut simulation, leader) = eight_machines(1500);
+    let large = large_job("wk-1", 150);
+    simulation.register_job(&large);
+    simulation.faults.store_delay = Duration::from_millis(500);
+    simulation.submit_without_waiting(leader, &large);
+    simulation.run_until(2.0, "parts written", |simulation| {
+        !simulation.stored_values(PARTS).is_empty()
+    });
+    simulation.tick();
+    simulation.begin_listing(leader);
+    assert!(simulation.stored_values("burlusher/j/").is_empty());
+    simulation.run(1.5);
+    simulation.faults.store_delay = Duration::ZERO;
+    assert!(
+        simulation.nodes[leader]
+            .core
+            .store_cache
+            .jobs
+            .contains_key("wk-1")
+    );
+    simulation.finish_listing(leader);
+    let parts = stored_parts(&simulation);
+    simulation.run(AFTER_PARTS_DELETION);
+    assert_eq!(simulation.leader(), Some(leader));
+    assert_eq!(stored_parts(&simulation), parts);
+    assert_kept_after_relisting(&mut simulation, "wk-1");
+    simulation.run_until_done("wk-1", 120.0);
+    assert_eq!(simulation.counters.starts, 2);
+}
--- a/src/core/simulation/scenarios/mod.rs
+++ b/src/core/simulation/scenarios/mod.rs
@@ -7,6 +7,7 @@
 mod cancellation_in_outage;
 mod delegation;
 mod dependencies;
+mod large_jobs;
 mod late_commands;
 mod late_writes;
 mod leadership;
--- a/src/core/store/cache.rs
+++ b/src/core/store/cache.rs
@@ -145,11 +145,14 @@
         let mut versions = std::mem::take(&mut self.versions);
         versions.clear_observed();
         let residual_tasks = std::mem::take(&mut self.residual_tasks);
+        let mut parts = std::mem::take(&mut self.parts);
+        parts.begin_list(|_, header| header.version > revision);
         *self = StoreCache {
             finished,
             unconfirmed_ends,
             versions,
             residual_tasks,
+            parts,
             residual_expired_before_ms: self.residual_expired_before_ms,
             changed_jobs: before.keys().cloned().collect(),
             loaded: true,
@@ -247,7 +250,7 @@
 
     /// Returns whether a job with this id was ever accepted, as far as this process knows.
     pub fn is_known_job(&self, id: &str) -> bool {
-        self.jobs.contains_key(id) || self.finished.contains_key(id) || self.parts.is_incomplete(id)
+        self.jobs.contains_key(id) || self.finished.contains_key(id) || self.parts.has_header(id)
     }
 
     /// Returns whether all dependencies of a live job have ended, and none of them was cancelled.
--- a/src/core/store/cache/apply.rs
+++ b/src/core/store/cache/apply.rs
@@ -208,9 +208,12 @@
         self.finished.contains_key(id) || self.jobs.contains_key(id)
     }
 
-    fn put_parted_job(&mut self, id: &JobId, head: MultipartHeader) {
-        if !self.is_cached(id) {
-            self.parts.add_header(id, head);
+    /// Applies the key of a job that is stored in parts. Also for a job that the copy has, the parts must be known to
+    /// belong to it: those that no job refers to are deleted.
+    fn put_parted_job(&mut self, id: &JobId, header: MultipartHeader) {
+        if !self.finished.contains_key(id) {
+            self.parts
+                .put_header(id, header, self.jobs.contains_key(id));
             self.assemble_parts(id);
         }
     }
--- a/src/core/store/large_jobs.rs
+++ b/src/core/store/large_jobs.rs
@@ -56,22 +56,29 @@
     pub version: u64,
 }
 
-/// Parts of large jobs that have been read so far.
+/// An accepted large job that has not ended.
+#[derive(Clone, Copy, Debug)]
+struct LargeJob {
+    /// Newest known content of the job's key.
+    header: MultipartHeader,
+    /// Whether the job has been read from its parts.
+    is_read: bool,
+}
+
+/// Parts of large jobs that the store holds, and the accepted jobs that refer to them.
 #[derive(Default)]
 pub struct LargeJobParts {
     /// Stored parts, by job and set. Texts are cleared once their job has been read.
     texts: BTreeMap<(JobId, PartGeneration), BTreeMap<u32, String>>,
-    /// Accepted jobs that still have unread parts.
-    incomplete_jobs: BTreeMap<JobId, MultipartHeader>,
-    /// Set of parts from which each live job was read.
-    generation_read: BTreeMap<JobId, PartGeneration>,
+    /// Accepted large jobs that have not ended. An entry lasts as long as its job, since parts without one are deleted.
+    jobs: BTreeMap<JobId, LargeJob>,
 }
 
 impl LargeJobParts {
     /// Adds a part that the store holds.
     pub fn put(&mut self, id: &JobId, generation: PartGeneration, n: u32, text: String) {
-        let read = self.generation_read.get(id) == Some(&generation);
-        let text = if read { String::new() } else { text };
+        let is_read = self.is_read_from(id, generation);
+        let text = if is_read { String::new() } else { text };
         let parts = self.texts.entry((id.clone(), generation)).or_default();
         parts.insert(n, text);
     }
@@ -87,22 +94,30 @@
         }
     }
 
-    /// Adds an accepted job; its parts may be read before or after its key.
-    pub fn add_header(&mut self, id: &JobId, header: MultipartHeader) {
-        if !self.generation_read.contains_key(id) {
-            self.incomplete_jobs.insert(id.clone(), header);
+    /// Records the content of an accepted job's key; its parts may be read before or after it. `is_read` states that
+    /// the job is known already, so that its parts need not be read.
+    pub fn put_header(&mut self, id: &JobId, header: MultipartHeader, is_read: bool) {
+        let was_read = self.is_read_from(id, header.generation);
+        let is_read = is_read || was_read;
+        self.jobs.insert(id.clone(), LargeJob { header, is_read });
+        if is_read {
+            self.clear_texts(id, header.generation);
         }
     }
 
+    /// Returns whether the content of this accepted job's key is known.
+    pub fn has_header(&self, id: &str) -> bool {
+        self.jobs.contains_key(id)
+    }
+
     /// Returns the job if it is accepted and all its parts have been read, and clears their texts.
     pub fn take_complete(&mut self, id: &JobId) -> Option<(MultipartHeader, JobSpec)> {
-        let header = *self.incomplete_jobs.get(id)?;
-        let parts = self.texts.get_mut(&(id.clone(), header.generation))?;
+        let job = self.jobs.get(id).filter(|job| !job.is_read)?;
+        let header = job.header;
+        let parts = self.texts.get(&(id.clone(), header.generation))?;
         let all = (0..header.count).map(|n| parts.get(&n).map(String::as_str));
         let text: String = all.collect::<Option<Vec<_>>>()?.concat();
-        parts.values_mut().for_each(|text| *text = String::new());
-        self.incomplete_jobs.remove(id);
-        self.generation_read.insert(id.clone(), header.generation);
+        self.put_header(id, header, true);
         match serde_json::from_str(&text) {
             Ok(spec) => Some((header, spec)),
             Err(e) => {
@@ -112,10 +127,21 @@
         }
     }
 
+    /// Returns whether the job refers to this set of parts and has been read.
+    fn is_read_from(&self, id: &JobId, generation: PartGeneration) -> bool {
+        let job = self.jobs.get(id);
+        job.is_some_and(|job| job.is_read && job.header.generation == generation)
+    }
+
+    fn clear_texts(&mut self, id: &JobId, generation: PartGeneration) {
+        let parts = self.texts.get_mut(&(id.clone(), generation));
+        let texts = parts.into_iter().flat_map(BTreeMap::values_mut);
+        texts.for_each(|text| *text = String::new());
+    }
+
     /// Removes an ended job. Returns the keys of its stored parts, which can be deleted.
     pub fn remove_job(&mut self, id: &JobId) -> Vec<String> {
-        self.incomplete_jobs.remove(id);
-        self.generation_read.remove(id);
+        self.jobs.remove(id);
         let all = (id.clone(), 0)..=(id.clone(), PartGeneration::MAX);
         let stored = self
             .texts
@@ -124,12 +150,23 @@
         stored.flat_map(|g| self.keys(id, g)).collect()
     }
 
+    /// Forgets which parts are stored, before a full list shows them. The headers that `is_kept` selects stay: those of
+    /// jobs that the list may lack.
+    pub fn begin_list(&mut self, is_kept: impl Fn(&JobId, &MultipartHeader) -> bool) {
+        self.texts.clear();
+        self.jobs.retain(|id, job| is_kept(id, &job.header));
+    }
+
+    /// Returns whether the job's key, as far as it is known, refers to this set of parts.
+    pub fn refers_to(&self, id: &JobId, generation: PartGeneration) -> bool {
+        let job = self.jobs.get(id);
+        job.is_some_and(|job| job.header.generation == generation)
+    }
+
     /// Returns the sets of parts that no accepted job refers to.
     pub fn unclaimed(&self) -> impl Iterator<Item = &(JobId, PartGeneration)> {
-        self.texts.keys().filter(|(id, generation)| {
-            self.generation_read.get(id) != Some(generation)
-                && self.incomplete_jobs.get(id).map(|h| h.generation) != Some(*generation)
-        })
+        let sets = self.texts.keys();
+        sets.filter(|(id, generation)| !self.refers_to(id, *generation))
     }
 
     /// Returns the keys of the stored parts of one set.
@@ -138,11 +175,6 @@
         let numbers = parts.into_iter().flat_map(|p| p.keys());
         numbers.map(|n| part_key(id, generation, *n)).collect()
     }
-
-    /// Returns whether the job is accepted and some of its parts have not been read yet.
-    pub fn is_incomplete(&self, id: &str) -> bool {
-        self.incomplete_jobs.contains_key(id)
-    }
 }
 
 #[cfg(test)]
