A response that is older than a job's end does not count as a loss of data

Cause: the value of a single read was applied like one from the watch. An old one, which showed an ended job as live, counted as a sign that the store had lost the end; after conflicts the list was merged as after a loss, and the merge forgot whose the stored parts were. Change: responses to single calls add jobs and ends, and only lists and the watch show what the store lacks. An end that was read before the watch delivered it is not contradicted by older events and lists. A merge keeps what is known of large jobs' keys.

--- a/src/core/jobs/job_reads.rs
+++ b/src/core/jobs/job_reads.rs
@@ -102,7 +102,8 @@
                 return self.answer(ticket, Response::busy("unreadable", 5));
             }
         };
-        self.store_cache.put_job(&id, value, item.version);
+        self.store_cache
+            .put_job_from_response(&id, value, item.version);
         self.sync_job_runs();
         let final_answer = self.final_answer(&id);
         let accepted = matches!(purpose, ReadPurpose::ConfirmCreation(_));
--- a/src/core/jobs/submissions.rs
+++ b/src/core/jobs/submissions.rs
@@ -313,7 +313,7 @@
         record(&mut self.stats.accept, waited.as_millis());
         // The store cache reads a large job from its parts, which were written before.
         let value = initial_value(spec, submitted_ms, parts.as_deref());
-        self.store_cache.put_job(&id, value, revision);
+        self.store_cache.put_job_from_response(&id, value, revision);
         self.sync_job_runs();
         // A job with a cancelled dependency is accepted too, and is cancelled itself.
         let outcome = self.store_cache.outcome_of(&id);
--- a/src/core/simulation/mixed_versions.rs
+++ b/src/core/simulation/mixed_versions.rs
@@ -164,7 +164,7 @@
     assert!(serde_json::from_value::<ProductionJob>(stored.clone()).is_err());
     assert!(serde_json::from_value::<ProductionJob>(parse_json(LIVE_JOB)).is_ok());
     let mut store_cache = StoreCache::default();
-    store_cache.put_job("wk-000412", serde_json::from_value(stored).unwrap(), 3);
+    store_cache.put_job_from_response("wk-000412", serde_json::from_value(stored).unwrap(), 3);
     assert_eq!(*store_cache.jobs["wk-000412"].spec, spec);
     assert!(!store_cache.dependencies_met(&"wk-000412".into()));
     let multipart = json!({"parts": 3, "stem": 7, "submitted_ms": 7});
--- a/src/core/simulation/scenarios/large_jobs.rs
+++ b/src/core/simulation/scenarios/large_jobs.rs
@@ -2,8 +2,11 @@
 //! refers to are deleted after a minute; those of an accepted job stay until it ends.
 
 use super::eight_machines;
+use crate::core::Ticket;
+use crate::core::command::ReadPurpose;
 use crate::core::simulation::Simulation;
 use crate::job::{JobSpec, sample};
+use crate::store_client::StoreOutcome;
 use crate::wire::JobState;
 use std::time::Duration;
 
@@ -69,3 +72,48 @@
     simulation.run_until_done("wk-1", 120.0);
     assert_eq!(simulation.counters.starts, 2);
 }
+
+/// Guards against the loss of large jobs after a late answer about another job: it showed that job as live when its end
+/// was known, the leader took the end for lost by the store, and merged a list without knowing whose parts it held.
+#[test]
+fn late_answer_about_ended_job_is_no_loss() {
+    let (mut simulation, leader) = eight_machines(1501);
+    assert_eq!(simulation.submit(leader, &large_job("wk-1", 150)), 201);
+    assert_eq!(simulation.submit(leader, &sample("wk-2", 1, 1.0, 2)), 201);
+    let mut items = simulation.store.items().into_iter();
+    let live_item = items.find(|item| item.key == "burlusher/j/wk-2").unwrap();
+    simulation.run_until_done("wk-2", 20.0);
+    simulation.run(1.0);
+    let core = &mut simulation.nodes[leader].core;
+    let purpose = ReadPurpose::Show(Ticket::MAX);
+    core.job_read_outcome("wk-2".into(), purpose, StoreOutcome::Found(live_item));
+    assert!(core.store_cache.missing_from_store.is_empty());
+    let (parts, leaderships) = (stored_parts(&simulation), simulation.leadership_count());
+    simulation.run(AFTER_PARTS_DELETION);
+    assert_eq!(stored_parts(&simulation), parts);
+    assert_eq!(simulation.leadership_count(), leaderships);
+    assert_kept_after_relisting(&mut simulation, "wk-1");
+    simulation.run_until_done("wk-1", 120.0);
+    assert_eq!(simulation.counters.starts, 3);
+}
+
+/// Guards against the loss of large jobs when the store has lost other data: a merge with the remaining data forgot
+/// which parts belong to the jobs that stay.
+#[test]
+fn parts_are_kept_after_loss_of_other_data() {
+    let (mut simulation, leader) = eight_machines(1502);
+    assert_eq!(simulation.submit(leader, &large_job("wk-1", 150)), 201);
+    assert_eq!(simulation.submit(leader, &sample("wk-2", 1, 1.0, 150)), 201);
+    simulation.run(3.0);
+    let parts = stored_parts(&simulation);
+    simulation.lose_keys("burlusher/j/wk-2");
+    simulation.run_until(20.0, "the loss is noticed", |simulation| {
+        !simulation.is_store_complete()
+    });
+    simulation.run_until(60.0, "the store is complete", Simulation::is_store_complete);
+    simulation.run(AFTER_PARTS_DELETION);
+    assert_eq!(stored_parts(&simulation), parts);
+    assert_kept_after_relisting(&mut simulation, "wk-1");
+    simulation.run_until_done("wk-1", 120.0);
+    assert_eq!(simulation.counters.starts, 3);
+}
--- a/src/core/store/cache.rs
+++ b/src/core/store/cache.rs
@@ -123,8 +123,8 @@
     pub rebuilding: Option<(RebuildingValue, u64)>,
     /// Jobs in this copy whose key the store lacks, or holds with an older state.
     pub missing_from_store: BTreeSet<JobId>,
-    /// Ends of jobs that this process wrote and the watch has not delivered yet, with the revisions of the writes: a
-    /// list that was read at an earlier revision does not contradict them.
+    /// Ends of jobs that this process has written or read and the watch has not delivered yet, with the versions of
+    /// their keys: a list that was read at an earlier revision does not contradict them.
     unconfirmed_ends: BTreeMap<JobId, u64>,
     /// Versions of keys, on which a leader's changes are conditional.
     pub versions: KeyVersions,
@@ -181,17 +181,12 @@
         residual_tasks: Option<ResidualTasks>,
         revision: u64,
     ) {
-        if revision > self.revision {
-            self.unconfirmed_ends.insert(id.clone(), revision);
-        }
-        self.put_job(
-            id,
-            JobValue::Ended {
-                end,
-                residual_tasks,
-            },
-            revision,
-        );
+        self.missing_from_store.remove(id);
+        let value = JobValue::Ended {
+            end,
+            residual_tasks,
+        };
+        self.put_job(id, value, revision);
     }
 
     /// Returns the tasks of a live job that may be on machines when it is cancelled at `now`.
--- a/src/core/store/cache/apply.rs
+++ b/src/core/store/cache/apply.rs
@@ -29,7 +29,7 @@
 
     fn put_listed_end(&mut self, ended: EndedJob) {
         self.update_version(&job_key(&ended.id), true, ended.version);
-        self.put_job(&ended.id, ended.value(), ended.version);
+        self.put_stored_job(&ended.id, ended.value(), ended.version);
     }
 
     /// Applies a key's value in the store to the copy. An unreadable value is logged and ignored.
@@ -72,7 +72,7 @@
             StoreKey::Rebuilding => {
                 self.rebuilding = Some((serde_json::from_value(value)?, version));
             }
-            StoreKey::Job(id) => self.put_job(id, serde_json::from_value(value)?, version),
+            StoreKey::Job(id) => self.put_stored_job(id, serde_json::from_value(value)?, version),
             StoreKey::DoneRange { job, base } => {
                 let value: DoneValue = serde_json::from_value(value)?;
                 self.put_done_range(JobId::from(job), base, value.tasks);
@@ -156,14 +156,26 @@
         }
     }
 
+    /// Applies the value of a job's key from a list or an event of the watch.
+    fn put_stored_job(&mut self, id: &str, value: JobValue, version: u64) {
+        let ended = matches!(value, JobValue::Ended { .. });
+        self.update_missing_from_store(&JobId::from(id), ended, version);
+        self.put_job(id, value, version);
+    }
+
+    /// Applies the value of a job's key from the response to a single call. The response may be older than what the
+    /// watch has delivered since, so it adds jobs and ends, but does not show what the store lacks.
+    pub fn put_job_from_response(&mut self, id: &str, value: JobValue, version: u64) {
+        if matches!(value, JobValue::Ended { .. }) || !self.is_known_job(id) {
+            self.put_job(id, value, version);
+        }
+    }
+
     /// Applies the value of a job's key. Version 0 means that the value comes from another controller's copy or a
     /// snapshot, not from the store.
-    pub fn put_job(&mut self, id: &str, value: JobValue, version: u64) {
+    pub(super) fn put_job(&mut self, id: &str, value: JobValue, version: u64) {
         let id = JobId::from(id);
         self.changed_jobs.insert(id.clone());
-        if version > 0 {
-            self.update_missing_from_store(&id, matches!(value, JobValue::Ended { .. }));
-        }
         match value {
             JobValue::Multipart {
                 parts: count,
@@ -181,7 +193,12 @@
             JobValue::Ended {
                 end,
                 residual_tasks,
-            } => self.put_ended_job(id, end, residual_tasks),
+            } => {
+                if version > self.revision {
+                    self.unconfirmed_ends.insert(id.clone(), version);
+                }
+                self.put_ended_job(id, end, residual_tasks);
+            }
             JobValue::Live { spec, submitted_ms }
             | JobValue::WithDependencies {
                 dependent: spec,
@@ -190,14 +207,15 @@
         }
     }
 
-    /// Updates whether the store lacks the state of a job that this copy has; `ended` tells whether the store holds the
-    /// job as ended.
-    fn update_missing_from_store(&mut self, id: &JobId, ended: bool) {
+    /// Updates whether the store lacks the state of a job that this copy has; `ended` tells whether the store held the
+    /// job as ended at this version of the job's key.
+    fn update_missing_from_store(&mut self, id: &JobId, ended: bool, version: u64) {
+        let end_is_newer = |end: &u64| *end > version;
         if ended || !self.finished.contains_key(id) {
             self.missing_from_store.remove(id);
-        } else if !self.unconfirmed_ends.contains_key(id) {
-            // The job has ended in this copy but not in the store. So the store has lost data, unless this process
-            // wrote the end and the watch has not delivered it yet.
+        } else if !self.unconfirmed_ends.get(id).is_some_and(end_is_newer) {
+            // The job has ended in this copy but not in the store. So the store has lost data, unless the watch has
+            // not delivered the end yet.
             self.missing_from_store.insert(id.clone());
         }
     }
--- a/src/core/store/cache/loss.rs
+++ b/src/core/store/cache/loss.rs
@@ -4,7 +4,6 @@
 use super::list::{ListedJob, StoreList};
 use super::stored::is_ended;
 use crate::core::store::keys::{TERM, identity_key, key as stored_key};
-use crate::core::store::large_jobs::LargeJobParts;
 use crate::core::store::versions::KeyVersions;
 use crate::job::JobId;
 use crate::wire::Item;
@@ -140,7 +139,7 @@
         self.orphaned_ranges.clear();
         self.garbage_keys.clear();
         self.unconfirmed_ends.clear();
-        self.parts = LargeJobParts::default();
+        self.parts.begin_list(|id, _| self.jobs.contains_key(id));
         self.versions = KeyVersions::default();
     }
 
--- a/src/core/store/cache/tests.rs
+++ b/src/core/store/cache/tests.rs
@@ -1,5 +1,6 @@
 use super::*;
-use crate::job::Resources;
+use crate::job::{Resources, sample};
+use crate::wire::Item;
 use serde::Deserialize;
 
 /// During a rolling upgrade, a controller of an earlier version must not become leader once machines are recorded in a
@@ -76,3 +77,42 @@
     store_cache.expire_residual_tasks(16_500);
     assert_eq!(store_cache.residual_tasks.len(), 500);
 }
+
+/// Guards against a false loss of data: a controller read the end of a job before the watch had delivered it, and a list
+/// or an event from before that end seemed to have forgotten it.
+#[test]
+fn older_list_and_event_do_not_contradict_an_end_that_was_read() {
+    let live = || WatchEvent {
+        put: Some("burlusher/j/wk-1".into()),
+        value: serde_json::to_value(JobValue::live(Box::new(sample("wk-1", 1, 1.0, 1)), 7))
+            .unwrap(),
+        version: 3,
+        delete: None,
+        lease: None,
+    };
+    let ended = || JobValue::Ended {
+        end: JobOutcome::Done,
+        residual_tasks: None,
+    };
+    let mut store_cache = StoreCache::default();
+    store_cache.reset(StoreList::default(), 2);
+    store_cache.put_job_from_response("wk-1", ended(), 5);
+    store_cache.apply(vec![live()], 3);
+    assert!(store_cache.missing_from_store.is_empty());
+    let list = || {
+        StoreList::from_iter([live()].map(|event| Item {
+            key: event.put.unwrap(),
+            value: event.value,
+            version: event.version,
+            lease: None,
+        }))
+    };
+    assert_eq!(store_cache.find_contradiction(&list(), 4), None);
+    // A list from after the end must contain it.
+    assert!(store_cache.find_contradiction(&list(), 5).is_some());
+    // A response from before the end, which arrives after the watch has delivered it.
+    store_cache.advance_revision(6);
+    let value = serde_json::from_value(live().value).unwrap();
+    store_cache.put_job_from_response("wk-1", value, 3);
+    assert!(store_cache.missing_from_store.is_empty());
+}
