Obsolete parts are deleted only if the store agrees on their job

Cause: parts that no job refers to in the leader's copy were deleted on the condition of their own version alone. A copy that lacked the job's key, for whatever reason, thus deleted parts of an accepted job. Change: such a deletion also depends on the version of the job's key that the copy has, or on its absence, so that the store refuses it otherwise. A deletion that does not fit into a transaction is no longer dropped from the queue.

--- a/src/core/simulation/faults.rs
+++ b/src/core/simulation/faults.rs
@@ -2,7 +2,7 @@
 
 use super::cluster::{Node, Simulation};
 use super::network::Link;
-use super::store::{Backup, StateService};
+use super::store::{Backup, Entry, StateService};
 use crate::core::{Command, LEASE_TTL};
 use crate::job::MachineId;
 use crate::store_client::PREFIX;
@@ -175,6 +175,17 @@
         }
     }
 
+    /// Creates a key at a new revision without notifying watchers.
+    pub fn insert_unseen(&mut self, key: &str, value: serde_json::Value) {
+        self.store.revision += 1;
+        let entry = Entry {
+            value,
+            version: self.store.revision,
+            lease: None,
+        };
+        self.store.keys.insert(key.into(), entry);
+    }
+
     /// Makes the store lose all leases and keep the keys that are attached to them.
     pub fn drop_leases(&mut self) {
         self.store.leases.clear();
--- a/src/core/simulation/scenarios/large_jobs.rs
+++ b/src/core/simulation/scenarios/large_jobs.rs
@@ -5,9 +5,11 @@
 use crate::core::Ticket;
 use crate::core::command::ReadPurpose;
 use crate::core::simulation::Simulation;
+use crate::core::store::keys::{job_key, part_key};
 use crate::job::{JobSpec, sample};
 use crate::store_client::StoreOutcome;
 use crate::wire::JobState;
+use serde_json::json;
 use std::time::Duration;
 
 /// Characters of an image name that is too long for one value of the store.
@@ -117,3 +119,19 @@
     simulation.run_until_done("wk-1", 120.0);
     assert_eq!(simulation.counters.starts, 3);
 }
+
+/// Guards against the deletion of an accepted job's parts by a leader whose copy lacks the job's key: the store refuses
+/// it, as the key exists.
+#[test]
+fn store_refuses_deletion_of_parts_of_job_unknown_to_leader() {
+    let (mut simulation, leader) = eight_machines(1503);
+    let part = part_key("wk-1", 7, 0);
+    simulation.external_put(&part, json!({"text": "{}"}));
+    // The deletion is due a minute later.
+    simulation.run(59.5);
+    let header = json!({"parts": 1, "stem": 7, "submitted_ms": 7});
+    simulation.insert_unseen(&job_key("wk-1"), header);
+    simulation.run(2.0);
+    assert_eq!(stored_parts(&simulation), [part]);
+    assert_eq!(simulation.leader(), Some(leader));
+}
--- a/src/core/store/large_jobs.rs
+++ b/src/core/store/large_jobs.rs
@@ -158,7 +158,7 @@
     }
 
     /// Returns whether the job's key, as far as it is known, refers to this set of parts.
-    pub fn refers_to(&self, id: &JobId, generation: PartGeneration) -> bool {
+    pub fn refers_to(&self, id: &str, generation: PartGeneration) -> bool {
         let job = self.jobs.get(id);
         job.is_some_and(|job| job.header.generation == generation)
     }
--- a/src/core/store/mod.rs
+++ b/src/core/store/mod.rs
@@ -6,6 +6,7 @@
 //! - `keys`, `versions`: keys and their versions; `cache`: the copy of the store, kept current by the watch.
 //! - `transaction`, `writes`, `commit`: building the leader's next transaction, sending it, and finding out whether
 //!   one without a response was committed.
+//! - `garbage`: whether an obsolete key may be deleted.
 //! - `machine_records`, `large_jobs`: values that are spread over several keys.
 //! - `read_barrier`: linearizable reads that need more than the value of one key.
 //! - `integrity`, `rebuild`: detection of data loss in the store, and restoration of the lost data by the leader.
@@ -13,6 +14,7 @@
 pub mod barrier_request;
 pub mod cache;
 pub mod commit;
+pub mod garbage;
 pub mod integrity;
 pub mod keys;
 pub mod large_jobs;
--- a/src/core/store/transaction.rs
+++ b/src/core/store/transaction.rs
@@ -7,6 +7,7 @@
 use crate::core::leadership::state::LeaderState;
 use crate::core::machines::cancellation_bound::cancellation_bound;
 use crate::core::store::cache::{DoneValue, JobValue, StoreCache};
+use crate::core::store::garbage::Deletion;
 use crate::core::store::keys::{LEADER, REBUILDING, TYPES, done_key, job_key, key, part_key};
 use crate::core::store::large_jobs::{self, PartValue};
 use crate::core::store::pending_writes::WriteOp;
@@ -42,6 +43,8 @@
     max_changes: usize,
     bytes: usize,
     changes: Vec<Change>,
+    /// Conditions beyond those on the versions of the changed keys.
+    conditions: Vec<Condition>,
     ops: Vec<WriteOp>,
 }
 
@@ -51,6 +54,7 @@
             max_changes,
             bytes: 0,
             changes: Vec::new(),
+            conditions: Vec::new(),
             ops: Vec::new(),
         }
     }
@@ -71,6 +75,18 @@
         true
     }
 
+    /// Adds the deletion of a key, on a condition if one is given, if both fit; returns whether they did.
+    fn add_deletion(&mut self, key: String, condition: Option<Condition>) -> bool {
+        let condition = condition.filter(|c| !self.conditions.contains(c));
+        let bytes = condition.as_ref().map_or(0, |c| condition_bytes(&c.key));
+        if self.bytes + bytes > MAX_TRANSACTION_BYTES || !self.add(vec![Change::Delete { key }]) {
+            return false;
+        }
+        self.bytes += bytes;
+        self.conditions.extend(condition);
+        true
+    }
+
     /// Adds changes that belong together and their effect, if they fit; returns whether they did.
     fn add_op(&mut self, changes: Vec<Change>, op: WriteOp) -> bool {
         let added = self.add(changes);
@@ -81,9 +97,14 @@
     }
 }
 
+/// Returns the bytes that a condition takes of a transaction.
+fn condition_bytes(key: &str) -> usize {
+    key.len() + CONDITION_BYTES
+}
+
 /// Returns the bytes that a change and the condition on its key take of a transaction.
 fn transaction_bytes(change: &Change) -> usize {
-    to_json(change).len() + SEPARATOR_BYTES + change.key().len() + CONDITION_BYTES
+    to_json(change).len() + SEPARATOR_BYTES + condition_bytes(change.key())
 }
 
 /// Collects pending changes. Each `add` method stops when the transaction is full.
@@ -336,18 +357,33 @@
         }
     }
 
+    /// Adds deletions of obsolete keys. Those that cannot be decided yet, or do not fit, stay queued.
     fn add_garbage_deletions(&mut self) {
+        let mut undecided = Vec::new();
         while self.batch.remaining_changes() > 0
             && let Some(key) = self.store_cache.garbage_keys.pop_first()
         {
-            if self.store_cache.versions.of(&key) > 0 {
-                self.batch.add(vec![Change::Delete { key }]);
+            match self.store_cache.deletion_of(&key) {
+                Deletion::Allowed(condition) => {
+                    if !self.batch.add_deletion(key.clone(), condition) {
+                        undecided.push(key);
+                        break;
+                    }
+                }
+                Deletion::Undecided => undecided.push(key),
+                Deletion::Unnecessary => {}
             }
         }
+        self.store_cache.garbage_keys.extend(undecided);
     }
 
     fn into_transaction(self) -> Transaction {
-        let Batch { changes, ops, .. } = self.batch;
+        let Batch {
+            changes,
+            conditions: further_conditions,
+            ops,
+            ..
+        } = self.batch;
         // Conditional on the leader key: a transaction that arrives after the end of this
         // leadership must change nothing.
         let mut conditions = vec![Condition {
@@ -362,6 +398,9 @@
             key: change.key().into(),
             version: self.store_cache.versions.of(change.key()),
         }));
+        let is_changed = |c: &Condition| changes.iter().any(|change| change.key() == c.key);
+        let further_conditions = further_conditions.into_iter();
+        conditions.extend(further_conditions.filter(|c| !is_changed(c)));
         let request = CompareAndSwap {
             conditions,
             changes,
@@ -404,14 +443,20 @@
         Some(transaction)
     }
 
-    /// Queues parts for deletion that no job has referred to for `UNCLAIMED_PARTS_TTL`: their submission failed.
+    /// Queues parts for deletion that no job has referred to for `UNCLAIMED_PARTS_TTL`: their submission failed. Parts
+    /// that this leader writes to restore a job are not among them.
     fn collect_garbage_keys(&mut self) {
         let now = self.now.mono;
         let Some(leader) = &mut self.leader else {
             return;
         };
         let mut first_seen = std::mem::take(&mut leader.unclaimed_parts);
+        let restored = &leader.writes.missing_parts_written;
+        let is_restored = |id, generation| generation == leader.term && restored.contains_key(id);
         for (id, generation) in self.store_cache.parts.unclaimed() {
+            if is_restored(id, *generation) {
+                continue;
+            }
             let part_set = (id.clone(), *generation);
             let since = first_seen.remove(&part_set).unwrap_or(now);
             if now >= since + UNCLAIMED_PARTS_TTL {
