A response that a job does not exist may be older than the job

Callers saw: a user who asked about a job just before it was submitted got 503, and a controller read the whole store again; if the job had ended by the time the slow response arrived, the user got 404 about an accepted job. Cause: the revision in the response was ignored. Change: a response from before the job's creation leads to a fresh read; the end of a job is answered as such. Test: loss_of_store::late_answer_that_job_does_not_exist_is_no_loss, seen to fail before (a full read was requested).

--- a/src/core/jobs/job_reads.rs
+++ b/src/core/jobs/job_reads.rs
@@ -50,7 +50,7 @@
         outcome: StoreOutcome,
     ) {
         match outcome {
-            StoreOutcome::Missing { .. } => self.job_key_missing(id, purpose),
+            StoreOutcome::Missing { revision } => self.job_key_missing(id, purpose, revision),
             StoreOutcome::Found(item) => self.job_key_found(id, purpose, item),
             other => {
                 tracing::debug!(job = %id, outcome = ?other, "job key not read");
@@ -60,10 +60,14 @@
         }
     }
 
-    fn job_key_missing(&mut self, id: String, purpose: ReadPurpose) {
+    /// Continues the request if there was no such key at this revision of the store.
+    fn job_key_missing(&mut self, id: String, purpose: ReadPurpose, revision: u64) {
         let ticket = purpose.ticket();
-        if self.store_cache.jobs.contains_key(id.as_str()) {
-            return self.known_job_key_missing(id, purpose);
+        if let Some(answer) = self.final_answer(&id) {
+            return self.answer(ticket, answer);
+        }
+        if self.store_cache.is_known_job(&id) {
+            return self.known_job_key_missing(id, purpose, revision);
         }
         if self.job_existence_is_uncertain() {
             // The job may have been accepted even so.
@@ -78,11 +82,21 @@
         self.answer(ticket, answer);
     }
 
-    /// Handles a request for a job that this controller knows and the store has lost.
-    fn known_job_key_missing(&mut self, id: String, purpose: ReadPurpose) {
+    /// Handles a request for a job that this controller knows and whose key did not exist at this revision of the
+    /// store: either the job was created after that, or the store has lost it.
+    fn known_job_key_missing(&mut self, id: String, purpose: ReadPurpose, revision: u64) {
         let ticket = purpose.ticket();
+        let is_newer = self.store_cache.is_created_after(&id, revision);
+        if is_newer && !self.may_have_lost_data() {
+            return match purpose {
+                ReadPurpose::Cancel(_) => self.cancel_as_leader(ticket, &id),
+                _ => self.queue_barrier_request(BarrierRequest::Show(ticket, id)),
+            };
+        }
         if !self.store_is_incomplete() {
-            self.suspect_data_loss("a known job is missing from it");
+            if !is_newer {
+                self.suspect_data_loss("a known job is missing from it");
+            }
             let answer = Response::busy("the state service may have lost data", 1);
             return self.answer(ticket, answer);
         }
--- a/src/core/simulation/scenarios/loss_of_store.rs
+++ b/src/core/simulation/scenarios/loss_of_store.rs
@@ -1,9 +1,9 @@
 //! A state service that loses data. The simulation checks at every tick that no task runs twice, and at every response
 //! that no accepted job is forgotten and no earlier response is contradicted.
 
-use crate::core::command::PendingCall;
+use crate::core::command::{PendingCall, ReadPurpose};
 use crate::core::simulation::{Link, Simulation, fails_without};
-use crate::core::{Core, Effect};
+use crate::core::{Core, Effect, Ticket};
 use crate::fault_injection::Safeguard;
 use crate::job::{JobSpec, sample};
 use crate::policy::Policy;
@@ -636,6 +636,12 @@
     assert_eq!(rereads(core), 1);
 }
 
+/// Returns whether a step has requested a full read of the store so far.
+fn rereads_store(core: &Core) -> bool {
+    let mut effects = core.effects.iter();
+    effects.any(|effect| matches!(effect, Effect::RereadStore))
+}
+
 /// A page of an audit was read before a job ended, and reached the leader after that. The difference is no sign of a
 /// loss: taken for one, it made leaders read the whole store again several times a day.
 #[test]
@@ -664,17 +670,59 @@
         _ => None,
     });
     assert!(suspicion.is_some(), "the page is not read again");
-    let rereads_store = |core: &Core| {
-        core.effects
-            .iter()
-            .any(|e| matches!(e, Effect::RereadStore))
-    };
     assert!(!rereads_store(core));
     // The same difference in a second read, begun after the first comparison, is a loss.
     core.jobs_audited(String::new(), suspicion, page(1));
     assert!(rereads_store(core));
 }
 
+/// Returns the statuses of the responses to users that a step has produced so far.
+fn response_statuses(core: &Core) -> Vec<u16> {
+    let effects = core.effects.iter();
+    let statuses = effects.filter_map(|effect| match effect {
+        Effect::Response { response, .. } => Some(response.status),
+        _ => None,
+    });
+    statuses.collect()
+}
+
+/// Guards against needless full reads: a user asked about a job just before it was submitted, and the slow answer that it
+/// did not exist arrived when the job was known. It was taken for a loss of data; once the job had ended, the user
+/// even got a 404.
+#[test]
+fn late_answer_that_job_does_not_exist_is_no_loss() {
+    let (mut simulation, leader) = six_machines(34);
+    let revision = simulation.store.revision;
+    let missing = |core: &mut Core, revision| {
+        core.effects.clear();
+        let purpose = ReadPurpose::Show(Ticket::MAX);
+        core.job_read_outcome("wk-1".into(), purpose, StoreOutcome::Missing { revision });
+    };
+    assert_eq!(simulation.submit(leader, &sample("wk-1", 1, 1.0, 2)), 201);
+    let core = &mut simulation.nodes[leader].core;
+    missing(core, revision);
+    assert!(!rereads_store(core));
+    assert_eq!(
+        response_statuses(core),
+        [0; 0],
+        "the present state is read first"
+    );
+    simulation.run_until_done("wk-1", 10.0);
+    let core = &mut simulation.nodes[leader].core;
+    missing(core, revision);
+    assert_eq!(response_statuses(core), [200]);
+    // A live job that is missing at a later revision is a sign of a loss.
+    assert_eq!(simulation.submit(leader, &long_job("wk-2")), 201);
+    simulation.run(1.0);
+    let revision = simulation.store.revision;
+    let core = &mut simulation.nodes[leader].core;
+    core.effects.clear();
+    let purpose = ReadPurpose::Show(Ticket::MAX);
+    core.job_read_outcome("wk-2".into(), purpose, StoreOutcome::Missing { revision });
+    assert!(rereads_store(core));
+    assert_eq!(response_statuses(core), [503]);
+}
+
 /// Found in code review: a controller that had just started on a store which was rolled back a moment before answered
 /// 404 and 422 for jobs accepted since the backup, until the other controllers had noticed the rollback.
 fn restart_on_rolled_back_store() {
--- a/src/core/store/cache.rs
+++ b/src/core/store/cache.rs
@@ -248,6 +248,13 @@
         self.jobs.contains_key(id) || self.finished.contains_key(id) || self.parts.has_header(id)
     }
 
+    /// Returns whether the key of a job that has not ended was created after this revision of the store.
+    pub fn is_created_after(&self, id: &str, revision: u64) -> bool {
+        let version = self.jobs.get(id).map(|job| job.version);
+        let version = version.or_else(|| self.parts.header_version(id));
+        version.is_some_and(|version| version > revision)
+    }
+
     /// Returns whether all dependencies of a live job have ended, and none of them was cancelled.
     pub fn dependencies_met(&self, id: &JobId) -> bool {
         self.dependencies.unfinished_dependencies(id) == 0
--- a/src/core/store/integrity/data_loss.rs
+++ b/src/core/store/integrity/data_loss.rs
@@ -21,6 +21,12 @@
         self.store_integrity.data_loss.is_some() || self.store_cache.rebuilding.is_some()
     }
 
+    /// Returns whether the store has lost data, or is being read again after a sign of it.
+    pub(in crate::core) fn may_have_lost_data(&self) -> bool {
+        let reread = &self.store_integrity.reread;
+        self.store_is_incomplete() || reread.is_in_progress(self.now.mono)
+    }
+
     /// Reads the whole store again after a sign of data loss, to compare it with the copy.
     pub(in crate::core) fn suspect_data_loss(&mut self, reason: &str) {
         let now = self.now.mono;
--- a/src/core/store/large_jobs.rs
+++ b/src/core/store/large_jobs.rs
@@ -110,6 +110,12 @@
         self.jobs.contains_key(id)
     }
 
+    /// Returns the version of this accepted job's key, if its content is known.
+    pub fn header_version(&self, id: &str) -> Option<u64> {
+        let job = self.jobs.get(id);
+        job.map(|job| job.header.version)
+    }
+
     /// Returns the job if it is accepted and all its parts have been read, and clears their texts.
     pub fn take_complete(&mut self, id: &JobId) -> Option<(MultipartHeader, JobSpec)> {
         let job = self.jobs.get(id).filter(|job| !job.is_read)?;
