A job whose stored parts are gone is restored from the copies

Leaders of earlier versions still delete such parts. Cause: a list replaced the copy even where it could not be read, and deletions of a live job's parts were not noticed. Change: a live job that a list holds without all of its parts stays in the copy and counts as missing from the store, as does one whose parts are seen to be deleted. The leader then writes it again, as after a loss. Tests: large_jobs::parts_deleted_by_earlier_version_are_restored and job_without_parts_in_listing_is_restored, seen to fail before.

--- a/src/core/simulation/scenarios/large_jobs.rs
+++ b/src/core/simulation/scenarios/large_jobs.rs
@@ -8,7 +8,7 @@
 use crate::core::store::keys::{job_key, part_key};
 use crate::job::{JobSpec, sample};
 use crate::store_client::StoreOutcome;
-use crate::wire::JobState;
+use crate::wire::{Change, CompareAndSwap, JobState};
 use serde_json::json;
 use std::time::Duration;
 
@@ -135,3 +135,46 @@
     assert_eq!(stored_parts(&simulation), [part]);
     assert_eq!(simulation.leader(), Some(leader));
 }
+
+/// Checks that the parts of a running job are written again, and that the job goes on.
+fn assert_restored(simulation: &mut Simulation, id: &str, parts: usize) {
+    simulation.run_until(10.0, "the parts are stored again", |simulation| {
+        stored_parts(simulation).len() == parts
+    });
+    simulation.run(AFTER_PARTS_DELETION);
+    assert_eq!(stored_parts(simulation).len(), parts);
+    assert_kept_after_relisting(simulation, id);
+    simulation.run_until_done(id, 120.0);
+    assert_eq!(simulation.counters.starts, 2);
+}
+
+/// Guards against the loss of a job whose parts were deleted by a leader of an earlier version: the copies of the
+/// controllers still have the job, so the next leader restores it.
+#[test]
+fn parts_deleted_by_earlier_version_are_restored() {
+    let (mut simulation, leader) = eight_machines(1504);
+    assert_eq!(simulation.submit(leader, &large_job("wk-1", 150)), 201);
+    simulation.run(2.0);
+    let parts = stored_parts(&simulation);
+    let changes = parts.iter().map(|key| Change::Delete { key: key.clone() });
+    simulation.store.txn(&CompareAndSwap {
+        conditions: Vec::new(),
+        changes: changes.collect(),
+    });
+    assert_restored(&mut simulation, "wk-1", parts.len());
+}
+
+/// Guards against the loss of a job whose key a list holds without its parts: each controller dropped the job, though
+/// its copy had it.
+#[test]
+fn job_without_parts_in_listing_is_restored() {
+    let (mut simulation, leader) = eight_machines(1505);
+    assert_eq!(simulation.submit(leader, &large_job("wk-1", 150)), 201);
+    simulation.run(2.0);
+    let parts = stored_parts(&simulation).len();
+    simulation.lose_keys(PARTS);
+    for node in 0..3 {
+        simulation.force_relisting(node);
+    }
+    assert_restored(&mut simulation, "wk-1", parts);
+}
--- a/src/core/store/cache.rs
+++ b/src/core/store/cache.rs
@@ -137,7 +137,8 @@
 impl StoreCache {
     /// Replaces the copy by a full list of the store, but keeps the ends of jobs. The list may have been begun before
     /// this process's latest writes, and lacks results that are not written yet: so jobs that are newer than the list
-    /// are kept too, and so are the done tasks of all jobs.
+    /// are kept too, and so are the done tasks of all jobs. Jobs that the list holds without all of their parts are kept
+    /// as well, and recorded as missing from the store.
     pub fn reset(&mut self, list: StoreList, revision: u64) {
         let finished = std::mem::take(&mut self.finished);
         let before = std::mem::take(&mut self.jobs);
@@ -163,16 +164,31 @@
         for (id, job) in before {
             if let Some(known) = self.jobs.get_mut(&id) {
                 known.done.union_with(&job.done);
-            } else if job.version > revision && !self.finished.contains_key(&id) {
-                let cancelled =
-                    self.dependencies
-                        .add_job(&id, &job.spec.dependencies, &self.finished);
-                self.changed_jobs.extend(cancelled);
-                self.jobs.insert(id, job);
+            } else if self.finished.contains_key(&id) {
+                continue;
+            } else if self.parts.lacks_parts(&id) && job.version <= revision {
+                self.parts.mark_read(&id);
+                self.missing_from_store.insert(id.clone());
+                self.keep_job(id, job);
+            } else if job.version > revision {
+                self.keep_job(id, job);
             }
         }
     }
 
+    /// Adds a live job that the copy had before it was replaced by a list, with the done tasks in the list.
+    fn keep_job(&mut self, id: JobId, mut job: JobRecord) {
+        for (base, ranges) in self.take_orphaned_ranges(&id) {
+            let end = job.done.add_ranges(base, &ranges, job.spec.tasks);
+            job.stored_ranges.insert(base, end);
+        }
+        let cancelled = self
+            .dependencies
+            .add_job(&id, &job.spec.dependencies, &self.finished);
+        self.changed_jobs.extend(cancelled);
+        self.jobs.insert(id, job);
+    }
+
     /// Records that this process wrote the end of a job, at `revision`.
     pub fn record_job_end(
         &mut self,
--- a/src/core/store/cache/apply.rs
+++ b/src/core/store/cache/apply.rs
@@ -161,6 +161,14 @@
         let ended = matches!(value, JobValue::Ended { .. });
         self.update_missing_from_store(&JobId::from(id), ended, version);
         self.put_job(id, value, version);
+        if self.has_lost_parts(id) {
+            self.missing_from_store.insert(id.into());
+        }
+    }
+
+    /// Returns whether the store lacks parts of a live job that this copy has.
+    pub(super) fn has_lost_parts(&self, id: &str) -> bool {
+        self.jobs.contains_key(id) && self.parts.lacks_parts(&id.into())
     }
 
     /// Applies the value of a job's key from the response to a single call. The response may be older than what the
@@ -281,7 +289,7 @@
         self.jobs.insert(id, record);
     }
 
-    fn take_orphaned_ranges(&mut self, id: &JobId) -> Vec<(u32, String)> {
+    pub(super) fn take_orphaned_ranges(&mut self, id: &JobId) -> Vec<(u32, String)> {
         let all = (id.clone(), 0)..=(id.clone(), u32::MAX);
         let bases: Vec<u32> = self
             .orphaned_ranges
@@ -346,6 +354,10 @@
             }) => {
                 self.garbage_keys.remove(key);
                 self.parts.delete(&JobId::from(job), generation, number);
+                if self.has_lost_parts(job) {
+                    // A leader of an earlier version deletes parts whose job it has lost track of.
+                    self.missing_from_store.insert(job.into());
+                }
             }
             Some(StoreKey::MachinePage(n)) => self.put_page(n, BTreeMap::new()),
             Some(StoreKey::Machine(id)) => {
--- a/src/core/store/cache/loss.rs
+++ b/src/core/store/cache/loss.rs
@@ -107,7 +107,13 @@
         }
         self.clear_store_metadata(revision);
         self.put_list(list);
+        let large_jobs = self.parts.accepted_jobs();
+        let damaged: Vec<JobId> = large_jobs
+            .filter(|id| self.has_lost_parts(id))
+            .cloned()
+            .collect();
         self.missing_from_store = missing;
+        self.missing_from_store.extend(damaged);
         self.changed_jobs.extend(self.jobs.keys().cloned());
         self.changed_jobs
             .extend(self.missing_from_store.iter().cloned());
--- a/src/core/store/large_jobs.rs
+++ b/src/core/store/large_jobs.rs
@@ -169,6 +169,29 @@
         job.is_some_and(|job| job.header.generation == generation)
     }
 
+    /// Returns whether the store lacks some of the parts that the job's key refers to.
+    pub fn lacks_parts(&self, id: &JobId) -> bool {
+        let Some(LargeJob { header, .. }) = self.jobs.get(id) else {
+            return false;
+        };
+        let parts = self.texts.get(&(id.clone(), header.generation));
+        let is_stored = |n: u32| parts.is_some_and(|parts| parts.contains_key(&n));
+        !(0..header.count).all(is_stored)
+    }
+
+    /// Returns the accepted large jobs.
+    pub fn accepted_jobs(&self) -> impl Iterator<Item = &JobId> {
+        self.jobs.keys()
+    }
+
+    /// Records that the copy has the job, so that its parts need not be read.
+    pub fn mark_read(&mut self, id: &JobId) {
+        let header = self.jobs.get(id).map(|job| job.header);
+        if let Some(header) = header {
+            self.put_header(id, header, true);
+        }
+    }
+
     /// Returns the sets of parts that no accepted job refers to.
     pub fn unclaimed(&self) -> impl Iterator<Item = &(JobId, PartGeneration)> {
         let sets = self.texts.keys();
