A list that is merged does not undo what was written after it

Cause: while the store lacked data of the copy, each further list was merged as after a new loss: ends and jobs that were written after the list was begun counted as missing, and were written again on the condition of old versions, in vain. And a job of which the copy had only the key, as its parts were gone, was ignored in other controllers' copies. Change: merge_list keeps versions and ends that are newer than the list; only merge_after_loss resets them. merge_job takes a whole job for one that is known by its key alone. Tests: a_merge_with_an_older_list_keeps_newer_writes and a_job_without_parts_is_merged_from_another_copy, seen to fail with the merge as it was.

--- a/src/core/store/cache.rs
+++ b/src/core/store/cache.rs
@@ -1,7 +1,8 @@
 //! This controller's copy of the data in the state service, kept current by the watch. The module `keys` documents
 //! the keys.
 //!
-//! After the store has lost data, `merge_after_loss` keeps the copied data and records which of it the store lacks.
+//! After the store has lost data, `merge_after_loss` and `merge_list` keep the copied data and record which of it the
+//! store lacks.
 //! `merge_items` merges the copies of other controllers by the same rules, whose result does not depend on the order
 //! of merging: the end of a job is final, sets of done tasks are united, and a known machine stays known.
 //!
--- a/src/core/store/cache/apply.rs
+++ b/src/core/store/cache/apply.rs
@@ -230,7 +230,7 @@
 
     /// Returns whether the copy already has the job or its end. Events of the watch may repeat what a newer list
     /// contained.
-    fn is_cached(&self, id: &JobId) -> bool {
+    pub(super) fn is_cached(&self, id: &JobId) -> bool {
         self.finished.contains_key(id) || self.jobs.contains_key(id)
     }
 
--- a/src/core/store/cache/exchange.rs
+++ b/src/core/store/cache/exchange.rs
@@ -97,12 +97,13 @@
         let known = match &value {
             JobValue::Ended { .. } => self.finished.contains_key(&job),
             JobValue::Multipart { .. } => true,
-            _ => self.is_known_job(id),
+            JobValue::Live { .. } | JobValue::WithDependencies { .. } => self.is_cached(&job),
         };
         if known {
             return false;
         }
         self.put_job(id, value, 0);
+        self.parts.mark_read(&job);
         self.missing_from_store.insert(job);
         true
     }
--- a/src/core/store/cache/loss.rs
+++ b/src/core/store/cache/loss.rs
@@ -96,15 +96,27 @@
         Some(format!("it has forgotten job {missing}"))
     }
 
-    /// Merges a full list of a store that has lost data into the copy. Jobs and ends that only the copy has are
-    /// recorded as missing from the store. Versions of keys are reset.
+    /// Merges a full list of a store that has lost data into the copy. Versions and revisions from before the loss
+    /// cannot be compared with later ones, and are reset.
     pub fn merge_after_loss(&mut self, list: StoreList, revision: u64) {
-        let missing = self.jobs_missing_from(&list);
         for job in self.jobs.values_mut() {
             // Marks the job as older than any later leadership: its tasks may be on any machine.
             job.version = 0;
+        }
+        self.unconfirmed_ends.clear();
+        self.versions = KeyVersions::default();
+        self.parts.begin_list(|id, _| self.jobs.contains_key(id));
+        self.merge_list(list, revision);
+    }
+
+    /// Merges a full list of a store that still lacks some of this copy's data. Jobs and ends that only the copy has
+    /// are recorded as missing from the store, except those that were written after the list was begun.
+    pub fn merge_list(&mut self, list: StoreList, revision: u64) {
+        let missing = self.jobs_missing_from(&list, revision);
+        for job in self.jobs.values_mut() {
             job.stored_ranges.clear();
         }
+        self.versions.clear_observed();
         self.clear_store_metadata(revision);
         self.put_list(list);
         let large_jobs = self.parts.accepted_jobs();
@@ -120,17 +132,25 @@
         self.loaded = true;
     }
 
-    /// Returns the jobs of this copy whose key, or whose end, a full list lacks.
-    fn jobs_missing_from(&self, list: &StoreList) -> BTreeSet<JobId> {
-        let live = self.jobs.keys();
+    /// Returns the jobs of this copy whose key, or whose end, a full list of this revision should contain and lacks.
+    fn jobs_missing_from(&self, list: &StoreList, revision: u64) -> BTreeSet<JobId> {
+        let live = self.jobs.iter();
+        let live = live
+            .filter(|(_, job)| job.version <= revision)
+            .map(|(id, _)| id);
         let live = live.filter(|id| list.job(id) == ListedJob::Absent);
-        let ended = self.finished.keys();
+        let is_newer = |id: &JobId| {
+            self.unconfirmed_ends
+                .get(id)
+                .is_some_and(|at| *at > revision)
+        };
+        let ended = self.finished.keys().filter(|id| !is_newer(id));
         let ended = ended.filter(|id| list.job(id) != ListedJob::Ended);
         live.chain(ended).cloned().collect()
     }
 
-    /// Clears what is known about the store itself, such as its identity, versions and pages; jobs, terms and
-    /// machines stay.
+    /// Clears what is known about the store itself, such as its identity and pages, before a list of this revision shows
+    /// it; jobs, terms and machines stay.
     fn clear_store_metadata(&mut self, revision: u64) {
         self.identity = None;
         self.first_term = None;
@@ -144,9 +164,9 @@
         self.single_key_machines.clear();
         self.orphaned_ranges.clear();
         self.garbage_keys.clear();
-        self.unconfirmed_ends.clear();
-        self.parts.begin_list(|id, _| self.jobs.contains_key(id));
-        self.versions = KeyVersions::default();
+        self.unconfirmed_ends.retain(|_, at| *at > revision);
+        self.parts
+            .begin_list(|id, header| self.jobs.contains_key(id) || header.version > revision);
     }
 
     /// Expects a new identity of the store, if it has one: the next leader replaces the identity of a store that has
--- a/src/core/store/cache/tests.rs
+++ b/src/core/store/cache/tests.rs
@@ -1,4 +1,5 @@
 use super::*;
+use crate::core::store::keys::job_key;
 use crate::job::{Resources, sample};
 use crate::wire::Item;
 use serde::Deserialize;
@@ -78,29 +79,87 @@
     assert_eq!(store_cache.residual_tasks.len(), 500);
 }
 
+fn ended(end: JobOutcome) -> JobValue {
+    JobValue::Ended {
+        end,
+        residual_tasks: None,
+    }
+}
+
+fn live(id: &str) -> JobValue {
+    JobValue::live(Box::new(sample(id, 1, 1.0, 1)), 7)
+}
+
+/// Guards against writes that are repeated in vain: a list that was begun before the end of a job was written, and before
+/// another one was accepted, was merged as if the store had lost both.
+#[test]
+fn a_merge_with_an_older_list_keeps_newer_writes() {
+    let item = |id: &str, version| Item {
+        key: job_key(id),
+        value: serde_json::to_value(live(id)).unwrap(),
+        version,
+        lease: None,
+    };
+    let mut store_cache = StoreCache::default();
+    store_cache.reset(StoreList::from_iter([item("wk-1", 3)]), 4);
+    store_cache.put_job("wk-2", live("wk-2"), 0);
+    store_cache.missing_from_store.insert("wk-2".into());
+    let change = Change::put(job_key("wk-1"), serde_json::Value::Null);
+    store_cache.record_write(&[change], 6);
+    store_cache.record_job_end(&"wk-1".into(), JobOutcome::Done, None, 6);
+    store_cache.put_job_from_response("wk-3", live("wk-3"), 7);
+    store_cache.merge_list(StoreList::from_iter([item("wk-1", 3)]), 5);
+    let missing: Vec<&str> = store_cache
+        .missing_from_store
+        .iter()
+        .map(|id| &**id)
+        .collect();
+    assert_eq!(missing, ["wk-2"]);
+    assert_eq!(store_cache.versions.of(&job_key("wk-1")), 6);
+    assert_eq!(store_cache.jobs["wk-3"].version, 7);
+    // A list from after these writes must contain them.
+    store_cache.merge_list(StoreList::from_iter([item("wk-1", 3)]), 7);
+    assert_eq!(store_cache.missing_from_store.len(), 3);
+}
+
+/// Guards against the loss of a job whose stored parts are gone: a copy that had only the job's key ignored the whole
+/// job in another controller's copy.
+#[test]
+fn a_job_without_parts_is_merged_from_another_copy() {
+    let header = serde_json::json!({"parts": 2, "stem": 9, "submitted_ms": 7});
+    let item = Item {
+        key: job_key("wk-1"),
+        value: header,
+        version: 3,
+        lease: None,
+    };
+    let mut store_cache = StoreCache::default();
+    store_cache.reset(StoreList::from_iter([item]), 4);
+    assert!(store_cache.is_known_job("wk-1") && store_cache.jobs.is_empty());
+    let whole = serde_json::to_value(live("wk-1")).unwrap();
+    store_cache.merge_items(vec![(job_key("wk-1"), whole)]);
+    assert!(store_cache.jobs.contains_key("wk-1"));
+    assert!(store_cache.missing_from_store.contains("wk-1"));
+}
+
 /// Guards against a false loss of data: a controller read the end of a job before the watch had delivered it, and a list
 /// or an event from before that end seemed to have forgotten it.
 #[test]
 fn older_list_and_event_do_not_contradict_an_end_that_was_read() {
-    let live = || WatchEvent {
-        put: Some("burlusher/j/wk-1".into()),
-        value: serde_json::to_value(JobValue::live(Box::new(sample("wk-1", 1, 1.0, 1)), 7))
-            .unwrap(),
+    let live_event = || WatchEvent {
+        put: Some(job_key("wk-1")),
+        value: serde_json::to_value(live("wk-1")).unwrap(),
         version: 3,
         delete: None,
         lease: None,
     };
-    let ended = || JobValue::Ended {
-        end: JobOutcome::Done,
-        residual_tasks: None,
-    };
     let mut store_cache = StoreCache::default();
     store_cache.reset(StoreList::default(), 2);
-    store_cache.put_job_from_response("wk-1", ended(), 5);
-    store_cache.apply(vec![live()], 3);
+    store_cache.put_job_from_response("wk-1", ended(JobOutcome::Done), 5);
+    store_cache.apply(vec![live_event()], 3);
     assert!(store_cache.missing_from_store.is_empty());
     let list = || {
-        StoreList::from_iter([live()].map(|event| Item {
+        StoreList::from_iter([live_event()].map(|event| Item {
             key: event.put.unwrap(),
             value: event.value,
             version: event.version,
@@ -112,7 +171,6 @@
     assert!(store_cache.find_contradiction(&list(), 5).is_some());
     // A response from before the end, which arrives after the watch has delivered it.
     store_cache.advance_revision(6);
-    let value = serde_json::from_value(live().value).unwrap();
-    store_cache.put_job_from_response("wk-1", value, 3);
+    store_cache.put_job_from_response("wk-1", live("wk-1"), 3);
     assert!(store_cache.missing_from_store.is_empty());
 }
--- a/src/core/store/integrity/data_loss.rs
+++ b/src/core/store/integrity/data_loss.rs
@@ -68,7 +68,7 @@
             Some(reason) => self.handle_contradiction(list, revision, reason),
             // Data that the store lacks is kept in the copy until it has been written back.
             None if self.has_missing_data() => {
-                self.store_cache.merge_after_loss(list, revision);
+                self.store_cache.merge_list(list, revision);
                 if self.store_integrity.data_loss.is_some() {
                     self.store_cache.expect_new_identity();
                 }
