The simulated and the stand-in state service: leases, limits and counts as in the protocol

Cause: in the simulation the look-up of a lease did not renew it, though the client's does, and in both a transaction whose conditions failed was answered 409 although a lease in it had ended; the protocol says 400 whatever the conditions. Reading on sentence by sentence: the end of a lease without keys counted as a change in the simulation; keys, pages of over 512 KiB, transactions of over 64 KiB and, in the stand-in, all sizes and counts, the time of a lease and the end of an unknown one were not checked. Not simulated: limits of rates, watches that are too old. Revisions are lower, as the end of a lease without keys counts none, and with them the names of identities and the versions in conditions; and elections are later where a follower looks up the lease of a dead leader. Tests: state::tests of the stand-in, new.

--- a/crates/standin/src/controller_settings.rs
+++ b/crates/standin/src/controller_settings.rs
@@ -2,6 +2,7 @@
 
 use crate::controllers::controller_name;
 use crate::scenario::Scenario;
+use crate::state::limits::{MAX_CHANGES, MAX_VALUE_KB};
 use serde_json::{Value, json};
 use std::net::SocketAddrV4;
 
@@ -38,7 +39,8 @@
             "teams": [{"name": "all"}],
             "workers": {"report_s": scenario.report_s, "lease_s": scenario.lease_s,
                         "cancel_s": scenario.lease_s + CANCELLATION_MARGIN_S},
-            "state": {"rps": 300.0, "write_rps": 120.0, "value_kb": 8.0, "txn_ops": 32},
+            "state": {"rps": 300.0, "write_rps": 120.0, "value_kb": MAX_VALUE_KB,
+                      "txn_ops": MAX_CHANGES},
             "cloud": {"rps": 10.0, "list_lag_s": 0.1},
             "quota": {"mem_mb": scenario.memory_mb, "fd_limit": scenario.sockets}
         }
--- a/crates/standin/src/state.rs
+++ b/crates/standin/src/state.rs
@@ -1,6 +1,9 @@
 //! The stand-in state service: a key-value store in memory, behind one lock. Watches wait on a condition
-//! variable.
+//! variable. `limits` has the limits of the protocol; rates are not limited.
 
+pub(crate) mod limits;
+
+use self::limits::{LEASE_TTL_MS, MAX_PAGE_BYTES, MAX_PAGE_ITEMS, MAX_TRANSACTION_BYTES};
 use burlusher::http::{Request, Response};
 use burlusher::wire::{
     Change, CompareAndSwap, CompareAndSwapResponse, Item, KeyValuePage, LeaseRequest,
@@ -17,8 +20,6 @@
 /// Number of newest events that are always kept, so that a watch can start from any of them. Twice as many are
 /// kept before the older half is dropped.
 const MIN_KEPT_EVENTS: usize = 10_000;
-/// Maximum number of items on a page of keys.
-const MAX_PAGE_ITEMS: u64 = 1000;
 /// Maximum time for which a watch waits, in milliseconds.
 const MAX_WATCH_MS: u64 = 60_000;
 const KEY_PATH: &str = "/kv/";
@@ -91,11 +92,19 @@
         let size = size.min(MAX_PAGE_ITEMS) as usize;
         let is_wanted =
             |i: &&Item| i.key.starts_with(under) && (since.is_empty() || *i.key > *since);
-        let mut wanted = self.keys.values().filter(is_wanted);
-        let items: Vec<Item> = wanted.by_ref().take(size).cloned().collect();
+        let mut items: Vec<Item> = Vec::new();
+        let (mut bytes, mut more) = (0, false);
+        for item in self.keys.values().filter(is_wanted) {
+            bytes += to_json(item).len();
+            if items.len() == size || bytes > MAX_PAGE_BYTES {
+                more = true;
+                break;
+            }
+            items.push(item.clone());
+        }
         let page = KeyValuePage {
             items,
-            more: wanted.next().is_some(),
+            more,
             revision: self.revision,
         };
         Response::new(200, to_json(&page))
@@ -116,6 +125,9 @@
 
     fn grant_lease(&mut self, body: &[u8], now: Instant) -> Response {
         match serde_json::from_slice::<LeaseRequest>(body) {
+            Ok(request) if !LEASE_TTL_MS.contains(&request.ttl_ms) => {
+                Response::error(400, "ttl_ms out of range")
+            }
             Ok(request) => {
                 self.next_lease += 1;
                 let (id, ttl) = (self.next_lease, Duration::from_millis(request.ttl_ms));
@@ -130,6 +142,7 @@
     fn renew_or_revoke_lease(&mut self, method: &str, path: &str, now: Instant) -> Response {
         let id = path.split('/').next().and_then(|id| id.parse().ok());
         match (method, id) {
+            ("DELETE", Some(id)) if !self.leases.contains_key(&id) => no_such_lease(404),
             ("DELETE", Some(id)) => {
                 self.revoke_lease(id);
                 Response::new(200, b"{}".to_vec())
@@ -139,13 +152,24 @@
                     *end = now + *ttl;
                     Response::new(200, to_json(&LeaseResponse { lease: id }))
                 }
-                None => Response::error(404, "no such lease"),
+                None => no_such_lease(404),
             },
             _ => Response::error(400, "malformed"),
         }
     }
 
     fn commit(&mut self, txn: CompareAndSwap) -> Response {
+        if let Some(error) = limits::find_violation(&txn) {
+            return Response::error(400, &error.to_string());
+        }
+        let ended_lease = |change: &Change| match change {
+            Change::Put { lease: Some(l), .. } => !self.leases.contains_key(l),
+            Change::Put { lease: None, .. } | Change::Delete { .. } => false,
+        };
+        // The conditions do not matter.
+        if txn.changes.iter().any(ended_lease) {
+            return no_such_lease(400);
+        }
         let version = |key: &str| self.keys.get(key).map_or(0, |i| i.version);
         let failed: Vec<String> = txn
             .conditions
@@ -160,14 +184,6 @@
         if !failed.is_empty() {
             return response(409, self.revision, failed);
         }
-        let is_unknown_lease = |l: &u64| !self.leases.contains_key(l);
-        for change in &txn.changes {
-            if let Change::Put { lease: Some(l), .. } = change
-                && is_unknown_lease(l)
-            {
-                return Response::error(400, "no such lease");
-            }
-        }
         if !txn.changes.is_empty() {
             self.revision += 1;
         }
@@ -195,6 +211,11 @@
     }
 }
 
+/// Returns the response to a request with a lease that has ended.
+fn no_such_lease(status: u16) -> Response {
+    Response::error(status, "no such lease")
+}
+
 /// Returns the value of a parameter in a path's query string.
 pub fn query<'a>(path: &'a str, name: &str) -> Option<&'a str> {
     let (_, query) = path.split_once('?')?;
@@ -282,6 +303,9 @@
     }
 
     fn transaction(&self, store: &mut Store, body: &[u8]) -> Response {
+        if body.len() > MAX_TRANSACTION_BYTES {
+            return Response::error(400, "transaction too large");
+        }
         match serde_json::from_slice::<CompareAndSwap>(body) {
             Ok(transaction) => {
                 let changes = transaction.changes.len() as u64;
@@ -327,3 +351,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/core/simulation/cluster.rs
+++ b/src/core/simulation/cluster.rs
@@ -410,8 +410,7 @@
         }
         node.next_renewal = now + Duration::from_millis(600);
         match node.lease {
-            Some(id) if self.store.leases.contains_key(&id) => {
-                self.store.leases.insert(id, now + LEASE_TTL);
+            Some(id) if self.store.renew(id, now) => {
                 let mut confirmed = None;
                 if let Some(leadership_proof) = &node.leadership_proof {
                     let txn = CompareAndSwap {
--- a/src/core/simulation/store.rs
+++ b/src/core/simulation/store.rs
@@ -2,9 +2,10 @@
 
 use super::cluster::Simulation;
 use super::network::Link;
+use crate::core::LEASE_TTL;
 use crate::job::MachineId;
 use crate::store_client::{PREFIX, StoreOutcome, StoreRequest};
-use crate::wire::{Change, CompareAndSwap, Item, WatchEvent};
+use crate::wire::{Change, CompareAndSwap, Item, WatchEvent, to_json};
 use rand::RngExt;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
@@ -12,6 +13,15 @@
 /// Time after which a client of the state service gives up waiting for a response.
 pub(super) const STORE_TIMEOUT: Duration = Duration::from_millis(1500);
 
+/// Largest number of items in a page.
+const MAX_PAGE_ITEMS: usize = 1000;
+/// Largest size of the values in a page, in bytes.
+const MAX_PAGE_BYTES: usize = 512 * 1024;
+/// Largest size of a transaction, in bytes.
+const MAX_TRANSACTION_BYTES: usize = 64 * 1024;
+/// Largest length of a key, in bytes.
+const MAX_KEY_BYTES: usize = 200;
+
 /// Value of a key, with its version and lease.
 #[derive(Clone)]
 pub(super) struct Entry {
@@ -66,19 +76,27 @@
             .collect();
         for id in expired {
             self.leases.remove(&id);
-            self.revision += 1;
             let keys: Vec<String> = self
                 .keys
                 .iter()
                 .filter(|(_, e)| e.lease == Some(id))
                 .map(|(k, _)| k.clone())
                 .collect();
+            if !keys.is_empty() {
+                self.revision += 1;
+            }
             for key in keys {
                 self.delete_key(&key);
             }
         }
     }
 
+    /// Renews a lease. Returns false if it has ended.
+    pub(super) fn renew(&mut self, lease: u64, now: Instant) -> bool {
+        let end = self.leases.get_mut(&lease);
+        end.map(|end| *end = now + LEASE_TTL).is_some()
+    }
+
     /// Returns the machines that are recorded in the store.
     pub(super) fn recorded_machines(&self) -> BTreeSet<MachineId> {
         let pages = self
@@ -103,9 +121,9 @@
     }
 
     /// Performs a request and returns its outcome.
-    pub(super) fn perform(&mut self, request: &StoreRequest) -> StoreOutcome {
+    pub(super) fn perform(&mut self, request: &StoreRequest, now: Instant) -> StoreOutcome {
         match request {
-            StoreRequest::CheckLease(id) => StoreOutcome::LeaseAlive(self.leases.contains_key(id)),
+            StoreRequest::CheckLease(id) => StoreOutcome::LeaseAlive(self.renew(*id, now)),
             StoreRequest::Get(key) => match self.keys.get(key) {
                 Some(e) => StoreOutcome::Found(Item {
                     key: key.clone(),
@@ -121,39 +139,66 @@
                 prefix,
                 after,
                 limit,
-            } => {
-                let keys = self.keys.iter();
-                let mut found = keys.filter(|(k, _)| k.starts_with(prefix.as_str()) && *k > after);
-                let item = |(k, e): (&String, &Entry)| Item {
-                    key: k.clone(),
-                    value: e.value.clone(),
-                    version: e.version,
-                    lease: e.lease,
-                };
-                StoreOutcome::Page {
-                    items: found.by_ref().take(*limit).map(item).collect(),
-                    more: found.next().is_some(),
-                    revision: self.revision,
-                }
-            }
+            } => self.page(prefix, after, *limit),
             StoreRequest::CompareAndSwap(txn) => self.txn(txn),
         }
     }
 
-    /// Applies a transaction if it is within the limits and its conditions hold.
-    pub(super) fn txn(&mut self, txn: &CompareAndSwap) -> StoreOutcome {
+    /// Returns a page of the items whose keys have this prefix and come after `after`.
+    fn page(&self, prefix: &str, after: &str, limit: usize) -> StoreOutcome {
+        let mut items: Vec<Item> = Vec::new();
+        let mut bytes = 0;
+        let mut more = false;
+        let keys = self.keys.iter();
+        for (key, entry) in keys.filter(|(k, _)| k.starts_with(prefix) && k.as_str() > after) {
+            bytes += entry.value.to_string().len();
+            if items.len() >= limit.min(MAX_PAGE_ITEMS) || bytes > MAX_PAGE_BYTES {
+                more = true;
+                break;
+            }
+            items.push(Item {
+                key: key.clone(),
+                value: entry.value.clone(),
+                version: entry.version,
+                lease: entry.lease,
+            });
+        }
+        StoreOutcome::Page {
+            items,
+            more,
+            revision: self.revision,
+        }
+    }
+
+    /// Returns whether a transaction is well-formed and within the limits.
+    fn is_valid(&self, txn: &CompareAndSwap) -> bool {
         let (bytes, ops) = self.limits;
         let too_large = |c: &Change| match c {
             Change::Put { value, .. } => value.to_string().len() > bytes,
             Change::Delete { .. } => false,
         };
-        if txn.changes.len() > ops
-            || txn.conditions.len() > 4 * ops
-            || txn.changes.iter().any(too_large)
-        {
+        let is_key = |key: &str| (1..=MAX_KEY_BYTES).contains(&key.len()) && !key.contains(' ');
+        txn.changes.len() <= ops
+            && txn.conditions.len() <= 4 * ops
+            && !txn.changes.iter().any(too_large)
+            && txn.changes.iter().all(|change| is_key(change.key()))
+            && txn.conditions.iter().all(|c| is_key(&c.key))
+            && to_json(txn).len() <= MAX_TRANSACTION_BYTES
+    }
+
+    /// Applies a transaction if it is within the limits, its leases have not ended and its conditions hold.
+    pub(super) fn txn(&mut self, txn: &CompareAndSwap) -> StoreOutcome {
+        if !self.is_valid(txn) {
             self.over_limit += 1;
             return StoreOutcome::Invalid("400 over the limit".into());
         }
+        let lease_ok = |c: &Change| match c {
+            Change::Put { lease: Some(l), .. } => self.leases.contains_key(l),
+            _ => true,
+        };
+        if !txn.changes.iter().all(lease_ok) {
+            return StoreOutcome::Invalid("400 {\"error\":\"no such lease\"}".into());
+        }
         let failed: Vec<String> = txn
             .conditions
             .iter()
@@ -166,17 +211,18 @@
                 revision: self.revision,
             };
         }
-        let lease_ok = |c: &Change| match c {
-            Change::Put { lease: Some(l), .. } => self.leases.contains_key(l),
-            _ => true,
-        };
-        if !txn.changes.iter().all(lease_ok) {
-            return StoreOutcome::Invalid("no such lease".into());
+        self.apply(&txn.changes);
+        StoreOutcome::Committed {
+            revision: self.revision,
         }
-        if !txn.changes.is_empty() {
+    }
+
+    /// Applies changes, all at one revision.
+    fn apply(&mut self, changes: &[Change]) {
+        if !changes.is_empty() {
             self.revision += 1;
         }
-        for change in &txn.changes {
+        for change in changes {
             match change {
                 Change::Put { key, value, lease } => {
                     let e = Entry {
@@ -196,9 +242,6 @@
                 Change::Delete { key } => self.delete_key(key),
             }
         }
-        StoreOutcome::Committed {
-            revision: self.revision,
-        }
     }
 }
 
@@ -226,17 +269,17 @@
         match link {
             Link::Good if self.loses_answer(request) => {
                 self.counters.responses_lost += 1;
-                self.store.perform(request);
+                self.store.perform(request, self.now);
                 StoreOutcome::Unknown("timeout".into())
             }
-            Link::Good => self.store.perform(request),
+            Link::Good => self.store.perform(request, self.now),
             Link::Refused => StoreOutcome::Refused("503".into()),
             Link::ResponsesLost => {
-                self.store.perform(request);
+                self.store.perform(request, self.now);
                 StoreOutcome::Unknown("timeout".into())
             }
             Link::WritesHeld if !matches!(request, StoreRequest::CompareAndSwap(_)) => {
-                self.store.perform(request)
+                self.store.perform(request, self.now)
             }
             Link::Held | Link::WritesHeld => {
                 if let StoreRequest::CompareAndSwap(txn) = request {
@@ -290,12 +333,7 @@
             value,
             lease: None,
         };
-        let limits = std::mem::replace(&mut self.store.limits, (usize::MAX, 1));
-        self.store.txn(&CompareAndSwap {
-            conditions: Vec::new(),
-            changes: vec![change],
-        });
-        self.store.limits = limits;
+        self.store.apply(&[change]);
     }
 
     /// Returns the changes that watchers receive, from this index on.
