Looking up the leader's lease does not renew it

Cause: followers without contact look up the leader's lease every 4 s, and the look-up was a renewal. Those of two followers kept the lease of 3 s, and with it the leader key of the dead process, alive between them. Change: the look-up is a transaction whose condition never holds, with a put under the lease. The state service answers a put under an ended lease with 400 whatever the conditions, and 409 otherwise; neither renews or changes anything. The client reports the former as LeaseEnded. A look-up counts as one put. Test: leadership::lookups_do_not_keep_lease_of_dead_leader_alive, seen to fail before (no leader within 15 s).

--- a/src/core/leadership/campaign.rs
+++ b/src/core/leadership/campaign.rs
@@ -21,7 +21,7 @@
 const PAUSE_AFTER_CONFLICT: Duration = Duration::from_millis(300);
 /// Delay before the next campaign after the store refused the transaction or did not answer.
 const PAUSE_AFTER_FAILURE: Duration = Duration::from_millis(400);
-/// Delay before the next campaign after the store rejected the transaction as malformed.
+/// Delay before the next campaign after the store rejected the transaction as malformed, or the lease had ended.
 const PAUSE_AFTER_INVALID: Duration = Duration::from_millis(500);
 
 impl Core {
@@ -125,15 +125,18 @@
                 self.check_conflict_for_data_loss(&failed, revision);
                 PAUSE_AFTER_CONFLICT
             }
+            StoreOutcome::LeaseEnded => {
+                tracing::info!("campaign refused, the lease has ended");
+                PAUSE_AFTER_INVALID
+            }
             StoreOutcome::Invalid(error) => {
                 tracing::info!(%error, "campaign refused as malformed");
                 PAUSE_AFTER_INVALID
             }
             StoreOutcome::Refused(_) | StoreOutcome::Unknown(_) => PAUSE_AFTER_FAILURE,
-            StoreOutcome::Found(_)
-            | StoreOutcome::Missing { .. }
-            | StoreOutcome::Page { .. }
-            | StoreOutcome::LeaseAlive(_) => Duration::ZERO,
+            StoreOutcome::Found(_) | StoreOutcome::Missing { .. } | StoreOutcome::Page { .. } => {
+                Duration::ZERO
+            }
         };
         self.candidacy.delay_until(self.now.mono + pause);
     }
--- a/src/core/leadership/stale_key.rs
+++ b/src/core/leadership/stale_key.rs
@@ -4,13 +4,16 @@
 //! no contact with a leader for some time, the lease of its key is looked up in the store. A lease that the store does
 //! not know cannot be renewed, so the key's holder stops acting within one lease duration. After that time the key is
 //! deleted, unless it has been replaced.
+//!
+//! A look-up must not renew the lease: otherwise the look-ups of several controllers keep a dead leader's lease alive.
 
 use crate::core::Core;
 use crate::core::command::PendingCall;
 use crate::core::leadership::lease::LEASE_TTL;
-use crate::core::store::keys::{LEADER, identity_condition, key};
+use crate::core::store::keys::{LEADER, NEVER_WRITTEN, identity_condition, key};
 use crate::store_client::{StoreOutcome, StoreRequest};
 use crate::wire::{Change, CompareAndSwap, Condition};
+use serde_json::json;
 use std::time::{Duration, Instant};
 
 /// Time without contact to the leader after which the lease of its key is looked up, and interval of further look-ups.
@@ -58,6 +61,23 @@
     }
 }
 
+/// Returns a transaction that shows whether a lease has ended, without renewing it or changing anything: its condition
+/// never holds, and the state service refuses a put under a lease that has ended whatever the conditions.
+fn lease_lookup(lease: u64) -> CompareAndSwap {
+    let never_holds = Condition {
+        key: key(NEVER_WRITTEN),
+        version: 1,
+    };
+    CompareAndSwap {
+        conditions: vec![never_holds],
+        changes: vec![Change::Put {
+            key: key(NEVER_WRITTEN),
+            value: json!({}),
+            lease: Some(lease),
+        }],
+    }
+}
+
 impl Core {
     /// Looks up the lease of a leader key that may be stale, and deletes the key once it is certainly stale.
     pub(in crate::core) fn check_stale_leader_key(&mut self) {
@@ -84,7 +104,7 @@
         let last_contact = self.relay.grant().map(|g| g.expires_at);
         if self.leader.is_none() && stale.lookup_due(now, last_contact) {
             stale.last_request = Some(now);
-            let request = StoreRequest::CheckLease(lease);
+            let request = StoreRequest::CompareAndSwap(lease_lookup(lease));
             self.call_store(PendingCall::CheckLeaderLease(version), request);
         }
     }
@@ -111,7 +131,7 @@
     pub(in crate::core) fn leader_lease_checked(&mut self, version: u64, outcome: StoreOutcome) {
         let now = self.now.mono;
         if let Some(stale) = &mut self.stale_leader_key
-            && matches!(outcome, StoreOutcome::LeaseAlive(false))
+            && matches!(outcome, StoreOutcome::LeaseEnded)
             && stale.version == version
         {
             stale.lease_unknown_since.get_or_insert(now);
--- a/src/core/simulation/scenarios/leadership.rs
+++ b/src/core/simulation/scenarios/leadership.rs
@@ -1,6 +1,6 @@
 //! Changes of leader: which work continues through them, and when a leader steps down.
 
-use super::{eight_machines, four_machines, thousand_machines, unlimited_job};
+use super::{eight_machines, follower, four_machines, thousand_machines, unlimited_job};
 use crate::job::{JobSpec, sample};
 use crate::wire::JobState;
 use std::time::Duration;
@@ -217,3 +217,24 @@
     simulation.run_until_done("wk-000001", 40.0);
     assert_eq!(simulation.counters.starts, starts);
 }
+
+/// Guards against a cluster without a leader for good: two followers without contact to the leader looked up its lease in
+/// turns, and each look-up renewed the lease, so that the leader key of the dead process never expired.
+#[test]
+fn lookups_do_not_keep_lease_of_dead_leader_alive() {
+    let (mut simulation, leader) = eight_machines(1510);
+    let (first, second) = (follower(leader), follower(leader + 1));
+    assert_eq!(simulation.submit(leader, &sample("wk-1", 2, 1.0, 60)), 201);
+    simulation.nodes[first].peers_reachable = false;
+    simulation.run(2.0);
+    simulation.nodes[second].peers_reachable = false;
+    simulation.run(9.0);
+    simulation.kill(leader, Duration::from_secs(5));
+    simulation.run(1.0);
+    simulation.set_peers_reachable(true);
+    simulation.run_until(15.0, "a leader", |simulation| simulation.leader().is_some());
+    assert_eq!(simulation.submit(first, &sample("wk-2", 2, 1.0, 2)), 201);
+    simulation.run_until_done("wk-2", 30.0);
+    simulation.run_until_done("wk-1", 90.0);
+    assert_eq!(simulation.counters.starts, 4);
+}
--- a/src/core/store/writes.rs
+++ b/src/core/store/writes.rs
@@ -107,7 +107,7 @@
             StoreOutcome::Found(_)
             | StoreOutcome::Missing { .. }
             | StoreOutcome::Page { .. }
-            | StoreOutcome::LeaseAlive(_) => self.retry_write(REFUSED_RETRY_DELAY),
+            | StoreOutcome::LeaseEnded => self.retry_write(REFUSED_RETRY_DELAY),
         }
     }
 
--- a/src/store_client.rs
+++ b/src/store_client.rs
@@ -9,8 +9,8 @@
 
 use crate::http::{CallError, Client, ClientResponse};
 use crate::wire::{
-    CompareAndSwap, CompareAndSwapResponse, Item, KeyValuePage, LeaseRequest, LeaseResponse,
-    WatchEvent, WatchResponse, to_json,
+    CompareAndSwap, CompareAndSwapResponse, ErrorResponse, Item, KeyValuePage, LeaseRequest,
+    LeaseResponse, NO_SUCH_LEASE, WatchEvent, WatchResponse, to_json,
 };
 use serde::de::DeserializeOwned;
 use std::net::SocketAddrV4;
@@ -46,9 +46,6 @@
         /// Maximum number of items.
         limit: usize,
     },
-    /// Checks whether the lease of another process is still alive. The check renews the lease, as the
-    /// state service offers no other way.
-    CheckLease(u64),
 }
 
 /// Outcome of a request.
@@ -65,8 +62,6 @@
         /// Store revision that the page is at least as new as.
         revision: u64,
     },
-    /// Whether the lease is alive; the state service no longer knows an expired one.
-    LeaseAlive(bool),
     /// The key does not exist.
     Missing {
         /// Store revision at which the key did not exist.
@@ -84,6 +79,8 @@
         /// Store revision at which the conditions were checked.
         revision: u64,
     },
+    /// A key was to be attached to a lease that has ended: nothing was changed. The conditions were not checked.
+    LeaseEnded,
     /// The request was refused for now and was not executed.
     Refused(String),
     /// The request is invalid; a repetition would be refused too.
@@ -161,7 +158,6 @@
                 after,
                 limit,
             } => self.read_page(prefix, after, *limit),
-            StoreRequest::CheckLease(lease) => self.renew(*lease).map(StoreOutcome::LeaseAlive),
         };
         result.unwrap_or_else(StoreOutcome::from)
     }
@@ -189,6 +185,7 @@
             200 => Ok(StoreOutcome::Committed {
                 revision: parse::<CompareAndSwapResponse>(&response.body)?.revision,
             }),
+            400 if is_ended_lease_error(&response.body) => Ok(StoreOutcome::LeaseEnded),
             409 => {
                 let conflict: CompareAndSwapResponse = parse(&response.body)?;
                 Ok(StoreOutcome::Conflict {
@@ -299,6 +296,12 @@
         .map_err(|e| StoreError::Unknown(format!("malformed response: {e}")))
 }
 
+/// Returns whether this is the body of the response to a put under a lease that has ended.
+fn is_ended_lease_error(body: &[u8]) -> bool {
+    let error: Option<ErrorResponse> = serde_json::from_slice(body).ok();
+    error.is_some_and(|body| body.error == NO_SUCH_LEASE)
+}
+
 /// Returns the error for a response with an unexpected status.
 fn error_from_response(response: &ClientResponse) -> StoreError {
     let status = response.status;
@@ -309,3 +312,6 @@
         _ => StoreError::Unknown(format!("{status} {text}")),
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -13,8 +13,8 @@
     ScaleOutRequest,
 };
 pub use store::{
-    Change, CompareAndSwap, CompareAndSwapResponse, Condition, Item, KeyValuePage, LeaseRequest,
-    LeaseResponse, WatchEvent, WatchResponse,
+    Change, CompareAndSwap, CompareAndSwapResponse, Condition, ErrorResponse, Item, KeyValuePage,
+    LeaseRequest, LeaseResponse, NO_SUCH_LEASE, WatchEvent, WatchResponse,
 };
 pub use submission::{
     JOB_PREFIX, SubmissionError, encode_submission, is_job_id, parse_submission, submitted_id,
--- a/src/wire/store.rs
+++ b/src/wire/store.rs
@@ -107,6 +107,16 @@
     pub failed: Vec<String>,
 }
 
+/// Error of a transaction that attaches a key to a lease that has ended.
+pub const NO_SUCH_LEASE: &str = "no such lease";
+
+/// Body of the response to a malformed request.
+#[derive(Deserialize)]
+pub struct ErrorResponse {
+    /// What is wrong.
+    pub error: String,
+}
+
 /// A request for a lease.
 #[derive(Serialize, Deserialize)]
 pub struct LeaseRequest {
