--- a/src/core/simulation/cluster.rs
+++ b/src/core/simulation/cluster.rs
@@ -91,6 +91,8 @@
     /// Response to a full read of the store that is under way: the items and the revision as of the
     /// beginning of the read.
     pub(super) pending_listing: Option<(Vec<Item>, u64)>,
+    /// Time at which that response arrives, if it is delayed by the state service.
+    pub(super) listing_due: Option<Instant>,
     /// Revision after which the watch requests changes; `None` before a full read.
     pub(super) watch_revision: Option<u64>,
     /// Time of the last response to the watch.
@@ -254,6 +256,7 @@
             leadership_proof: None,
             next_renewal: self.now,
             pending_listing: None,
+            listing_due: None,
             watch_revision: None,
             watch_answered_at: self.now,
             restart_at: None,
@@ -452,6 +455,10 @@
     /// Delivers the changes in the state service to a controller's watch, or all items if the watch
     /// needs a full read.
     pub(super) fn deliver_watch(&mut self, i: usize) {
+        if self.nodes[i].listing_due.is_some_and(|due| due <= self.now) {
+            self.nodes[i].listing_due = None;
+            return self.finish_listing(i);
+        }
         let node = &mut self.nodes[i];
         if !node.up
             || self.faults.store_outage
@@ -462,6 +469,12 @@
         }
         let revision = self.store.revision;
         match node.watch_revision {
+            None if !self.faults.store_delay.is_zero() => {
+                let fraction = self.rng.random_range(0.0..1.0);
+                let due = self.now + self.faults.store_delay.mul_f64(fraction);
+                node.listing_due = Some(due);
+                return self.begin_listing(i);
+            }
             None => {
                 let list = self.store.items().into_iter().collect();
                 node.inbox.push(Command::StoreListed { list, revision });
--- a/src/core/simulation/randomized.rs
+++ b/src/core/simulation/randomized.rs
@@ -266,8 +266,21 @@
     backup: Option<Backup>,
     /// Jobs whose cancellation was requested and has not been confirmed yet.
     unanswered_cancels: Vec<String>,
+    job_sizes: JobSizes,
 }
 
+/// Which jobs of a schedule are too large for one value of the store.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum JobSizes {
+    /// None.
+    Small,
+    /// Those with odd numbers.
+    EveryOtherLarge,
+}
+
+/// Length of an image's name that makes a job too large for one value.
+const LONG_IMAGE_NAME: usize = 3000;
+
 impl ScheduleRun {
     fn new(seed: u64) -> ScheduleRun {
         let policy = Policy::parse("history", "delegate = true").unwrap();
@@ -283,6 +296,7 @@
             services: Vec::new(),
             backup: None,
             unanswered_cancels: Vec::new(),
+            job_sizes: JobSizes::Small,
         }
     }
 
@@ -324,6 +338,9 @@
         spec.spot = number.is_multiple_of(2);
         spec.one_zone = number % 5 == 1;
         spec.spread = number % 5 == 3;
+        if self.job_sizes == JobSizes::EveryOtherLarge && number % 2 == 1 {
+            spec.image = "x".repeat(LONG_IMAGE_NAME);
+        }
         if job.kind == JobKind::Service {
             self.services.push(id.clone());
         }
@@ -692,7 +709,12 @@
 }
 
 fn run_schedule(seed: u64, steps: &[Step]) {
+    run_schedule_with(seed, steps, JobSizes::Small);
+}
+
+fn run_schedule_with(seed: u64, steps: &[Step], job_sizes: JobSizes) {
     let mut run = ScheduleRun::new(seed);
+    run.job_sizes = job_sizes;
     for (number, step) in steps.iter().enumerate() {
         run.run_step(number, step);
     }
@@ -701,9 +723,20 @@
 
 #[test]
 fn random_schedules_violate_no_invariant() {
+    run_random_schedules(150, JobSizes::Small);
+}
+
+/// Every other job is stored in parts.
+#[test]
+fn random_schedules_with_large_jobs_violate_no_invariant() {
+    run_random_schedules(60, JobSizes::EveryOtherLarge);
+}
+
+/// Runs schedules, as many as the environment says or `default_cases`.
+fn run_random_schedules(default_cases: u32, job_sizes: JobSizes) {
     let cases = std::env::var("HISTORIES").ok().and_then(|n| n.parse().ok());
     let config = Config {
-        cases: cases.unwrap_or(150),
+        cases: cases.unwrap_or(default_cases),
         failure_persistence: None,
         max_shrink_iters: 400,
         ..Config::default()
@@ -717,7 +750,7 @@
     let schedules = (any::<u64>(), proptest::collection::vec(any_step(), 1..14));
     let mut runner = TestRunner::new_with_rng(config, rng);
     let outcome = runner.run(&schedules, |(seed, steps)| {
-        run_schedule(seed, &steps);
+        run_schedule_with(seed, &steps, job_sizes);
         Ok(())
     });
     if let Err(e) = outcome {
