Machine types that the store refused once are written later; batch of a transaction in a file of its own

An empty transaction cleared the request to write the machine types, so that a quarantined key was never tried again; now only a list too long for a value clears it. Deletions of single machines' keys count towards the size of a transaction. Batch, with its limits, moves to transaction/batch.rs. Test: mixed_versions::refused_machine_types_are_written_later, seen to fail before (no key types after 35 s).

--- a/src/core/jobs/submissions.rs
+++ b/src/core/jobs/submissions.rs
@@ -10,7 +10,7 @@
 use crate::core::store::cache::JobValue;
 use crate::core::store::keys::{PartGeneration, part_key};
 use crate::core::store::large_jobs::{self, PartValue, PartWrite};
-use crate::core::store::transaction::MAX_TRANSACTION_BYTES;
+use crate::core::store::transaction::batch::MAX_TRANSACTION_BYTES;
 use crate::core::{Core, record};
 use crate::fault_injection::{Safeguard, is_enabled};
 use crate::http::Response;
--- a/src/core/simulation/mixed_versions.rs
+++ b/src/core/simulation/mixed_versions.rs
@@ -452,6 +452,20 @@
     simulation.run_until_done("wk-2", 60.0);
 }
 
+/// Guards against machine types that are never stored: when the store had refused them once and nothing else was to be
+/// written meanwhile, they were not written again.
+#[test]
+fn refused_machine_types_are_written_later() {
+    let mut simulation = Simulation::new(66);
+    simulation.set_store_limits((150, STORE_LIMITS.1));
+    simulation.run_until_leader(10.0);
+    assert!(simulation.transactions_over_limit() > 0);
+    assert!(simulation.stored_values("burlusher/types").is_empty());
+    simulation.set_store_limits(STORE_LIMITS);
+    simulation.run(35.0);
+    assert!(!simulation.stored_values("burlusher/types").is_empty());
+}
+
 /// A state service with lower limits than announced rejects some transactions. No transaction is repeated
 /// unchanged for ever, and neither the leadership nor other work is lost.
 #[test]
--- a/src/core/store/machine_records.rs
+++ b/src/core/store/machine_records.rs
@@ -10,7 +10,7 @@
 //! first, followed by the pages that receive them.
 
 use crate::core::store::cache::{MachineValue, PageValue, StoreCache};
-use crate::core::store::keys::{machine_key, page_key};
+use crate::core::store::keys::page_key;
 use crate::job::MachineId;
 use crate::wire::{Change, to_json};
 use std::collections::{BTreeMap, BTreeSet};
@@ -282,12 +282,9 @@
         self.single_keys_to_delete.insert(id);
     }
 
-    /// Returns the next queued deletion of a single machine's key.
-    pub fn next_single_key_deletion(&mut self) -> Option<Change> {
-        let id = self.single_keys_to_delete.pop_first()?;
-        Some(Change::Delete {
-            key: machine_key(&id),
-        })
+    /// Takes the next machine whose own key is to be deleted.
+    pub fn next_single_key_deletion(&mut self) -> Option<MachineId> {
+        self.single_keys_to_delete.pop_first()
     }
 }
 
--- a/src/core/store/machine_records/tests.rs
+++ b/src/core/store/machine_records/tests.rs
@@ -1,4 +1,5 @@
 use super::*;
+use crate::core::store::keys::machine_key;
 use crate::wire::{Item, WatchEvent};
 
 fn value(i: usize) -> MachineValue {
@@ -71,11 +72,9 @@
             apply_event(&mut store_cache, change, version);
         }
     }
-    apply_event(
-        &mut store_cache,
-        records.next_single_key_deletion().unwrap(),
-        version + 1,
-    );
+    let id = records.next_single_key_deletion().unwrap();
+    let key = machine_key(&id);
+    apply_event(&mut store_cache, Change::Delete { key }, version + 1);
     let remaining: Vec<&MachineId> = store_cache.machines.keys().collect();
     assert_eq!(remaining, ids.iter().take(10).collect::<Vec<_>>());
 }
--- a/src/core/store/transaction.rs
+++ b/src/core/store/transaction.rs
@@ -4,11 +4,16 @@
 //! the store has lost, done tasks, dependents cancelled with their dependency, stale machine pages, machine types,
 //! the end of a rebuild, and finally the deletion of obsolete keys.
 
+pub(in crate::core) mod batch;
+
+use self::batch::Batch;
 use crate::core::leadership::state::LeaderState;
 use crate::core::machines::cancellation_bound::cancellation_bound;
 use crate::core::store::cache::{DoneValue, JobValue, StoreCache};
 use crate::core::store::garbage::Deletion;
-use crate::core::store::keys::{LEADER, REBUILDING, TYPES, done_key, job_key, key, part_key};
+use crate::core::store::keys::{
+    LEADER, REBUILDING, TYPES, done_key, job_key, key, machine_key, part_key,
+};
 use crate::core::store::large_jobs::{self, PartValue};
 use crate::core::store::pending_writes::WriteOp;
 use crate::core::{Core, Now};
@@ -22,13 +27,6 @@
 const UNCLAIMED_PARTS_TTL: Duration = Duration::from_secs(60);
 /// Delay before done tasks are written, so that more of them share a write. Users may see them up to 3 s late.
 const PROGRESS_DELAY: Duration = Duration::from_millis(2000);
-/// Maximum size of a transaction's changes and conditions, in bytes. The store's limit
-/// of 64 KiB includes the frame of the request.
-pub(in crate::core) const MAX_TRANSACTION_BYTES: usize = 56 * 1024;
-/// Bytes of a condition without its key.
-const CONDITION_BYTES: usize = 48;
-/// Bytes of the separator after a change.
-const SEPARATOR_BYTES: usize = 2;
 
 /// A transaction, and its effects on the leader's state once it is committed.
 pub(super) struct Transaction {
@@ -38,75 +36,6 @@
     pub(super) ops: Vec<WriteOp>,
 }
 
-/// Changes and their effects, within the limits of a transaction.
-struct Batch {
-    max_changes: usize,
-    bytes: usize,
-    changes: Vec<Change>,
-    /// Conditions beyond those on the versions of the changed keys.
-    conditions: Vec<Condition>,
-    ops: Vec<WriteOp>,
-}
-
-impl Batch {
-    fn new(max_changes: usize) -> Batch {
-        Batch {
-            max_changes,
-            bytes: 0,
-            changes: Vec::new(),
-            conditions: Vec::new(),
-            ops: Vec::new(),
-        }
-    }
-
-    /// Returns how many more changes the batch may have.
-    fn remaining_changes(&self) -> usize {
-        self.max_changes.saturating_sub(self.changes.len())
-    }
-
-    /// Adds changes that belong together, if all of them fit; returns whether they did.
-    fn add(&mut self, mut changes: Vec<Change>) -> bool {
-        let bytes: usize = changes.iter().map(transaction_bytes).sum();
-        if changes.len() > self.remaining_changes() || self.bytes + bytes > MAX_TRANSACTION_BYTES {
-            return false;
-        }
-        self.bytes += bytes;
-        self.changes.append(&mut changes);
-        true
-    }
-
-    /// Adds the deletion of a key, on a condition if one is given, if both fit; returns whether they did.
-    fn add_deletion(&mut self, key: String, condition: Option<Condition>) -> bool {
-        let condition = condition.filter(|c| !self.conditions.contains(c));
-        let bytes = condition.as_ref().map_or(0, |c| condition_bytes(&c.key));
-        if self.bytes + bytes > MAX_TRANSACTION_BYTES || !self.add(vec![Change::Delete { key }]) {
-            return false;
-        }
-        self.bytes += bytes;
-        self.conditions.extend(condition);
-        true
-    }
-
-    /// Adds changes that belong together and their effect, if they fit; returns whether they did.
-    fn add_op(&mut self, changes: Vec<Change>, op: WriteOp) -> bool {
-        let added = self.add(changes);
-        if added {
-            self.ops.push(op);
-        }
-        added
-    }
-}
-
-/// Returns the bytes that a condition takes of a transaction.
-fn condition_bytes(key: &str) -> usize {
-    key.len() + CONDITION_BYTES
-}
-
-/// Returns the bytes that a change and the condition on its key take of a transaction.
-fn transaction_bytes(change: &Change) -> usize {
-    to_json(change).len() + SEPARATOR_BYTES + condition_bytes(change.key())
-}
-
 /// Collects pending changes. Each `add` method stops when the transaction is full.
 struct TransactionBuilder<'a> {
     leader: &'a mut LeaderState,
@@ -131,12 +60,7 @@
         self.add_machine_types();
         self.add_rebuild_completion();
         self.add_garbage_deletions();
-        if self.batch.changes.is_empty() {
-            // Machine types that were not added, such as a list too long for a value, stay unwritten.
-            self.leader.writes.machine_types = false;
-            return None;
-        }
-        Some(self.into_transaction())
+        (!self.batch.changes.is_empty()).then(|| self.into_transaction())
     }
 
     fn is_quarantined(&self, key: &str) -> bool {
@@ -201,9 +125,11 @@
         }
         while !only_new
             && batch.remaining_changes() > 0
-            && let Some(change) = records.next_single_key_deletion()
+            && let Some(id) = records.next_single_key_deletion()
         {
-            batch.changes.push(change);
+            if !batch.add_deletion(machine_key(&id), None) {
+                return records.delete_single_key(id);
+            }
         }
     }
 
@@ -341,11 +267,15 @@
     /// Adds the machine types, unless the list is too long for a value: every controller also gets it from the cloud.
     fn add_machine_types(&mut self) {
         let key = key(TYPES);
-        let fits = to_json(&self.machine_types).len() <= self.settings.max_value_bytes;
-        if self.leader.writes.machine_types && fits && !self.is_quarantined(&key) {
-            let change = Change::put(key, to_json_value(&self.machine_types));
-            self.batch.add_op(vec![change], WriteOp::Types);
+        if !self.leader.writes.machine_types || self.is_quarantined(&key) {
+            return;
+        }
+        if to_json(&self.machine_types).len() > self.settings.max_value_bytes {
+            self.leader.writes.machine_types = false;
+            return;
         }
+        let change = Change::put(key, to_json_value(&self.machine_types));
+        self.batch.add_op(vec![change], WriteOp::Types);
     }
 
     /// Adds the deletion of the marker of an incomplete store, alone and after everything else is written.
