One function for the usable size of a value; one for an item of the simulated state service

The margin of a sixteenth stood in submissions.rs and transaction.rs, and the simulated state service built the same item in three places. No change of behaviour.

--- a/src/core/jobs/submissions.rs
+++ b/src/core/jobs/submissions.rs
@@ -110,16 +110,10 @@
         }
     }
 
-    /// Returns the maximum size of a stored job or part, in bytes. It is somewhat below the maximum size
-    /// of a value, since the service may write numbers in a longer form.
-    fn usable_value_bytes(&self) -> usize {
-        self.settings.max_value_bytes / 16 * 15
-    }
-
     /// Returns whether the job can be stored under its own key alone.
     fn fits_one_value(&self, spec: &JobSpec) -> bool {
         let value = JobValue::live(Box::new(spec.clone()), u64::MAX);
-        to_json(&value).len() <= self.usable_value_bytes()
+        to_json(&value).len() <= self.settings.usable_value_bytes()
     }
 
     /// Accepts a job that has to be stored in parts.
@@ -129,7 +123,7 @@
             return self.read_job_key(id, ReadPurpose::Show(submission.ticket));
         }
         let text = String::from_utf8(to_json(&submission.spec)).unwrap_or_default();
-        let parts = large_jobs::split_text(&text, self.usable_value_bytes());
+        let parts = large_jobs::split_text(&text, self.settings.usable_value_bytes());
         // Each part needs a condition in the transaction that writes the job's key.
         if parts.len() > self.settings.max_transaction_changes * 4 - 1 {
             return self.reject(&submission, Response::error(422, TOO_LARGE));
--- a/src/core/simulation/store.rs
+++ b/src/core/simulation/store.rs
@@ -30,6 +30,18 @@
     pub(super) lease: Option<u64>,
 }
 
+impl Entry {
+    /// Returns the item with this value under a key.
+    fn item(&self, key: &str) -> Item {
+        Item {
+            key: key.into(),
+            value: self.value.clone(),
+            version: self.version,
+            lease: self.lease,
+        }
+    }
+}
+
 /// Limits of the state service: bytes of a value, and changes in a transaction.
 pub type StoreLimits = (usize, usize);
 
@@ -111,25 +123,14 @@
     /// Returns all items under the scheduler's prefix.
     pub(super) fn items(&self) -> Vec<Item> {
         let keys = self.keys.iter().filter(|(k, _)| k.starts_with(PREFIX));
-        let item = |(k, e): (&String, &Entry)| Item {
-            key: k.clone(),
-            value: e.value.clone(),
-            version: e.version,
-            lease: e.lease,
-        };
-        keys.map(item).collect()
+        keys.map(|(key, entry)| entry.item(key)).collect()
     }
 
     /// Performs a request and returns its outcome.
     pub(super) fn perform(&mut self, request: &StoreRequest) -> StoreOutcome {
         match request {
             StoreRequest::Get(key) => match self.keys.get(key) {
-                Some(e) => StoreOutcome::Found(Item {
-                    key: key.clone(),
-                    value: e.value.clone(),
-                    version: e.version,
-                    lease: e.lease,
-                }),
+                Some(entry) => StoreOutcome::Found(entry.item(key)),
                 None => StoreOutcome::Missing {
                     revision: self.revision,
                 },
@@ -155,12 +156,7 @@
                 more = true;
                 break;
             }
-            items.push(Item {
-                key: key.clone(),
-                value: entry.value.clone(),
-                version: entry.version,
-                lease: entry.lease,
-            });
+            items.push(entry.item(key));
         }
         StoreOutcome::Page {
             items,
--- a/src/core/store/transaction.rs
+++ b/src/core/store/transaction.rs
@@ -154,7 +154,7 @@
     /// Returns the changes that restore one missing job: its key, or the next parts of a large job.
     fn missing_job_changes(&self, id: &JobId) -> Option<(Vec<Change>, WriteOp)> {
         let value = self.store_cache.job_value(id)?;
-        let value_bytes = self.settings.max_value_bytes / 16 * 15;
+        let value_bytes = self.settings.usable_value_bytes();
         match &value {
             JobValue::Live { spec, submitted_ms }
             | JobValue::WithDependencies {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -217,6 +217,12 @@
     pub fn team(&self, name: &str) -> Option<&Team> {
         self.team_index(name).map(|index| &self.teams[index])
     }
+
+    /// Returns the maximum size of a stored job or of a part of one, in bytes. It is somewhat below the maximum size of
+    /// a value, since the state service may write numbers in a longer form.
+    pub fn usable_value_bytes(&self) -> usize {
+        self.max_value_bytes / 16 * 15
+    }
 }
 
 fn parse_teams(teams: Vec<RawTeam>) -> Result<Vec<Team>, SettingsError> {
