--- a/src/core/simulation/randomized.rs
+++ b/src/core/simulation/randomized.rs
@@ -897,3 +897,93 @@
         ],
     );
 }
+
+/// Found by randomized schedules: the store was rolled back, a job was accepted before every controller had noticed, the
+/// store was rolled back again, and the controller that had accepted the job ended.
+#[test]
+fn job_accepted_between_two_rollbacks_is_restored() {
+    crate::core::simulation::enable_log();
+    let kill = NodeFault::Kill {
+        node: 0,
+        downtime_ms: 50,
+    };
+    run_schedule(
+        0,
+        &[
+            step(Fault::Network(NetworkFault::LateCommands(5)), None, 2176),
+            step(
+                Fault::Store(StoreFault::RefusalThenOutage(1076)),
+                None,
+                1725,
+            ),
+            step(RESTORE_BACKUP, None, 50),
+            step(
+                Fault::Network(NetworkFault::Duplicates(1)),
+                Some(SHORT_JOB),
+                50,
+            ),
+            step(RESTORE_BACKUP, None, 50),
+            step(Fault::Node(kill), None, 50),
+        ],
+    );
+}
+
+/// Found by randomized schedules: the store lost its data twice within seconds while a controller had just restarted,
+/// and no controller had a complete copy of the store between the two losses.
+#[test]
+fn two_losses_around_a_restart_are_rebuilt() {
+    crate::core::simulation::enable_log();
+    let kill = NodeFault::Kill {
+        node: 2,
+        downtime_ms: 4551,
+    };
+    let reboot = WorkerFault::Reboot {
+        machine: 2,
+        reset_counters: true,
+    };
+    run_schedule(
+        271950028095143,
+        &[
+            step(Fault::Store(StoreFault::ToggleOutage), None, 1425),
+            step(Fault::Node(kill), Some(SHORT_JOB), 1276),
+            step(Fault::Worker(reboot), None, 1725),
+            step(Fault::ToggleCloud, Some(SHORT_JOB), 425),
+            step(LOSE_DATA, None, 2575),
+            step(LOSE_DATA, None, 50),
+        ],
+    );
+}
+
+/// Found by randomized schedules: the store was rolled back, a large job was accepted before every controller had noticed,
+/// all data was lost, and the controller that had accepted the job ended.
+#[test]
+fn large_job_accepted_between_rollback_and_loss_is_restored() {
+    crate::core::simulation::enable_log();
+    let partition = |node, stride| Fault::Worker(WorkerFault::Partition { node, stride });
+    let cancel = || {
+        Fault::User(UserFault::CancelAndHang {
+            job: 0,
+            machines: 1,
+        })
+    };
+    let kill = NodeFault::Kill {
+        node: 0,
+        downtime_ms: 4286,
+    };
+    run_schedule_with(
+        0,
+        &[
+            step(partition(0, 2), None, 1825),
+            step(cancel(), None, 325),
+            step(partition(1, 1), None, 3176),
+            step(partition(0, 1), None, 2325),
+            step(cancel(), Some(SHORT_JOB), 1026),
+            step(cancel(), Some(SHORT_JOB), 3725),
+            step(Fault::Heal, Some(SHORT_JOB), 50),
+            step(RESTORE_BACKUP, Some(SHORT_JOB), 50),
+            step(LOSE_DATA, None, 1276),
+            step(Fault::Node(kill), None, 255),
+        ],
+        JobSizes::EveryOtherLarge,
+    );
+}
