--- a/src/core/store/cache.rs
+++ b/src/core/store/cache.rs
@@ -145,7 +145,7 @@
         let before = std::mem::take(&mut self.jobs);
         let unconfirmed_ends = std::mem::take(&mut self.unconfirmed_ends);
         let mut versions = std::mem::take(&mut self.versions);
-        versions.clear_observed();
+        versions.begin_list(revision);
         let residual_tasks = std::mem::take(&mut self.residual_tasks);
         let mut parts = std::mem::take(&mut self.parts);
         parts.begin_list(|_, header| header.version > revision);
--- a/src/core/store/cache/loss.rs
+++ b/src/core/store/cache/loss.rs
@@ -116,7 +116,7 @@
         for job in self.jobs.values_mut() {
             job.stored_ranges.clear();
         }
-        self.versions.clear_observed();
+        self.versions.begin_list(revision);
         self.clear_store_metadata(revision);
         self.put_list(list);
         let large_jobs = self.parts.accepted_jobs();
--- a/src/core/store/versions.rs
+++ b/src/core/store/versions.rs
@@ -70,8 +70,10 @@
         self.observed.len() + self.unconfirmed.len()
     }
 
-    /// Clears the reported versions, before a newer full list replaces them.
-    pub fn clear_observed(&mut self) {
+    /// Clears the reported versions, before a full list of this revision replaces them, and the writes that the list
+    /// includes.
+    pub fn begin_list(&mut self, revision: u64) {
         self.observed.clear();
+        self.drop_confirmed(revision);
     }
 }
