--- a/crates/standin/src/state/limits.rs
+++ b/crates/standin/src/state/limits.rs
@@ -23,10 +23,10 @@
 /// Reason why a transaction is malformed.
 #[derive(Clone, Copy, Debug, PartialEq, thiserror::Error)]
 pub(crate) enum Violation {
-    /// It has more than [`MAX_CHANGES`] changes.
+    /// There are more than [`MAX_CHANGES`] changes.
     #[error("too many changes")]
     TooManyChanges,
-    /// It has more than [`MAX_CONDITIONS`] conditions.
+    /// There are more than [`MAX_CONDITIONS`] conditions.
     #[error("too many conditions")]
     TooManyConditions,
     /// A value is larger than [`MAX_VALUE_KB`].
--- a/crates/standin/src/state/tests.rs
+++ b/crates/standin/src/state/tests.rs
@@ -15,7 +15,7 @@
     request(service, "POST", "/txn", body)
 }
 
-/// A controller looks up another one's lease by such a transaction, since a renewal would keep the lease alive.
+/// Controllers look up a leader's lease by such a transaction, since a renewal would extend the lease.
 #[test]
 fn a_put_under_an_ended_lease_is_refused_whatever_the_conditions() {
     let service = StateService::default();
--- a/src/core/leadership/stale_key.rs
+++ b/src/core/leadership/stale_key.rs
@@ -5,7 +5,7 @@
 //! not know cannot be renewed, so the key's holder stops acting within one lease duration. After that time the key is
 //! deleted, unless it has been replaced.
 //!
-//! A look-up must not renew the lease: otherwise the look-ups of several controllers keep a dead leader's lease alive.
+//! A look-up must not renew the lease: otherwise the look-ups of several controllers prevent its expiry.
 
 use crate::core::Core;
 use crate::core::command::PendingCall;
--- a/src/core/simulation/scenarios/large_jobs.rs
+++ b/src/core/simulation/scenarios/large_jobs.rs
@@ -75,8 +75,8 @@
     assert_eq!(simulation.counters.starts, 2);
 }
 
-/// Guards against the loss of large jobs after a late answer about another job: it showed that job as live when its end
-/// was known, the leader took the end for lost by the store, and merged a list without knowing whose parts it held.
+/// Guards against the loss of large jobs after a late response about another job, which showed that job as unfinished when
+/// its end was known: the leader assumed that the store had lost the end, and a merge forgot the owners of all parts.
 #[test]
 fn late_answer_about_ended_job_is_no_loss() {
     let (mut simulation, leader) = eight_machines(1501);
--- a/src/core/simulation/scenarios/leadership.rs
+++ b/src/core/simulation/scenarios/leadership.rs
@@ -218,8 +218,8 @@
     assert_eq!(simulation.counters.starts, starts);
 }
 
-/// Guards against a cluster without a leader for good: two followers without contact to the leader looked up its lease in
-/// turns, and each look-up renewed the lease, so that the leader key of the dead process never expired.
+/// Guards against a cluster that stays without a leader: two followers without contact to the leader looked up its lease,
+/// and each look-up renewed the lease, so that the leader key of the killed process never expired.
 #[test]
 fn lookups_do_not_keep_lease_of_dead_leader_alive() {
     let (mut simulation, leader) = eight_machines(1510);
--- a/src/core/store/cache/tests.rs
+++ b/src/core/store/cache/tests.rs
@@ -90,7 +90,7 @@
     JobValue::live(Box::new(sample(id, 1, 1.0, 1)), 7)
 }
 
-/// Guards against writes that are repeated in vain: a list that was begun before the end of a job was written, and before
+/// Guards against repeated conflicts: a list that was begun before the end of a job was written, and before
 /// another one was accepted, was merged as if the store had lost both.
 #[test]
 fn a_merge_with_an_older_list_keeps_newer_writes() {
--- a/src/store_client/tests.rs
+++ b/src/store_client/tests.rs
@@ -4,10 +4,10 @@
 use crate::wire::{Change, Condition};
 use serde_json::{Value, json};
 
-/// A put under a lease that has ended gets a response of its own, whatever the conditions. This is how a lease is looked
-/// up: a look-up that renews the lease keeps that of a dead leader alive.
+/// Guards against a leader key that never expires: a lease is looked up by the response to a put under it, since a
+/// renewal would extend the lease of a leader that has failed.
 #[test]
-fn a_put_under_an_ended_lease_is_told_from_a_malformed_one() {
+fn a_put_under_an_ended_lease_is_not_reported_as_malformed() {
     let addr = serve_store(|request| {
         let transaction: Value = serde_json::from_slice(&request.body).unwrap();
         match transaction["apply"][0]["tenancy"].as_u64() {
