A submission under way is not accepted once the store is known to have lost data

Cause: accept refuses submissions while the store is incomplete, but neither the write of the job's key nor the answer looked again. Change: create and job_accepted answer 503 while states must be withheld; the user retries.

--- a/src/core/jobs/submissions.rs
+++ b/src/core/jobs/submissions.rs
@@ -224,9 +224,12 @@
         submitted.as_millis() as u64
     }
 
-    /// Writes the key that accepts a job.
+    /// Writes the key that accepts a job, unless the store has lost data since the submission arrived.
     fn create(&mut self, creation: Creation) {
         let submission = &creation.submission;
+        if self.must_withhold_state() {
+            return self.answer(submission.ticket, rebuilding_answer());
+        }
         let submitted_ms = self.submitted_ms(submission);
         let transaction =
             create_transaction(&submission.spec, submitted_ms, creation.parts.as_deref());
@@ -309,6 +312,10 @@
         let value = initial_value(spec, submitted_ms, parts.as_deref());
         self.store_cache.put_job_from_response(&id, value, revision);
         self.sync_job_runs();
+        // Until the other controllers have the job, it would be forgotten if the store lost data again. The user retries.
+        if self.must_withhold_state() {
+            return self.answer(ticket, rebuilding_answer());
+        }
         // A job with a cancelled dependency is accepted too, and is cancelled itself.
         let outcome = self.store_cache.outcome_of(&id);
         let state = outcome.map_or(JobState::Queued, final_state);
