A copy counts as complete even if the mark of the incomplete store does not name the lost one

Cause: the mark was set by a controller that had just restarted and did not name the lost store. The others knew which one it was, and did not use it, so nobody had a complete copy when the store was lost again during its rebuild. Change: record_identity uses the store that this process has lost by its own knowledge, if the mark names none.

--- a/src/core/store/integrity/identity.rs
+++ b/src/core/store/integrity/identity.rs
@@ -85,7 +85,9 @@
         // This copy may have all the data of the store that is being rebuilt.
         let complete = match &self.store_cache.rebuilding {
             None => true,
+            // A controller that had just restarted marks the store without knowing which one was lost.
             Some((mark, _)) => (mark.lost_store.as_ref())
+                .or(integrity.lost_store.as_ref())
                 .is_some_and(|lost| integrity.complete_stores.contains(lost)),
         };
         if complete && !integrity.complete_stores.contains(identity) {
