Every controller compares its newest changes of jobs with the store

Cause: a rollback that later changes make up for shows neither in the revision nor in the identity. Only the leader compares job keys with its copy, and this one had read the store after the rollback. The other controllers had the job and compared nothing. Change: every 3 s each controller compares the newest changes of jobs' keys in its copy with the store, by transactions without changes. A store that was rolled back lacks the newest one first. A difference counts once the copy has caught up with it, and leads to a full read. Tests: randomized::job_accepted_between_two_rollbacks_is_restored failed before. Its name was wrong, as its first step has no backup to restore: it is job_lost_in_rollback_masked_by_campaign_is_restored now, with the same steps.

--- a/src/core/command.rs
+++ b/src/core/command.rs
@@ -245,6 +245,8 @@
     CheckIdentity(u64),
     /// Check whether the store's revision has decreased.
     CheckRevision,
+    /// Check whether the store still has these changes of jobs' keys, which the cache contains.
+    CompareJobChanges(Vec<Condition>),
     /// Read of a page of job keys, which is compared with the cache.
     AuditJobs {
         /// Key after which the page begins.
@@ -288,6 +290,7 @@
             | PendingCall::TokenProbe(_)
             | PendingCall::CheckIdentity(_)
             | PendingCall::CheckRevision
+            | PendingCall::CompareJobChanges(_)
             | PendingCall::MarkDataLoss
             | PendingCall::CheckLeaderLease(_)
             | PendingCall::DeleteStaleLeaderKey
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -371,6 +371,9 @@
                 self.leader_lease_checked(version, outcome)
             }
             Some(PendingCall::CheckRevision) => self.revision_checked(outcome),
+            Some(PendingCall::CompareJobChanges(compared)) => {
+                self.job_changes_compared(compared, outcome);
+            }
             Some(PendingCall::Write) => self.write_outcome(call, outcome),
             _ => {}
         }
--- a/src/core/simulation/randomized.rs
+++ b/src/core/simulation/randomized.rs
@@ -898,10 +898,10 @@
     );
 }
 
-/// Found by randomized schedules: the store was rolled back, a job was accepted before every controller had noticed, the
-/// store was rolled back again, and the controller that had accepted the job ended.
+/// Found by randomized schedules: the store was rolled back by one revision, the leader restarted before it noticed, and
+/// its campaign raised the revision again. The other controllers had the lost job, and nothing made them compare it.
 #[test]
-fn job_accepted_between_two_rollbacks_is_restored() {
+fn job_lost_in_rollback_masked_by_campaign_is_restored() {
     crate::core::simulation::enable_log();
     let kill = NodeFault::Kill {
         node: 0,
--- a/src/core/simulation/scenarios/loss_of_store.rs
+++ b/src/core/simulation/scenarios/loss_of_store.rs
@@ -8,7 +8,8 @@
 use crate::job::{JobSpec, sample};
 use crate::policy::Policy;
 use crate::store_client::StoreOutcome;
-use crate::wire::{Item, JobState};
+use crate::wire::{Item, JobState, WatchEvent};
+use serde_json::json;
 use std::time::Duration;
 
 /// Returns a cluster of three controllers, which serve workers for one another, and six machines; and its leader.
@@ -676,6 +677,39 @@
     assert!(rereads_store(core));
 }
 
+/// A store that lacks a job's change may be ahead of the copy. Guards against a full read whenever a job changes while
+/// the newest changes are compared.
+#[test]
+fn absent_job_change_is_no_sign_until_copy_has_caught_up() {
+    let (mut simulation, leader) = six_machines(35);
+    assert_eq!(simulation.submit(leader, &long_job("wk-1")), 201);
+    simulation.run(1.0);
+    let core = &mut simulation.nodes[leader].core;
+    core.effects.clear();
+    let changes = core.store_cache.recent_job_changes.conditions();
+    assert_eq!(changes.len(), 1);
+    let conflict = |revision| StoreOutcome::Conflict {
+        failed: vec![changes[0].key.clone()],
+        revision,
+    };
+    let revision = core.store_cache.revision + 1;
+    core.job_changes_compared(changes.clone(), conflict(revision));
+    assert!(!rereads_store(core));
+    let end = WatchEvent {
+        put: Some(changes[0].key.clone()),
+        value: json!({"end": "done"}),
+        version: revision,
+        delete: None,
+        lease: None,
+    };
+    core.store_cache.apply(vec![end], revision);
+    core.check_store_integrity();
+    assert!(!rereads_store(core));
+    let newest = core.store_cache.recent_job_changes.conditions();
+    core.job_changes_compared(newest, conflict(revision));
+    assert!(rereads_store(core));
+}
+
 /// Returns the statuses of the responses to users that a step has produced so far.
 fn response_statuses(core: &Core) -> Vec<u16> {
     let effects = core.effects.iter();
--- a/src/core/store/cache.rs
+++ b/src/core/store/cache.rs
@@ -22,6 +22,7 @@
 
 use crate::core::jobs::dependencies::DependencyGraph;
 use crate::core::store::large_jobs::LargeJobParts;
+use crate::core::store::recent_job_changes::RecentJobChanges;
 use crate::core::store::versions::KeyVersions;
 use crate::job::{JobId, JobOutcome, JobSpec, MachineId};
 use crate::wire::{Change, MachineType, WatchEvent};
@@ -129,6 +130,8 @@
     unconfirmed_ends: BTreeMap<JobId, u64>,
     /// Versions of keys, on which a leader's changes are conditional.
     pub versions: KeyVersions,
+    /// Newest changes of jobs' keys, which the store must still have.
+    pub recent_job_changes: RecentJobChanges,
     /// Tasks of recently cancelled jobs that may still be on machines.
     pub residual_tasks: BTreeMap<JobId, ResidualTasks>,
     /// Time, in milliseconds since the Unix epoch: tasks of jobs cancelled before it are no longer on any machine.
@@ -229,6 +232,10 @@
     pub fn apply(&mut self, events: Vec<WatchEvent>, revision: u64) {
         for event in events {
             if let Some(key) = event.put {
+                // A list may already contain what the watch repeats.
+                if event.version > self.revision {
+                    self.recent_job_changes.record(&key, event.version);
+                }
                 self.put(&key, event.value, event.version);
             } else if let Some(key) = event.delete {
                 self.delete(&key, event.version);
--- a/src/core/store/cache/apply.rs
+++ b/src/core/store/cache/apply.rs
@@ -8,6 +8,7 @@
 };
 use crate::core::store::keys::{PartGeneration, StoreKey, done_key, job_key};
 use crate::core::store::large_jobs::{MultipartHeader, PartValue};
+use crate::core::store::recent_job_changes::RecentJobChanges;
 use crate::fault_injection::{Safeguard, is_enabled};
 use crate::job::{JobId, JobOutcome, JobSpec, MachineId};
 use crate::store_client::PREFIX;
@@ -19,6 +20,10 @@
 impl StoreCache {
     /// Applies all items of a full list.
     pub(super) fn put_list(&mut self, list: StoreList) {
+        self.recent_job_changes = RecentJobChanges::default();
+        if let Some((key, version)) = list.newest_job_change() {
+            self.recent_job_changes.record(&key, version);
+        }
         for entry in list.into_entries() {
             match entry {
                 ListEntry::EndedJob(ended) => self.put_listed_end(ended),
--- a/src/core/store/cache/list.rs
+++ b/src/core/store/cache/list.rs
@@ -111,6 +111,27 @@
         }
     }
 
+    fn key(&self) -> String {
+        match self {
+            ListEntry::Item(item) => item.key.clone(),
+            ListEntry::EndedJob(ended) => job_key(&ended.id),
+        }
+    }
+
+    fn is_job(&self) -> bool {
+        match self {
+            ListEntry::Item(item) => item.key.starts_with(JOB_PREFIX),
+            ListEntry::EndedJob(_) => true,
+        }
+    }
+
+    fn version(&self) -> u64 {
+        match self {
+            ListEntry::Item(item) => item.version,
+            ListEntry::EndedJob(ended) => ended.version,
+        }
+    }
+
     /// Returns the state of the job whose key this is.
     fn job_state(&self) -> ListedJob {
         let ended = match self {
@@ -143,10 +164,7 @@
 
     /// Returns the version of a key.
     pub fn version_of(&self, key: &str) -> Option<u64> {
-        match self.find_entry(key)? {
-            ListEntry::Item(item) => Some(item.version),
-            ListEntry::EndedJob(ended) => Some(ended.version),
-        }
+        self.find_entry(key).map(ListEntry::version)
     }
 
     /// Returns the state of a job.
@@ -158,6 +176,13 @@
         }
     }
 
+    /// Returns the job's key that was written last, and its version.
+    pub(super) fn newest_job_change(&self) -> Option<(String, u64)> {
+        let jobs = self.entries.iter().filter(|entry| entry.is_job());
+        let newest = jobs.max_by_key(|entry| entry.version())?;
+        Some((newest.key(), newest.version()))
+    }
+
     pub(super) fn into_entries(self) -> impl Iterator<Item = ListEntry> {
         self.entries.into_iter()
     }
--- a/src/core/store/integrity.rs
+++ b/src/core/store/integrity.rs
@@ -25,6 +25,7 @@
 
 use crate::core::CallId;
 use crate::peer::cache_exchange::CachePage;
+use crate::wire::Condition;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant, SystemTime};
 
@@ -90,10 +91,19 @@
     /// Whether the service has been unreachable since the last check: it may have been restored to older data
     /// meanwhile.
     was_unreachable: bool,
+    /// Changes that the store did not have, until the copy is as new as that comparison.
+    absent_changes: Option<AbsentChanges>,
     /// Key of the last job that was compared with the store.
     audit_cursor: String,
 }
 
+/// Changes of jobs' keys in the copy that the store did not have when they were compared.
+struct AbsentChanges {
+    changes: Vec<Condition>,
+    /// Revision of the store at which they were compared.
+    revision: u64,
+}
+
 /// Terms observed outside the store.
 #[derive(Default)]
 struct ObservedTerms {
--- a/src/core/store/integrity/checks.rs
+++ b/src/core/store/integrity/checks.rs
@@ -1,13 +1,17 @@
 //! Periodic checks that the store has kept its data: its identity, its revision, and the keys of jobs.
 
-use super::{CHECK_INTERVAL, is_due};
+use super::{AbsentChanges, CHECK_INTERVAL, is_due};
 use crate::core::Core;
 use crate::core::command::PendingCall;
 use crate::core::store::keys::{NEVER_WRITTEN, REBUILDING, identity_key, key};
 use crate::store_client::{StoreOutcome, StoreRequest};
+use crate::wire::{CompareAndSwap, Condition};
 
 /// Number of job keys that the leader compares with its copy at each check.
 const AUDIT_BATCH: usize = 100;
+/// Divisor of the maximum number of changes in a transaction that gives the maximum number of conditions in a comparison.
+/// It leaves room, as the state service may lower its limits below those of the settings.
+const COMPARISON_SHARE: usize = 2;
 
 impl Core {
     /// Checks periodically that the store has kept its data, and asks the other controllers about an empty store.
@@ -18,6 +22,7 @@
         if reread.suspected_again && reread.may_start(now) {
             self.suspect_data_loss("there was another sign of a loss");
         }
+        self.settle_absent_changes();
         self.mark_as_incomplete();
         if self.store_is_stale() {
             self.store_integrity.was_unreachable = true;
@@ -40,6 +45,7 @@
             let after = self.store_integrity.audit_cursor.clone();
             self.audit(after, None);
         }
+        self.compare_job_changes();
         self.store_integrity.last_check = Some(now);
         let check_identity = !self.store_integrity.last_check_was_identity;
         self.store_integrity.last_check_was_identity = check_identity;
@@ -85,6 +91,60 @@
         }
     }
 
+    /// Compares the newest changes of jobs' keys in the copy with the store, by transactions without changes. This finds a
+    /// rollback that no revision shows, as other changes have raised the revision again.
+    fn compare_job_changes(&mut self) {
+        let changes = self.store_cache.recent_job_changes.conditions();
+        let max_conditions = self.settings.max_transaction_changes / COMPARISON_SHARE;
+        for compared in changes.chunks(max_conditions.max(1)) {
+            let transaction = CompareAndSwap {
+                conditions: compared.to_vec(),
+                changes: Vec::new(),
+            };
+            self.call_store(
+                PendingCall::CompareJobChanges(compared.to_vec()),
+                StoreRequest::CompareAndSwap(transaction),
+            );
+        }
+    }
+
+    /// Processes the response to a comparison of changes of jobs' keys.
+    pub(in crate::core) fn job_changes_compared(
+        &mut self,
+        mut compared: Vec<Condition>,
+        outcome: StoreOutcome,
+    ) {
+        match outcome {
+            StoreOutcome::Committed { .. } => {
+                self.store_cache.recent_job_changes.confirm(&compared);
+            }
+            StoreOutcome::Conflict { failed, revision } => {
+                compared.retain(|change| failed.contains(&change.key));
+                self.store_integrity.absent_changes = Some(AbsentChanges {
+                    changes: compared,
+                    revision,
+                });
+                self.settle_absent_changes();
+            }
+            _ => {}
+        }
+    }
+
+    /// Suspects a loss if the copy has caught up with the revision at which the store lacked a change, and the change is
+    /// still the newest one of its key: the watch has not delivered what the store has instead.
+    fn settle_absent_changes(&mut self) {
+        let revision = self.store_cache.revision;
+        let absent = &mut self.store_integrity.absent_changes;
+        let Some(absent) = absent.take_if(|absent| absent.revision <= revision) else {
+            return;
+        };
+        let recent = &self.store_cache.recent_job_changes;
+        if let Some(lost) = absent.changes.iter().find(|c| recent.contains(c)) {
+            let reason = format!("it lacks the last change of {}", lost.key);
+            self.suspect_data_loss(&reason);
+        }
+    }
+
     /// Reads a batch of job keys, those after the key `after`, to compare them with the copy. This finds losses that no
     /// revision shows: a small rollback after which other changes have raised the revision again leaves a gap in the
     /// watch, and single keys may be lost at any time.
--- a/src/core/store/mod.rs
+++ b/src/core/store/mod.rs
@@ -4,6 +4,7 @@
 //! Owns `StoreCache`, `StoreIntegrity`, `Rebuild` and `ReadBarriers`. The leader's transactions are built only here.
 //!
 //! - `keys`, `versions`: keys and their versions; `cache`: the copy of the store, kept current by the watch.
+//! - `recent_job_changes`: the newest changes of jobs in the copy, by which a restored store is recognized.
 //! - `transaction`, `writes`, `commit`: building the leader's next transaction, sending it, and finding out whether
 //!   one without a response was committed.
 //! - `garbage`: whether an obsolete key may be deleted.
@@ -22,6 +23,7 @@
 pub mod pending_writes;
 pub mod read_barrier;
 pub mod rebuild;
+pub mod recent_job_changes;
 pub mod transaction;
 pub mod versions;
 pub mod writes;
