--- a/src/core/simulation/scenarios/large_jobs.rs
+++ b/src/core/simulation/scenarios/large_jobs.rs
@@ -178,3 +178,21 @@
     }
     assert_restored(&mut simulation, "wk-1", parts);
 }
+
+/// Guards against the deletion of parts that a leader writes to restore a job: no key refers to them until all are written,
+/// which may take more than a minute. Others without a key are deleted.
+#[test]
+fn parts_of_job_being_restored_are_kept() {
+    let (mut simulation, node) = eight_machines(1506);
+    let leader = simulation.nodes[node].core.leader.as_mut().unwrap();
+    let generation = leader.term;
+    let written = &mut leader.writes.missing_parts_written;
+    written.insert("wk-1".into(), 1);
+    let restored = part_key("wk-1", generation, 0);
+    let text = json!({"text": "{"});
+    simulation.external_put(&restored, text.clone());
+    simulation.external_put(&part_key("wk-2", generation, 0), text);
+    simulation.run(AFTER_PARTS_DELETION);
+    assert_eq!(simulation.leader(), Some(node));
+    assert_eq!(stored_parts(&simulation), [restored]);
+}
--- a/src/core/store/cache.rs
+++ b/src/core/store/cache.rs
@@ -286,5 +286,7 @@
     }
 }
 
+#[cfg(test)]
+mod large_job_tests;
 #[cfg(test)]
 mod tests;
