--- a/src/core/simulation/scenarios/loss_of_store.rs
+++ b/src/core/simulation/scenarios/loss_of_store.rs
@@ -720,6 +720,21 @@
     statuses.collect()
 }
 
+/// While the store is read again after a sign of a loss, a job that was created after a response may be among what it has
+/// lost: its state is not reported before the list has come.
+#[test]
+fn late_answer_during_a_reread_is_not_followed_by_a_state() {
+    let (mut simulation, leader) = six_machines(36);
+    let revision = simulation.store.revision;
+    assert_eq!(simulation.submit(leader, &long_job("wk-1")), 201);
+    let core = &mut simulation.nodes[leader].core;
+    core.suspect_data_loss("test");
+    core.effects.clear();
+    let purpose = ReadPurpose::Show(Ticket::MAX);
+    core.job_read_outcome("wk-1".into(), purpose, StoreOutcome::Missing { revision });
+    assert_eq!(response_statuses(core), [503]);
+}
+
 /// Guards against needless full reads: a user asked about a job just before it was submitted, and the slow answer that it
 /// did not exist arrived when the job was known. It was taken for a loss of data; once the job had ended, the user
 /// even got a 404.
