A large job's key that the watch delivers without its parts is a sign of missed changes

Callers saw: after a rollback of the state service a large job was accepted and stayed pending, with every machine idle. Cause: its parts were written at revisions that other controllers had seen before the rollback, so their watches delivered the key alone. One of them led, waited for the parts for ever, and the audit took the job for known. Change: parts are written before the key and the watch is in order, so a key without its parts makes the controller read the store again.

--- a/src/core/leadership/store_events.rs
+++ b/src/core/leadership/store_events.rs
@@ -52,6 +52,9 @@
         }
         self.observe_commit(|txn| committed_in_events(txn, &events));
         self.store_cache.apply(events, revision);
+        if std::mem::take(&mut self.store_cache.parts_undelivered) {
+            self.suspect_data_loss("the watch has not delivered the parts of a job");
+        }
         self.store_cache_changed();
     }
 
--- a/src/core/simulation/randomized.rs
+++ b/src/core/simulation/randomized.rs
@@ -987,3 +987,25 @@
         JobSizes::EveryOtherLarge,
     );
 }
+
+/// Found by randomized schedules: after a rollback the parts of a large job were written at revisions that other
+/// controllers had seen already. Their watches delivered its key alone, and one of them led and never ran the job.
+#[test]
+fn large_job_whose_parts_no_watch_delivers_is_run() {
+    crate::core::simulation::enable_log();
+    let kill = NodeFault::Kill {
+        node: 0,
+        downtime_ms: 2601,
+    };
+    run_schedule_with(
+        2847112751586951143,
+        &[
+            step(Fault::Node(NodeFault::KillLeaders(2)), None, 50),
+            step(LOSE_DATA, None, 3575),
+            step(RESTORE_BACKUP, None, 1925),
+            step(RESTORE_BACKUP, Some(SHORT_JOB), 2026),
+            step(Fault::Node(kill), None, 50),
+        ],
+        JobSizes::EveryOtherLarge,
+    );
+}
--- a/src/core/store/cache.rs
+++ b/src/core/store/cache.rs
@@ -21,6 +21,7 @@
 mod task_set;
 
 use crate::core::jobs::dependencies::DependencyGraph;
+use crate::core::store::keys::StoreKey;
 use crate::core::store::large_jobs::LargeJobParts;
 use crate::core::store::recent_job_changes::RecentJobChanges;
 use crate::core::store::versions::KeyVersions;
@@ -111,6 +112,9 @@
     pub garbage_keys: BTreeSet<String>,
     /// Parts of jobs that are too large for one value.
     pub parts: LargeJobParts,
+    /// Whether the watch has delivered the key of a job without its parts, which were written before it: the copy lacks
+    /// changes that the store has.
+    pub parts_undelivered: bool,
     /// Identity of the store that this is a copy of, and the version of its key.
     pub identity: Option<(String, u64)>,
     /// First term of the store, if its first leader found it empty and assumed that it was new. A worker that has seen
@@ -237,6 +241,7 @@
                     self.recent_job_changes.record(&key, event.version);
                 }
                 self.put(&key, event.value, event.version);
+                self.parts_undelivered |= self.is_unread_job_key(&key);
             } else if let Some(key) = event.delete {
                 self.delete(&key, event.version);
             }
@@ -244,6 +249,14 @@
         self.advance_revision(revision);
     }
 
+    /// Returns whether this is the key of an accepted job some of whose parts the copy lacks.
+    fn is_unread_job_key(&self, key: &str) -> bool {
+        match StoreKey::parse(key) {
+            Some(StoreKey::Job(id)) => self.parts.has_header(id) && !self.jobs.contains_key(id),
+            _ => false,
+        }
+    }
+
     /// Records that the copy reflects the store up to `revision`.
     pub fn advance_revision(&mut self, revision: u64) {
         self.revision = self.revision.max(revision);
