Tests of large jobs: parts missing in a merged list, texts that are not needed

Still without one: deletions that do not fit into a transaction stay queued (garbage, single machines).

--- a/src/core/store/cache/large_job_tests.rs
+++ b/src/core/store/cache/large_job_tests.rs
@@ -110,15 +110,29 @@
     assert_eq!(copy.jobs[ID].done.len(), 3);
 }
 
-/// The texts of parts are dropped once the job is known, wherever it is known from.
+/// Guards against the loss of a job whose parts are gone: while other data was missing too, a list did not show it.
 #[test]
-fn parts_of_a_job_from_another_copy_are_not_read() {
-    let mut copy = StoreCache::default();
-    copy.reset(StoreList::from_iter([header(7)]), 7);
+fn a_job_without_parts_in_a_merged_list_is_missing_from_the_store() {
+    let mut copy = copy_with_job();
+    copy.merge_list(StoreList::from_iter([header(7)]), 9);
+    assert!(copy.missing_from_store.contains(ID));
+}
+
+/// Guards against memory that is held for as long as a job's parts are incomplete: the texts of parts are not needed if the
+/// copy has the job.
+#[test]
+fn texts_of_parts_of_a_known_job_are_dropped() {
+    let first_part = || parts(8).into_iter().take(1);
+    let mut merged = StoreCache::default();
+    merged.reset(StoreList::from_iter([header(7)]), 7);
     let live = JobValue::live(Box::new(sample(ID, 4, 1.0, 1)), 1);
-    copy.merge_items(vec![(job_key(ID), serde_json::to_value(live).unwrap())]);
-    copy.apply(events(parts(8)), 8);
-    assert!(copy.parts.take_complete(&ID.into()).is_none());
+    merged.merge_items(vec![(job_key(ID), serde_json::to_value(live).unwrap())]);
+    merged.apply(events(first_part().collect()), 8);
+    assert_eq!(merged.parts.text_bytes(), 0);
+    let mut replaced = copy_with_job();
+    let list = [header(7)].into_iter().chain(first_part());
+    replaced.reset(StoreList::from_iter(list), 9);
+    assert_eq!(replaced.parts.text_bytes(), 0);
 }
 
 /// Guards against refused writes: a version that this process wrote before a list counted as newer than the one in the list.
--- a/src/core/store/large_jobs.rs
+++ b/src/core/store/large_jobs.rs
@@ -198,6 +198,13 @@
         sets.filter(|(id, generation)| !self.refers_to(id, *generation))
     }
 
+    /// Returns the size of the texts that are kept, in bytes.
+    #[cfg(test)]
+    pub fn text_bytes(&self) -> usize {
+        let texts = self.texts.values().flat_map(BTreeMap::values);
+        texts.map(String::len).sum()
+    }
+
     /// Returns the keys of the stored parts of one set.
     pub fn keys(&self, id: &JobId, generation: PartGeneration) -> Vec<String> {
         let parts = self.texts.get(&(id.clone(), generation));
