A list with an older version of a key shows that the store has lost data

Cause: other changes had raised the store's revision to that of the copy again, and no job was missing from the list. That the page of machines had an older version than in the copy was not compared. Change: find_contradiction compares the versions of all keys that the copy tracks; a store never goes back to an earlier version of a key. Recorded decisions are unchanged.

--- a/src/core/simulation/randomized.rs
+++ b/src/core/simulation/randomized.rs
@@ -1009,3 +1009,37 @@
         JobSizes::EveryOtherLarge,
     );
 }
+
+/// Found by randomized schedules: the store was rolled back from the end of a rebuild into it, and lost the record of a new
+/// machine; other changes raised its revision again. The leader's list showed an older page of machines, and no job was
+/// missing. The next leader did not know the machine and started its task elsewhere.
+#[test]
+fn lost_record_of_new_machine_is_noticed() {
+    crate::core::simulation::enable_log();
+    let kill = NodeFault::Kill {
+        node: 0,
+        downtime_ms: 50,
+    };
+    let job = |seconds| JobPlan {
+        seconds,
+        ..SHORT_JOB
+    };
+    let partition = WorkerFault::TogglePartitionOutbound { stride: 1 };
+    run_schedule_with(
+        2847112751586951143,
+        &[
+            step(Fault::Node(NodeFault::KillLeaders(2)), None, 50),
+            step(LOSE_DATA, Some(SHORT_JOB), 3676),
+            step(
+                Fault::User(UserFault::CancelDuringRefusal(0)),
+                Some(job(3)),
+                125,
+            ),
+            step(Fault::Heal, None, 3225),
+            step(RESTORE_BACKUP, Some(job(4)), 1375),
+            step(Fault::Worker(partition), Some(SHORT_JOB), 476),
+            step(Fault::Node(kill), Some(SHORT_JOB), 50),
+        ],
+        JobSizes::EveryOtherLarge,
+    );
+}
--- a/src/core/store/cache/loss.rs
+++ b/src/core/store/cache/loss.rs
@@ -32,6 +32,12 @@
         {
             return Some(format!("it has forgotten term {}", self.term));
         }
+        if let Some(key) = self
+            .versions
+            .find_newer(|key| list.version_of(key), revision)
+        {
+            return Some(format!("it has an older version of {key}"));
+        }
         if let Some(id) = self.find_absent_job(list, revision) {
             return Some(format!("it has forgotten job {id}"));
         }
--- a/src/core/store/cache/tests.rs
+++ b/src/core/store/cache/tests.rs
@@ -1,5 +1,5 @@
 use super::*;
-use crate::core::store::keys::job_key;
+use crate::core::store::keys::{job_key, page_key};
 use crate::job::{Resources, sample};
 use crate::wire::Item;
 use serde::Deserialize;
@@ -174,3 +174,28 @@
     store_cache.put_job_from_response("wk-1", live("wk-1"), 3);
     assert!(store_cache.missing_from_store.is_empty());
 }
+
+/// Guards against a machine that nobody knows: a rollback that later changes made up for lost the newest page of machines,
+/// and a list showed an older one.
+#[test]
+fn a_list_with_an_older_version_of_a_key_contradicts_the_copy() {
+    let page = |version| Item {
+        key: page_key(0),
+        value: serde_json::json!({"machines": {}}),
+        version,
+        lease: None,
+    };
+    let mut store_cache = StoreCache::default();
+    store_cache.reset(StoreList::from_iter([page(5)]), 6);
+    let contradiction = |copy: &StoreCache, items: Vec<Item>, revision| {
+        copy.find_contradiction(&StoreList::from_iter(items), revision)
+    };
+    assert!(contradiction(&store_cache, vec![page(4)], 7).is_some());
+    for items in [vec![page(5)], vec![page(7)], Vec::new()] {
+        assert_eq!(contradiction(&store_cache, items, 7), None);
+    }
+    // A list from before this process's own write may lack it.
+    store_cache.record_write(&[Change::put(page_key(0), serde_json::Value::Null)], 8);
+    assert_eq!(contradiction(&store_cache, vec![page(5)], 7), None);
+    assert!(contradiction(&store_cache, vec![page(5)], 8).is_some());
+}
--- a/src/core/store/versions.rs
+++ b/src/core/store/versions.rs
@@ -64,6 +64,21 @@
             .retain(|_, write| write.revision > revision);
     }
 
+    /// Returns a key whose version as of this revision is newer than the one that the store holds, by `stored_version`. The
+    /// store may have deleted a key, but it never goes back to an earlier version of one.
+    pub fn find_newer(
+        &self,
+        stored_version: impl Fn(&str) -> Option<u64>,
+        revision: u64,
+    ) -> Option<&str> {
+        let mut keys = self.observed.keys().chain(self.unconfirmed.keys());
+        let is_newer = |key: &&String| {
+            let known = self.of(key);
+            known <= revision && stored_version(key).is_some_and(|stored| stored < known)
+        };
+        keys.find(is_newer).map(String::as_str)
+    }
+
     /// Returns the number of versions that are kept.
     #[cfg(test)]
     pub fn tracked_keys(&self) -> usize {
