--- a/src/core/simulation/scenarios/lost_answers.rs
+++ b/src/core/simulation/scenarios/lost_answers.rs
@@ -243,5 +243,5 @@
 /// had learned of the term used in between, and led in that term instead of the one that it had written.
 #[test]
 fn leader_of_store_lost_twice_has_own_term() {
-    crate::core::simulation::randomized::store_lost_twice();
+    crate::core::simulation::randomized::found::store_lost_twice();
 }
