--- a/src/core/simulation/randomized/found.rs
+++ b/src/core/simulation/randomized/found.rs
@@ -261,3 +261,30 @@
         JobSizes::EveryOtherLarge,
     );
 }
+
+/// Found by randomized schedules: the store lost the cancellation of a job in a rollback, and all controllers ended before it
+/// was restored. No process knows of it then; everything else still holds.
+#[test]
+fn cancellation_lost_with_all_copies_is_tolerated() {
+    crate::core::simulation::enable_log();
+    let partition = WorkerFault::Partition { node: 0, stride: 1 };
+    let cancel = Step {
+        cancel: Some(1),
+        ..step(RESTORE_BACKUP, None, 50)
+    };
+    run_schedule(
+        0,
+        &[
+            step(Fault::Worker(partition), Some(SHORT_JOB), 50),
+            step(
+                Fault::Node(NodeFault::TogglePeers(0)),
+                Some(SHORT_SERVICE),
+                50,
+            ),
+            step(RESTORE_BACKUP, None, 50),
+            cancel,
+            step(RESTORE_BACKUP, None, 50),
+            step(Fault::Node(NodeFault::KillAll), None, 50),
+        ],
+    );
+}
