--- a/src/core/store/transaction.rs
+++ b/src/core/store/transaction.rs
@@ -397,3 +397,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/core/store/transaction/batch.rs
+++ b/src/core/store/transaction/batch.rs
@@ -81,6 +81,6 @@
 }
 
 /// Returns the bytes that a change and the condition on its key take of a transaction.
-fn transaction_bytes(change: &Change) -> usize {
+pub(super) fn transaction_bytes(change: &Change) -> usize {
     to_json(change).len() + SEPARATOR_BYTES + condition_bytes(change.key())
 }
