Tests of each half of two fixes: acceptance after a loss, and what is compared with the store

Taken out one at a time, these were shown by no test of their own: the check before a job's key is written, the check before a job is confirmed (the schedule fails only without both), the changes that the watch repeats, the newest change of a list, and what was known before it. Each test fails without its part. No change of the product.

--- a/src/core/simulation/scenarios/loss_of_store.rs
+++ b/src/core/simulation/scenarios/loss_of_store.rs
@@ -2,7 +2,9 @@
 //! that no accepted job is forgotten and no earlier response is contradicted.
 
 use crate::core::command::{PendingCall, ReadPurpose};
+use crate::core::jobs::creation::{Creation, PartsCreation, Submission};
 use crate::core::simulation::{Link, Simulation, fails_without};
+use crate::core::store::large_jobs::PartWrite;
 use crate::core::{Core, Effect, Ticket};
 use crate::fault_injection::Safeguard;
 use crate::job::{JobSpec, sample};
@@ -720,6 +722,46 @@
     statuses.collect()
 }
 
+/// Guards against a job that is accepted although its controller knows that the store has lost data: the submission had
+/// passed the check before. Neither the response to the write of its key nor its last part may go on.
+#[test]
+fn submission_under_way_is_not_accepted_after_a_loss() {
+    let (mut simulation, leader) = six_machines(37);
+    let received = simulation.now;
+    let submission = || Submission {
+        ticket: Ticket::MAX,
+        spec: Box::new(long_job("wk-1")),
+        received,
+    };
+    let core = &mut simulation.nodes[(leader + 1) % 3].core;
+    let mark = json!({"of": null, "since_ms": 1, "why": "test"});
+    core.store_cache.rebuilding = Some((serde_json::from_value(mark).unwrap(), 1));
+    let committed = || StoreOutcome::Committed { revision: 99 };
+    core.effects.clear();
+    let creation = Creation {
+        submission: submission(),
+        retries: 0,
+        parts: None,
+    };
+    core.creation_outcome(creation, committed());
+    assert_eq!(response_statuses(core), [503]);
+    core.effects.clear();
+    let parts = PartWrite {
+        generation: 7,
+        parts: vec!["{}".into()],
+        versions: Vec::new(),
+    };
+    let creation = PartsCreation {
+        submission: submission(),
+        parts: Box::new(parts),
+        in_flight: 1,
+    };
+    core.parts_outcome(creation, committed());
+    assert_eq!(response_statuses(core), [503]);
+    let is_call = |effect: &Effect| matches!(effect, Effect::StoreCall { .. });
+    assert!(!core.effects.iter().any(is_call));
+}
+
 /// While the store is read again after a sign of a loss, a job that was created after a response may be among what it has
 /// lost: its state is not reported before the list has come.
 #[test]
--- a/src/core/store/cache/tests.rs
+++ b/src/core/store/cache/tests.rs
@@ -199,3 +199,34 @@
     assert_eq!(contradiction(&store_cache, vec![page(5)], 7), None);
     assert!(contradiction(&store_cache, vec![page(5)], 8).is_some());
 }
+
+/// Guards against needless full reads, and against a rollback that is not noticed: what is compared begins with the newest
+/// change in a list, without what the watch repeats and what was known before.
+#[test]
+fn recent_job_changes_begin_with_the_newest_one_of_a_list() {
+    let item = |id: &str, version| Item {
+        key: job_key(id),
+        value: serde_json::to_value(live(id)).unwrap(),
+        version,
+        lease: None,
+    };
+    let compared = |copy: &StoreCache| -> Vec<(String, u64)> {
+        let changes = copy.recent_job_changes.conditions().into_iter();
+        changes.map(|change| (change.key, change.version)).collect()
+    };
+    let mut store_cache = StoreCache::default();
+    store_cache.reset(StoreList::from_iter([item("wk-1", 3), item("wk-2", 5)]), 6);
+    assert_eq!(compared(&store_cache), [(job_key("wk-2"), 5)]);
+    let repeated = item("wk-1", 3);
+    let event = WatchEvent {
+        put: Some(repeated.key),
+        value: repeated.value,
+        version: repeated.version,
+        delete: None,
+        lease: None,
+    };
+    store_cache.apply(vec![event], 6);
+    assert_eq!(compared(&store_cache), [(job_key("wk-2"), 5)]);
+    store_cache.merge_after_loss(StoreList::from_iter([item("wk-1", 2)]), 4);
+    assert_eq!(compared(&store_cache), [(job_key("wk-1"), 2)]);
+}
