--- a/review/tools2/src/bin/review3/main.rs
+++ b/review/tools2/src/bin/review3/main.rs
@@ -2,12 +2,13 @@
 //! broken, 0 if it held, and 2 if the case could not run.
 
 mod case_history;
+mod case_huge;
 mod case_leftover;
 mod case_memory;
 mod case_pipeline;
 mod case_suspect;
-mod case_tiny;
 mod cloud;
+mod governor;
 mod http;
 mod json;
 mod platform;
@@ -164,10 +165,10 @@
         trouble: args[5] != "0",
     };
     let verdict = match args[1].as_str() {
-        "tiny" => case_tiny::run(&parsed),
         "history" => case_history::run(&parsed),
         "leftover" => case_leftover::run(&parsed),
         "suspect" => case_suspect::run(&parsed),
+        "huge" => case_huge::run(&parsed),
         "memory" => case_memory::run(&parsed),
         "pipeline" => case_pipeline::run(&parsed),
         other => Verdict::CouldNotRun(format!("unknown case {other}")),
