--- a/review/tools2/src/bin/review3/main.rs
+++ b/review/tools2/src/bin/review3/main.rs
@@ -170,7 +170,8 @@
         "suspect" => case_suspect::run(&parsed),
         "huge" => case_huge::run(&parsed),
         "memory" => case_memory::run(&parsed),
-        "pipeline" => case_pipeline::run(&parsed),
+        "pipeline" => case_pipeline::run(&parsed, false),
+        "drawn" => case_pipeline::run(&parsed, true),
         other => Verdict::CouldNotRun(format!("unknown case {other}")),
     };
     let (code, line) = match verdict {
