--- a/review/tools2/src/bin/review3/platform.rs
+++ b/review/tools2/src/bin/review3/platform.rs
@@ -2,7 +2,7 @@
 
 use crate::json::{decimal, int, object, text, Json};
 use std::fs::File;
-use std::net::{SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
@@ -93,10 +93,19 @@
     Some(line.split_whitespace().next()?.parse::<f64>().ok()? / 1024.0)
 }
 
-/// Returns a loopback address that is free now.
-pub fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("bound")
+/// Returns as many loopback addresses that are free now. They are on an address of this process's own, so that no other
+/// process is given one of their ports while a controller is away.
+pub fn free_addresses(count: usize) -> Vec<SocketAddr> {
+    let [_, high, middle, low] = std::process::id().to_be_bytes();
+    let own = Ipv4Addr::new(127, 64 + high % 64, middle, low);
+    let bind = |_| {
+        TcpListener::bind((own, 0))
+            .or_else(|_| TcpListener::bind((Ipv4Addr::LOCALHOST, 0)))
+            .expect("a free port")
+    };
+    let held: Vec<TcpListener> = (0..count).map(bind).collect();
+    let addresses = held.iter().map(|l| l.local_addr().expect("bound"));
+    addresses.collect()
 }
 
 impl Controllers {
@@ -108,8 +117,8 @@
         cloud: SocketAddr,
     ) -> Option<Controllers> {
         let names: Vec<String> = (0..state.len()).map(|n| format!("drone-{n}")).collect();
-        let public: Vec<SocketAddr> = names.iter().map(|_| free_address()).collect();
-        let back: Vec<SocketAddr> = names.iter().map(|_| free_address()).collect();
+        let mut public = free_addresses(2 * names.len());
+        let back = public.split_off(names.len());
         let zone = |n: usize| text(site.zones[n % site.zones.len()]);
         let mut nodes = Vec::new();
         for (n, name) in names.iter().enumerate() {
