--- a/review/tools2/src/bin/review3/case_huge.rs
+++ b/review/tools2/src/bin/review3/case_huge.rs
@@ -12,7 +12,7 @@
 const HUGE: u64 = 5;
 /// Tasks of each, the most that a job may have.
 const ROWS: u64 = 100_000;
-const HUGE_AT_S: f64 = 14.0;
+const HUGE_AT_S: f64 = 9.0;
 const END_S: f64 = 113.0;
 /// A small job every so often.
 const EVERY_S: f64 = 4.0;
