--- a/review/tools2/src/bin/review3/case_huge.rs
+++ b/review/tools2/src/bin/review3/case_huge.rs
@@ -78,6 +78,11 @@
                 50.0,
             );
             users::submit(&d.world, &d.balancer, &huge);
+            // Waiting counts once the troubles are over: from the last of these submissions on.
+            for w in waiting.values_mut() {
+                w.with_room_s = 0.0;
+            }
+            last = Instant::now();
             continue;
         }
         if now >= next_small && now < END_S - 5.0 {
