--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -113,6 +113,10 @@
         service::max_connections(&settings),
         core::max_unfinished_tasks(&settings),
     );
+    println!(
+        "it keeps {} KB of ends of jobs in memory and reads older ones from the state service",
+        core::max_ended_job_bytes(&settings) / 1000,
+    );
     println!("policy in force:\n{}", policy.describe());
     if let Some(warning) = core::cancellation_warning(&settings) {
         eprintln!("warning: {warning}");
--- a/src/cli/snapshot.rs
+++ b/src/cli/snapshot.rs
@@ -1,7 +1,7 @@
 //! Commands for an archive of snapshots.
 
 use super::args::{ArchiveArgs, NodeArgs, SnapshotCommand, TimelineArgs};
-use super::call::call;
+use super::call::call_when_ready;
 use super::error::{CommandError, with_subject};
 use burlusher::settings::Settings;
 use burlusher::snapshotter::{self, Snapshotter};
@@ -71,7 +71,7 @@
         if body.len() > http::MAX_BODY {
             return Err("the snapshot contains a job that is too large for an upload; start a controller with --snapshots and this folder instead".into());
         }
-        let response = call(node, "POST", wire::PATH_SNAPSHOT, &body)?;
+        let response = call_when_ready(node, "POST", wire::PATH_SNAPSHOT, &body)?;
         let response: Value = serde_json::from_str(&response)?;
         new_jobs += response["new_jobs"].as_u64().unwrap_or(0);
     }
--- a/src/core/command.rs
+++ b/src/core/command.rs
@@ -3,12 +3,12 @@
 
 use crate::cloud_client::{CloudOutcome, CloudRequest};
 use crate::core::ids::{CallId, Ticket};
-use crate::core::jobs::creation::{Creation, PartsCreation};
+use crate::core::jobs::creation::{Creation, PartsCreation, Submission};
 use crate::core::jobs::requests::UserRequest;
 use crate::core::store::barrier_request::BarrierRequest;
 use crate::core::store::cache::StoreList;
 use crate::http::Response;
-use crate::job::MachineId;
+use crate::job::{JobId, MachineId};
 use crate::peer::cache_exchange::{CachePage, CacheRequest};
 use crate::peer::heartbeat_batch::{HeartbeatBatch, HeartbeatBatchResponse};
 use crate::peer::{PeerAnswer, PeerRequest};
@@ -239,6 +239,13 @@
     ReadJob { id: String, purpose: ReadPurpose },
     /// Read of the store's revision, up to which the cache must advance before these requests are answered.
     ReadBarrier(Vec<BarrierRequest>),
+    /// Read of a job's key because its end may have been dropped from the cache.
+    ReadEnd {
+        /// The job.
+        job: JobId,
+        /// Number of losses of data that had been detected when the read was sent.
+        losses: u64,
+    },
     /// Transaction that writes the leader key.
     Campaign,
     /// Check whether the key of the store's identity still has this version.
@@ -285,6 +292,7 @@
             | PendingCall::CreateJobParts(_)
             | PendingCall::ReadJob { .. }
             | PendingCall::ReadBarrier(_)
+            | PendingCall::ReadEnd { .. }
             | PendingCall::Campaign
             | PendingCall::ListMachineTypes
             | PendingCall::TokenProbe(_)
@@ -315,4 +323,6 @@
     Cancel(Ticket),
     /// Reject an invalid submission with this response, which may be sent only if the job does not exist.
     Reject(Ticket, Response),
+    /// Continue with a submission that depends on the job.
+    FindDependency(Submission),
 }
--- a/src/core/jobs/answers.rs
+++ b/src/core/jobs/answers.rs
@@ -1,6 +1,7 @@
 //! Responses to users with the state of a job, as far as this controller knows it.
 
 use crate::core::jobs::job_run::JobRun;
+use crate::core::store::cache::JobRecord;
 use crate::core::{Core, Ticket};
 use crate::http::Response;
 use crate::job::{JobOutcome, MachineId, TaskId};
@@ -62,6 +63,9 @@
         if run.ending.is_some() || leader.cancellation_pending.contains(id) {
             return None;
         }
+        if self.has_unresolved_dependencies(job) {
+            return None;
+        }
         let running = self.running_tasks(id, run);
         let state = if running > 0 {
             JobState::Running
@@ -100,6 +104,12 @@
         known.unwrap_or_else(|| self.stored_answer(id))
     }
 
+    /// Returns whether a live job may be cancelled with one that it depends on, directly or not, whose end has to be read
+    /// from the store.
+    fn has_unresolved_dependencies(&self, job: &JobRecord) -> bool {
+        !job.spec.dependencies.is_empty() && !self.store_cache.unresolved_jobs.is_empty()
+    }
+
     /// Returns the response with a live job's state from its durable data alone.
     fn stored_answer(&self, id: &str) -> Response {
         let Some(job) = self.store_cache.jobs.get(id) else {
@@ -108,6 +118,9 @@
         if self.must_withhold_state() {
             return rebuilding_answer();
         }
+        if self.has_unresolved_dependencies(job) {
+            return Response::busy("the jobs that it depends on are being read", 1);
+        }
         let done = job.done.len();
         let state = if done > 0 {
             JobState::Running
--- a/src/core/jobs/dependencies.rs
+++ b/src/core/jobs/dependencies.rs
@@ -21,17 +21,17 @@
 }
 
 impl DependencyGraph {
-    /// Adds a live job. If one of its dependencies is cancelled, directly or with another job, returns the
-    /// job and those of its dependents that are newly cancelled with it.
+    /// Adds a live job; `outcome_of` returns the outcome of a job that has ended. If one of its dependencies is cancelled,
+    /// directly or with another job, returns the job and those of its dependents that are newly cancelled with it.
     pub fn add_job(
         &mut self,
         id: &JobId,
         dependencies: &[JobId],
-        finished: &BTreeMap<JobId, JobOutcome>,
+        outcome_of: impl Fn(&JobId) -> Option<JobOutcome>,
     ) -> Vec<JobId> {
         let mut cancelled_with = None;
         for dependency in dependencies {
-            match finished.get(dependency) {
+            match outcome_of(dependency) {
                 Some(JobOutcome::Done) => {}
                 Some(JobOutcome::Cancelled) => cancelled_with = Some(dependency.clone()),
                 None => {
@@ -139,6 +139,12 @@
         self.dependents.get(id).into_iter().flatten()
     }
 
+    /// Returns whether a live job waits for this dependency to be done.
+    pub fn waits_for(&self, id: &JobId, dependency: &JobId) -> bool {
+        let dependents = self.dependents.get(dependency);
+        dependents.is_some_and(|dependents| dependents.contains(id))
+    }
+
     /// Returns how many dependencies of a live job are not done.
     pub fn unfinished_dependencies(&self, id: &JobId) -> usize {
         self.unfinished.get(id).copied().unwrap_or(0)
--- a/src/core/jobs/dependencies/tests.rs
+++ b/src/core/jobs/dependencies/tests.rs
@@ -11,7 +11,7 @@
     let edges: [(u32, &[u32]); 4] = [(1, &[]), (2, &[1]), (3, &[1]), (4, &[2, 3])];
     for rotation in 0..4 {
         let mut graph = DependencyGraph::default();
-        let mut finished = BTreeMap::new();
+        let mut finished: BTreeMap<JobId, JobOutcome> = BTreeMap::new();
         let dependencies = |n: u32| -> Vec<JobId> {
             let found = edges.iter().find(|e| e.0 == n).unwrap();
             found.1.iter().map(|a| id(*a)).collect()
@@ -20,7 +20,7 @@
             let n = edges[(i + rotation) % 4].0;
             assert!(
                 graph
-                    .add_job(&id(n), &dependencies(n), &finished)
+                    .add_job(&id(n), &dependencies(n), |id| finished.get(id).copied())
                     .is_empty()
             );
         }
@@ -57,8 +57,9 @@
             );
             assert_eq!(graph.cancelled_dependency("wk-4"), Some(&id(3)));
             // Jobs that are submitted later are cancelled as well, with direct and transitive dependencies.
-            assert_eq!(graph.add_job(&id(5), &[id(4)], &finished), [id(5)]);
-            assert_eq!(graph.add_job(&id(6), &[id(3)], &finished), [id(6)]);
+            let outcome_of = |id: &JobId| finished.get(id).copied();
+            assert_eq!(graph.add_job(&id(5), &[id(4)], outcome_of), [id(5)]);
+            assert_eq!(graph.add_job(&id(6), &[id(3)], outcome_of), [id(6)]);
             assert!(end_job(&mut graph, &mut finished, 4, JobOutcome::Cancelled).is_empty());
         }
     }
@@ -67,9 +68,8 @@
 #[test]
 fn a_chain_of_ten_thousand_is_cancelled_without_recursion() {
     let mut graph = DependencyGraph::default();
-    let finished = BTreeMap::new();
     for n in 1..10_000 {
-        graph.add_job(&id(n), &[id(n - 1)], &finished);
+        graph.add_job(&id(n), &[id(n - 1)], |_| None);
     }
     assert_eq!(graph.all_dependents(&id(0)).len(), 9_999);
     assert_eq!(
--- a/src/core/jobs/job_reads.rs
+++ b/src/core/jobs/job_reads.rs
@@ -19,6 +19,7 @@
             | ReadPurpose::ConfirmCreation(ticket)
             | ReadPurpose::Cancel(ticket)
             | ReadPurpose::Reject(ticket, _) => *ticket,
+            ReadPurpose::FindDependency(submission) => submission.ticket,
         }
     }
 }
@@ -49,6 +50,9 @@
         purpose: ReadPurpose,
         outcome: StoreOutcome,
     ) {
+        if let ReadPurpose::FindDependency(submission) = purpose {
+            return self.dependency_read(submission, &id, outcome);
+        }
         match outcome {
             StoreOutcome::Missing { revision } => self.job_key_missing(id, purpose, revision),
             StoreOutcome::Found(item) => self.job_key_found(id, purpose, item),
@@ -107,18 +111,26 @@
         }
     }
 
-    fn job_key_found(&mut self, id: String, purpose: ReadPurpose, item: Item) {
-        let ticket = purpose.ticket();
+    /// Applies the item of a job's key from the response to a read. Returns whether its value is readable.
+    pub(in crate::core) fn put_job_item(&mut self, id: &str, item: Item) -> bool {
         let value: JobValue = match serde_json::from_value(item.value) {
             Ok(value) => value,
             Err(error) => {
                 tracing::error!(job = %id, %error, "job value unreadable");
-                return self.answer(ticket, Response::busy("unreadable", 5));
+                return false;
             }
         };
         self.store_cache
-            .put_job_from_response(&id, value, item.version);
+            .put_job_from_response(id, value, item.version);
         self.sync_job_runs();
+        true
+    }
+
+    fn job_key_found(&mut self, id: String, purpose: ReadPurpose, item: Item) {
+        let ticket = purpose.ticket();
+        if !self.put_job_item(&id, item) {
+            return self.answer(ticket, Response::busy("unreadable", 5));
+        }
         let final_answer = self.final_answer(&id);
         let accepted = matches!(purpose, ReadPurpose::ConfirmCreation(_));
         if accepted && (final_answer.is_some() || self.own_key_determines_state(&id)) {
--- a/src/core/jobs/lifecycle.rs
+++ b/src/core/jobs/lifecycle.rs
@@ -166,7 +166,7 @@
             return;
         };
         leader.forget_job(id);
-        if let Some(outcome) = self.store_cache.finished.get(id) {
+        if let Some(outcome) = self.store_cache.ended_jobs.outcome(id) {
             tracing::info!(job = %id, ?outcome, "job finished");
         }
         if is_enabled(Safeguard::StopEndedJobs) {
--- a/src/core/jobs/queries.rs
+++ b/src/core/jobs/queries.rs
@@ -35,9 +35,23 @@
         if let UserAction::Malformed(id, answer) = request.action {
             return self.read_job_key(id, ReadPurpose::Reject(request.ticket, answer));
         }
+        if let UserAction::Show(id) = &request.action
+            && self.may_read_dropped_end(id)
+        {
+            return self.serve_from_store(request);
+        }
         self.forward_request(request);
     }
 
+    /// Returns whether the job is unknown here because it may have ended long ago, so that a read of its key, for which
+    /// there is budget, is likely to answer a query.
+    fn may_read_dropped_end(&mut self, id: &str) -> bool {
+        self.store_cache.ended_jobs.is_partial()
+            && !self.store_cache.is_known_job(id)
+            && !self.store_is_stale()
+            && self.read_budget.available(self.now.mono) >= 1.0
+    }
+
     fn serve_as_leader(&mut self, request: UserRequest) {
         let ticket = request.ticket;
         let id = request.action.job_id();
--- a/src/core/jobs/submissions.rs
+++ b/src/core/jobs/submissions.rs
@@ -29,6 +29,8 @@
 const PARTS_RETRY_WINDOW: Duration = Duration::from_millis(2500);
 /// Maximum number of retries of a creation without a response.
 const MAX_RETRIES_UNKNOWN: u32 = 2;
+/// Time after the arrival of a submission within which the jobs that it depends on are read.
+const DEPENDENCY_READ_WINDOW: Duration = Duration::from_secs(3);
 /// Time after the arrival of a submission within which a creation without a response is retried.
 const CREATION_RETRY_WINDOW: Duration = Duration::from_secs(3);
 /// Maximum number of retries of a creation that the state service refused.
@@ -61,19 +63,24 @@
             }
             return self.reject(&submission, answer);
         }
-        if self.unknown_dependency(&submission.spec).is_some() {
+        if let Some(dependency) = self.unknown_dependency(&submission.spec) {
             // This node's cache lags slightly behind what other nodes accept, and users submit a job
             // as soon as its dependencies are accepted.
             if !cache_is_current {
                 return self.queue_barrier_request(BarrierRequest::Submit(submission));
             }
-            let answer = self.rejection_reason(&submission.spec);
-            let reason = String::from_utf8_lossy(&answer.body);
-            tracing::info!(job = %submission.spec.id, %reason, "job rejected");
-            return self.reject(&submission, answer);
+            if self.store_cache.ended_jobs.is_partial() {
+                let id = dependency.to_string();
+                return self.read_job_key(id, ReadPurpose::FindDependency(submission));
+            }
+            return self.reject_for_dependency(&submission);
         }
         if self.exceeds_task_limit(&submission.spec) {
-            return self.answer(ticket, Response::busy("too many unfinished tasks", 30));
+            let answer = Response::busy("too many unfinished tasks", 30);
+            if self.store_cache.ended_jobs.is_partial() {
+                return self.reject(&submission, answer);
+            }
+            return self.answer(ticket, answer);
         }
         self.retain_known_machine_types(&mut submission.spec);
         if self.fits_one_value(&submission.spec) {
@@ -87,7 +94,38 @@
         }
     }
 
-    /// Rejects a submission permanently, unless a read shows that its job exists.
+    /// Rejects a submission that depends on a job which was never accepted.
+    fn reject_for_dependency(&mut self, submission: &Submission) {
+        let answer = self.rejection_reason(&submission.spec);
+        let reason = String::from_utf8_lossy(&answer.body);
+        tracing::info!(job = %submission.spec.id, %reason, "job rejected");
+        self.reject(submission, answer);
+    }
+
+    /// Continues with a submission after the read of the key of a job that it depends on, whose end may have been dropped
+    /// from the cache.
+    pub(in crate::core) fn dependency_read(
+        &mut self,
+        submission: Submission,
+        dependency: &str,
+        outcome: StoreOutcome,
+    ) {
+        let in_time = self.time_since_received(&submission) < DEPENDENCY_READ_WINDOW;
+        let is_read = match outcome {
+            StoreOutcome::Missing { .. } if !self.job_existence_is_uncertain() => {
+                return self.reject_for_dependency(&submission);
+            }
+            StoreOutcome::Found(item) => self.put_job_item(dependency, item),
+            _ => false,
+        };
+        if is_read && in_time {
+            return self.accept(submission, true);
+        }
+        let answer = Response::busy("the jobs that it depends on cannot be read now", 1);
+        self.answer(submission.ticket, answer);
+    }
+
+    /// Rejects a submission, unless a read shows that its job exists.
     fn reject(&mut self, submission: &Submission, answer: Response) {
         let id = submission.spec.id.to_string();
         self.read_job_key(id, ReadPurpose::Reject(submission.ticket, answer));
--- a/src/core/leadership/store_events.rs
+++ b/src/core/leadership/store_events.rs
@@ -27,7 +27,8 @@
         tracing::info!(
             revision,
             jobs = self.store_cache.jobs.len(),
-            finished = self.store_cache.finished.len(),
+            ended_jobs = self.store_cache.ended_jobs.total(),
+            ended_jobs_in_memory = self.store_cache.ended_jobs.len(),
             machines = self.store_cache.machines.len(),
             "store listed"
         );
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -39,13 +39,14 @@
 pub use leadership::lease::LEASE_TTL;
 pub use machines::cancellation_bound::cancellation_warning;
 pub use stats::{Stats, WORK_NAMES, Work, record};
-pub use store::cache::{StoreCache, StoreList};
+pub use store::cache::{StoreCache, StoreList, max_ended_job_bytes};
 
 use crate::core::command::PendingCall;
 use crate::core::leadership::candidacy::Candidacy;
 use crate::core::leadership::lease::Lease;
 use crate::core::leadership::stale_key::StaleLeaderKey;
 use crate::core::leadership::state::LeaderState;
+use crate::core::store::end_reads::EndReads;
 use crate::core::store::integrity::StoreIntegrity;
 use crate::core::store::read_barrier::ReadBarriers;
 use crate::core::workers::delegates::DELEGATE_TIMEOUTS;
@@ -94,6 +95,8 @@
     /// Creations of jobs whose outcome is not known yet, each with the time at which it is checked next.
     unanswered_creations: VecDeque<(Instant, CallId)>,
     store_cache: StoreCache,
+    /// Reads of ends of jobs that were dropped from the cache.
+    end_reads: EndReads,
     /// Time of the last check whether cancelled jobs can still have tasks on machines.
     last_residual_check: Option<Instant>,
     lease: Option<Lease>,
@@ -132,6 +135,7 @@
 impl Core {
     /// Creates a controller that has no copy of the store yet. `nonce` must differ from that of every earlier process.
     pub fn new(settings: Arc<Settings>, policy: Arc<Policy>, nonce: u64, now: Now) -> Core {
+        let store_cache = StoreCache::with_limit(max_ended_job_bytes(&settings));
         let cloud_budget = RateLimiter::new(settings.cloud_rps * CLOUD_SHARE, now.mono);
         let writes = settings.store_write_rps * store::writes::WRITE_SHARE;
         let write_budget = RateLimiter::new(writes, now.mono);
@@ -151,7 +155,8 @@
             next_call: 1,
             pending: BTreeMap::new(),
             unanswered_creations: VecDeque::new(),
-            store_cache: StoreCache::default(),
+            store_cache,
+            end_reads: EndReads::default(),
             last_residual_check: None,
             lease: None,
             leader: None,
@@ -199,6 +204,7 @@
         self.advance_leadership();
         self.answer_barriers();
         self.resolve_creations();
+        self.read_unresolved_jobs();
         let waiting = self.drain_waiting_heartbeats();
         responses.heartbeats.extend(waiting);
         if self.is_active_leader() {
@@ -374,6 +380,9 @@
             Some(PendingCall::CompareJobChanges(compared)) => {
                 self.job_changes_compared(compared, outcome);
             }
+            Some(PendingCall::ReadEnd { job, losses }) => {
+                self.end_read_outcome(job, losses, outcome);
+            }
             Some(PendingCall::Write) => self.write_outcome(call, outcome),
             _ => {}
         }
--- a/src/core/monitoring/metrics.rs
+++ b/src/core/monitoring/metrics.rs
@@ -100,6 +100,17 @@
             "Jobs remembered here that the state service has lost",
             rebuild.missing_jobs,
         );
+        let ended_jobs = &self.store_cache.ended_jobs;
+        page.gauge(
+            "jobs_ended",
+            "Jobs that have ended, as far as this process knows",
+            ended_jobs.total() as f64,
+        );
+        page.gauge(
+            "jobs_ended_in_memory",
+            "Ended jobs whose end is in this process's memory",
+            ended_jobs.len() as f64,
+        );
         page.gauge(
             "tasks_held",
             "Tasks on machines whose jobs nobody remembers",
--- a/src/core/monitoring/status.rs
+++ b/src/core/monitoring/status.rs
@@ -72,7 +72,7 @@
             "reports_by_others": {"taken_in": leader.delegates.relayed_heartbeats, "answered": leader.delegates.delegated_answers},
             "machines": machines,
             "jobs_live": leader.job_runs.len(),
-            "jobs_finished": self.store_cache.finished.len(),
+            "jobs_finished": self.store_cache.ended_jobs.total(),
             "jobs": jobs,
         })
     }
@@ -128,7 +128,7 @@
         };
         let running = self.running_tasks(id, run) as usize;
         json!({
-            "awaits": self.unfinished_dependencies(&job.spec),
+            "awaits": self.unfinished_dependencies(id, &job.spec),
             "slack_s": self.slack_s(leader, id, job),
             "job": id,
             "class": job.spec.class,
@@ -151,9 +151,12 @@
     }
 
     /// Returns the dependencies of a job that are not done.
-    fn unfinished_dependencies<'a>(&self, spec: &'a JobSpec) -> Vec<&'a JobId> {
-        let finished = &self.store_cache.finished;
-        let is_unfinished = |id: &&JobId| finished.get(*id) != Some(&JobOutcome::Done);
+    fn unfinished_dependencies<'a>(&self, id: &JobId, spec: &'a JobSpec) -> Vec<&'a JobId> {
+        let (ended, graph) = (&self.store_cache.ended_jobs, &self.store_cache.dependencies);
+        let is_unfinished = |dependency: &&JobId| {
+            graph.waits_for(id, dependency)
+                || ended.outcome(dependency) == Some(JobOutcome::Cancelled)
+        };
         spec.dependencies.iter().filter(is_unfinished).collect()
     }
 
@@ -171,7 +174,7 @@
         if let Some(cancelled) = self.store_cache.dependencies.cancelled_dependency(id) {
             return format!("it is cancelled with {cancelled}, which it needs");
         }
-        if let Some((first, others)) = self.unfinished_dependencies(&job.spec).split_first() {
+        if let Some((first, others)) = self.unfinished_dependencies(id, &job.spec).split_first() {
             return match others.len() {
                 0 => format!("it awaits {first}"),
                 n => format!("it awaits {first} and {n} more"),
--- a/src/core/simulation/cluster.rs
+++ b/src/core/simulation/cluster.rs
@@ -8,7 +8,7 @@
 use super::store::{STORE_LIMITS, StateService};
 use super::worker::{LEASE, Worker};
 use crate::core::simulation::recorded_decisions::DecisionRecorder;
-use crate::core::{Command, Core, LEASE_TTL, LeadershipProof, Now, Ticket};
+use crate::core::{Command, Core, LEASE_TTL, LeadershipProof, Now, StoreList, Ticket};
 use crate::job::MachineId;
 use crate::policy::Policy;
 use crate::settings::Settings;
@@ -133,6 +133,8 @@
     pub boot_time: Duration,
     /// Time that a machine takes to fetch the image of each task.
     pub image_fetch_time: Duration,
+    /// Memory that the ends of jobs may take in a controller's copy of the store and in a list of the store, in bytes.
+    pub(super) max_ended_job_bytes: usize,
     /// Recorder of the controllers' decisions, if a test sets one.
     pub recorder: Option<DecisionRecorder>,
     pub(super) rng: SmallRng,
@@ -145,6 +147,13 @@
     }
 }
 
+/// Returns a list of the store with these items, whose ends of jobs may take this much memory.
+pub(super) fn listed(items: Vec<Item>, max_ended_job_bytes: usize) -> StoreList {
+    let mut list = StoreList::with_limit(max_ended_job_bytes);
+    list.extend(items);
+    list
+}
+
 impl Simulation {
     /// Creates a cluster of three controllers with the built-in policy and without machines.
     pub fn new(seed: u64) -> Simulation {
@@ -212,6 +221,7 @@
             broken_jobs: BTreeSet::new(),
             boot_time: Duration::from_secs(2),
             image_fetch_time: Duration::ZERO,
+            max_ended_job_bytes: usize::MAX,
             recorder: None,
             rng: SmallRng::seed_from_u64(seed),
         };
@@ -222,6 +232,14 @@
         simulation
     }
 
+    /// Limits the memory of the ends of jobs in every controller's copy of the store.
+    pub fn limit_ended_jobs(&mut self, max_bytes: usize) {
+        self.max_ended_job_bytes = max_bytes;
+        for node in &mut self.nodes {
+            node.core.store_cache.ended_jobs.set_limit(max_bytes);
+        }
+    }
+
     /// Returns a ticket that identifies a new request.
     pub(super) fn new_ticket(&mut self) -> Ticket {
         let ticket = self.next_ticket;
@@ -242,8 +260,12 @@
     pub(super) fn new_node(&mut self, i: usize) -> Node {
         let settings = Arc::new(settings(&format!("n{i}"), self.setup));
         let nonce = self.rng.random();
+        let mut core = Core::new(settings, self.policy.clone(), nonce, self.clock());
+        core.store_cache
+            .ended_jobs
+            .set_limit(self.max_ended_job_bytes);
         Node {
-            core: Core::new(settings, self.policy.clone(), nonce, self.clock()),
+            core,
             up: true,
             store_link: Link::Good,
             peers_reachable: true,
@@ -477,7 +499,7 @@
                 return self.begin_listing(i);
             }
             None => {
-                let list = self.store.items().into_iter().collect();
+                let list = listed(self.store.items(), self.max_ended_job_bytes);
                 node.inbox.push(Command::StoreListed { list, revision });
             }
             // After a data loss, the store may be at an earlier revision than the one that the watch
--- a/src/core/simulation/faults.rs
+++ b/src/core/simulation/faults.rs
@@ -1,6 +1,6 @@
 //! Fault injection: settings that last until the test resets them, and methods that cause a single event.
 
-use super::cluster::{Node, Simulation};
+use super::cluster::{Node, Simulation, listed};
 use super::network::Link;
 use super::store::{Backup, Entry, StateService};
 use crate::core::{Command, LEASE_TTL};
@@ -215,7 +215,7 @@
     pub fn finish_listing(&mut self, node: usize) {
         let n = &mut self.nodes[node];
         if let Some((items, revision)) = n.pending_listing.take() {
-            let list = items.into_iter().collect();
+            let list = listed(items, self.max_ended_job_bytes);
             n.inbox.push(Command::StoreListed { list, revision });
             (n.watch_revision, n.watch_delayed) = (Some(revision), false);
         }
--- a/src/core/simulation/randomized.rs
+++ b/src/core/simulation/randomized.rs
@@ -11,14 +11,16 @@
 //! - `schedule`: steps, and their generation.
 //! - `run`, `faults`: a running schedule, and the injection of faults.
 //! - `command_copies`: schedules with copies of all direct commands.
+//! - `dropped_ends`: schedules in which controllers have memory for the ends of few jobs.
 
 mod command_copies;
+mod dropped_ends;
 mod faults;
 pub(in crate::core::simulation) mod found;
 mod run;
 mod schedule;
 
-use self::run::{JobSizes, ScheduleRun};
+use self::run::{JobMix, ScheduleRun};
 use self::schedule::{Step, any_step};
 use crate::core::simulation::failure_without;
 use crate::fault_injection::Safeguard;
@@ -29,12 +31,11 @@
 const NODES: usize = 3;
 
 fn run_schedule(seed: u64, steps: &[Step]) {
-    run_schedule_with(seed, steps, JobSizes::Small);
+    run_schedule_with(seed, steps, JobMix::Small);
 }
 
-fn run_schedule_with(seed: u64, steps: &[Step], job_sizes: JobSizes) {
-    let mut run = ScheduleRun::new(seed);
-    run.job_sizes = job_sizes;
+fn run_schedule_with(seed: u64, steps: &[Step], job_mix: JobMix) {
+    let mut run = ScheduleRun::new(seed, job_mix);
     for (number, step) in steps.iter().enumerate() {
         run.run_step(number, step);
     }
@@ -43,13 +44,13 @@
 
 #[test]
 fn random_schedules_violate_no_invariant() {
-    run_random_schedules(150, JobSizes::Small, any_schedule());
+    run_random_schedules(150, JobMix::Small, any_schedule());
 }
 
 /// Every other job is stored in parts.
 #[test]
 fn random_schedules_with_large_jobs_violate_no_invariant() {
-    run_random_schedules(60, JobSizes::EveryOtherLarge, any_schedule());
+    run_random_schedules(60, JobMix::EveryOtherLarge, any_schedule());
 }
 
 /// Generates schedules with any faults, each with a seed.
@@ -60,7 +61,7 @@
 /// Runs schedules, as many as the environment says or `default_cases`.
 fn run_random_schedules(
     default_cases: u32,
-    job_sizes: JobSizes,
+    job_mix: JobMix,
     schedules: impl Strategy<Value = (u64, Vec<Step>)>,
 ) {
     let cases = std::env::var("HISTORIES").ok().and_then(|n| n.parse().ok());
@@ -78,7 +79,7 @@
     let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &seed);
     let mut runner = TestRunner::new_with_rng(config, rng);
     let outcome = runner.run(&schedules, |(seed, steps)| {
-        run_schedule_with(seed, &steps, job_sizes);
+        run_schedule_with(seed, &steps, job_mix);
         Ok(())
     });
     if let Err(e) = outcome {
--- a/src/core/simulation/randomized/command_copies.rs
+++ b/src/core/simulation/randomized/command_copies.rs
@@ -1,7 +1,7 @@
 //! Random schedules in which a copy of every direct command arrives again, up to three leases later, while controllers
 //! and machines restart within a second and jobs are cancelled.
 
-use super::run::JobSizes;
+use super::run::JobMix;
 use super::schedule::{Fault, NetworkFault, NodeFault, Step, UserFault, WorkerFault, step_with};
 use super::{NODES, run_random_schedules};
 use proptest::prelude::*;
@@ -51,5 +51,5 @@
 
 #[test]
 fn random_schedules_with_command_copies_violate_no_invariant() {
-    run_random_schedules(150, JobSizes::Small, any_schedule());
+    run_random_schedules(150, JobMix::Small, any_schedule());
 }
--- a/src/core/simulation/randomized/found.rs
+++ b/src/core/simulation/randomized/found.rs
@@ -1,6 +1,6 @@
 //! Schedules that violated an invariant, shrunk to the fewest steps.
 
-use super::run::JobSizes;
+use super::run::JobMix;
 use super::schedule::{
     Fault, JobPlan, NetworkFault, NodeFault, Step, StoreFault, UserFault, WorkerFault,
 };
@@ -202,7 +202,7 @@
             step(LOSE_DATA, None, 1276),
             step(Fault::Node(kill), None, 255),
         ],
-        JobSizes::EveryOtherLarge,
+        JobMix::EveryOtherLarge,
     );
 }
 
@@ -224,7 +224,7 @@
             step(RESTORE_BACKUP, Some(SHORT_JOB), 2026),
             step(Fault::Node(kill), None, 50),
         ],
-        JobSizes::EveryOtherLarge,
+        JobMix::EveryOtherLarge,
     );
 }
 
@@ -258,7 +258,7 @@
             step(Fault::Worker(partition), Some(SHORT_JOB), 476),
             step(Fault::Node(kill), Some(SHORT_JOB), 50),
         ],
-        JobSizes::EveryOtherLarge,
+        JobMix::EveryOtherLarge,
     );
 }
 
--- a/src/core/simulation/randomized/run.rs
+++ b/src/core/simulation/randomized/run.rs
@@ -23,25 +23,34 @@
     backup: Option<Backup>,
     /// Jobs whose cancellation was requested and has not been confirmed yet.
     unanswered_cancels: Vec<String>,
-    pub(super) job_sizes: JobSizes,
+    job_mix: JobMix,
 }
 
-/// Which jobs of a schedule are too large for one value of the store.
+/// Kinds of jobs in a schedule.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub(super) enum JobSizes {
-    /// None.
+pub(super) enum JobMix {
+    /// Each fits into one value of the store.
     Small,
-    /// Those with odd numbers.
+    /// Those with odd numbers are too large for one value of the store.
     EveryOtherLarge,
+    /// Those with odd numbers are too large for one value of the store, every third job depends on the oldest one, and
+    /// controllers have memory for the ends of few jobs.
+    FewEndsInMemory,
 }
 
+/// Memory for the ends of two jobs, in bytes.
+const FEW_ENDS_BYTES: usize = 400;
+
 /// Length of an image's name that makes a job too large for one value.
 const LONG_IMAGE_NAME: usize = 3000;
 
 impl ScheduleRun {
-    pub(super) fn new(seed: u64) -> ScheduleRun {
+    pub(super) fn new(seed: u64, job_mix: JobMix) -> ScheduleRun {
         let policy = Policy::parse("history", "delegate = true").unwrap();
         let mut simulation = Simulation::with_policy(seed, policy);
+        if job_mix == JobMix::FewEndsInMemory {
+            simulation.limit_ended_jobs(FEW_ENDS_BYTES);
+        }
         simulation.add_machines("small", 6);
         simulation.run_until(10.0, "a leader", |simulation| simulation.leader().is_some());
         simulation.run(2.0);
@@ -53,7 +62,7 @@
             services: Vec::new(),
             backup: None,
             unanswered_cancels: Vec::new(),
-            job_sizes: JobSizes::Small,
+            job_mix,
         }
     }
 
@@ -95,9 +104,17 @@
         spec.spot = number.is_multiple_of(2);
         spec.one_zone = number % 5 == 1;
         spec.spread = number % 5 == 3;
-        if self.job_sizes == JobSizes::EveryOtherLarge && number % 2 == 1 {
+        if self.job_mix != JobMix::Small && number % 2 == 1 {
             spec.image = "x".repeat(LONG_IMAGE_NAME);
         }
+        if self.job_mix == JobMix::FewEndsInMemory && number % 3 == 2 {
+            let mut arrays = self
+                .accepted
+                .iter()
+                .filter(|(_, kind)| *kind == JobKind::Array);
+            let oldest = arrays.next().map(|(id, _)| id.as_str().into());
+            spec.dependencies = oldest.into_iter().collect();
+        }
         if job.kind == JobKind::Service {
             self.services.push(id.clone());
         }
--- a/src/core/simulation/scenarios/mod.rs
+++ b/src/core/simulation/scenarios/mod.rs
@@ -8,6 +8,7 @@
 mod command_copies;
 mod delegation;
 mod dependencies;
+mod ended_jobs;
 mod large_jobs;
 mod late_commands;
 mod late_writes;
--- a/src/core/store/cache.rs
+++ b/src/core/store/cache.rs
@@ -10,10 +10,12 @@
 //! - `loss`: comparison of the store with the copy, and the copy's state after a loss of data.
 //! - `list`: a full list of the store.
 //! - `exchange`: the copy's export to other controllers, and the merging of theirs.
+//! - `ended_jobs`: the ends of jobs, within a limit on their memory.
 //! - `stored`: the stored form of each value.
 //! - `task_set`: sets of a job's tasks, stored as ranges.
 
 mod apply;
+mod ended_jobs;
 mod exchange;
 mod list;
 mod loss;
@@ -31,7 +33,9 @@
 use std::sync::Arc;
 use std::time::SystemTime;
 
+pub use ended_jobs::{EndedJobs, max_ended_job_bytes};
 pub use list::StoreList;
+pub(in crate::core) use stored::is_ended;
 pub use stored::{
     DoneValue, IdentityValue, JobValue, LeaderValue, MachineValue, PageValue, RebuildingValue,
     ResidualTasks, TermValue,
@@ -94,8 +98,8 @@
     pub machine_types: Vec<MachineType>,
     /// Jobs that have not ended.
     pub jobs: BTreeMap<JobId, JobRecord>,
-    /// Outcomes of ended jobs, by job. Never removed; little more than the id of each is kept.
-    pub finished: BTreeMap<JobId, JobOutcome>,
+    /// Ends of jobs. The store holds all of them, the copy as many as fit into a limit on their memory.
+    pub ended_jobs: EndedJobs,
     /// Machines that may hold a task.
     pub machines: BTreeMap<MachineId, MachineValue>,
     /// Dependencies among the live jobs.
@@ -104,6 +108,8 @@
     pub pages: BTreeMap<usize, BTreeSet<MachineId>>,
     /// Machines recorded under keys of their own, as earlier versions did.
     pub single_key_machines: BTreeSet<MachineId>,
+    /// Jobs whose end, if they have ended, is needed and may have been dropped: it has to be read from the store.
+    pub unresolved_jobs: BTreeSet<JobId>,
     /// Jobs that have changed since the leader last processed this set.
     pub changed_jobs: BTreeSet<JobId>,
     /// Ranges of done tasks that were read before the job they belong to.
@@ -143,12 +149,20 @@
 }
 
 impl StoreCache {
+    /// Creates an empty copy whose ends of jobs may take up to `max_ended_bytes` bytes of memory.
+    pub fn with_limit(max_ended_bytes: usize) -> StoreCache {
+        StoreCache {
+            ended_jobs: EndedJobs::with_limit(max_ended_bytes),
+            ..StoreCache::default()
+        }
+    }
+
     /// Replaces the copy by a full list of the store, but keeps the ends of jobs. The list may have been begun before
     /// this process's latest writes, and lacks results that are not written yet: so jobs that are newer than the list
     /// are kept too, and so are the done tasks of all jobs. Jobs that the list holds without all of their parts are kept
     /// as well, and recorded as missing from the store.
     pub fn reset(&mut self, list: StoreList, revision: u64) {
-        let finished = std::mem::take(&mut self.finished);
+        let ended_jobs = std::mem::take(&mut self.ended_jobs);
         let before = std::mem::take(&mut self.jobs);
         let unconfirmed_ends = std::mem::take(&mut self.unconfirmed_ends);
         let mut versions = std::mem::take(&mut self.versions);
@@ -157,7 +171,7 @@
         let mut parts = std::mem::take(&mut self.parts);
         parts.begin_list(|_, header| header.version > revision);
         *self = StoreCache {
-            finished,
+            ended_jobs,
             unconfirmed_ends,
             versions,
             residual_tasks,
@@ -172,7 +186,7 @@
         for (id, job) in before {
             if let Some(known) = self.jobs.get_mut(&id) {
                 known.done.union_with(&job.done);
-            } else if self.finished.contains_key(&id) {
+            } else if self.ended_jobs.contains(&id) {
                 continue;
             } else if self.parts.lacks_parts(&id) && job.version <= revision {
                 self.parts.mark_read(&id);
@@ -190,13 +204,25 @@
             let end = job.done.add_ranges(base, &ranges, job.spec.tasks);
             job.stored_ranges.insert(base, end);
         }
-        let cancelled = self
-            .dependencies
-            .add_job(&id, &job.spec.dependencies, &self.finished);
-        self.changed_jobs.extend(cancelled);
+        self.add_dependencies(&id, &job.spec.dependencies);
         self.jobs.insert(id, job);
     }
 
+    /// Adds a live job to the dependency graph. If the end of a job that it depends on may have been dropped from the
+    /// copy, that job is recorded as unresolved.
+    fn add_dependencies(&mut self, id: &JobId, dependencies: &[JobId]) {
+        let ended_jobs = &self.ended_jobs;
+        let outcome_of = |dependency: &JobId| ended_jobs.outcome(dependency);
+        let cancelled = self.dependencies.add_job(id, dependencies, outcome_of);
+        self.changed_jobs.extend(cancelled);
+        if !self.ended_jobs.is_partial() {
+            return;
+        }
+        let unknown = dependencies.iter().filter(|id| !self.is_known_job(id));
+        let unknown: Vec<JobId> = unknown.cloned().collect();
+        self.unresolved_jobs.extend(unknown);
+    }
+
     /// Records that this process wrote the end of a job, at `revision`.
     pub fn record_job_end(
         &mut self,
@@ -263,6 +289,7 @@
         let revision = self.revision;
         self.unconfirmed_ends.retain(|_, at| *at > revision);
         self.versions.drop_confirmed(revision);
+        self.drop_oldest_ends();
     }
 
     /// Records that changes of this process were committed at `revision`.
@@ -272,7 +299,7 @@
 
     /// Returns the durable outcome of a job: its own, or `Cancelled` if a dependency was cancelled.
     pub fn outcome_of(&self, id: &str) -> Option<JobOutcome> {
-        let own = self.finished.get(id).copied();
+        let own = self.ended_jobs.outcome(id);
         own.or_else(|| {
             self.dependencies
                 .cancelled_dependency(id)
@@ -280,9 +307,10 @@
         })
     }
 
-    /// Returns whether a job with this id was ever accepted, as far as this process knows.
+    /// Returns whether a job with this id was ever accepted, as far as this process knows. An ended job whose end was
+    /// dropped is unknown.
     pub fn is_known_job(&self, id: &str) -> bool {
-        self.jobs.contains_key(id) || self.finished.contains_key(id) || self.parts.has_header(id)
+        self.jobs.contains_key(id) || self.ended_jobs.contains(id) || self.parts.has_header(id)
     }
 
     /// Returns whether the key of a job that has not ended was created after this revision of the store.
--- a/src/core/store/cache/apply.rs
+++ b/src/core/store/cache/apply.rs
@@ -1,6 +1,6 @@
 //! Application of the store's changes to the copy, with a method for each kind of key.
 
-use super::list::{EndedJob, ListEntry, StoreList};
+use super::list::{EndedJob, StoreList};
 use super::stored::is_ended;
 use super::{
     DoneValue, IdentityValue, JobRecord, JobValue, LeaderValue, MachineValue, PageValue,
@@ -22,21 +22,47 @@
     pub(super) fn put_list(&mut self, list: StoreList) {
         self.recent_job_changes = RecentJobChanges::default();
         if let Some((key, version)) = list.newest_job_change() {
-            self.recent_job_changes.record(&key, version);
+            self.recent_job_changes.record(key, *version);
         }
-        for entry in list.into_entries() {
-            match entry {
-                ListEntry::EndedJob(ended) => self.put_listed_end(ended),
-                ListEntry::Item(item) => self.put(&item.key, item.value, item.version),
-            }
+        let (dropped, dropped_up_to) = list.dropped();
+        self.ended_jobs.begin_list(dropped, dropped_up_to);
+        let (mut ended, items) = list.into_parts();
+        ended.sort_unstable_by_key(|ended| ended.version);
+        for ended in ended {
+            self.put_listed_end(ended);
+        }
+        for item in items {
+            self.put(&item.key, item.value, item.version);
         }
+        let unresolved = std::mem::take(&mut self.unresolved_jobs);
+        let unresolved = unresolved.into_iter().filter(|id| !self.is_known_job(id));
+        self.unresolved_jobs = unresolved.collect();
+        self.drop_oldest_ends();
     }
 
+    /// Applies a listed end, before the list's other items.
     fn put_listed_end(&mut self, ended: EndedJob) {
+        let is_new = ended.residual_tasks.is_none()
+            && ended.version <= self.revision
+            && !self.is_referred_to(&ended.id);
+        if is_new && is_enabled(Safeguard::VersionPruning) {
+            self.ended_jobs
+                .insert(&ended.id, ended.outcome, ended.version);
+            return;
+        }
         self.update_version(&job_key(&ended.id), true, ended.version);
         self.put_stored_job(&ended.id, ended.value(), ended.version);
     }
 
+    /// Returns whether the copy has more of a job than its end, or another job depends on it.
+    fn is_referred_to(&self, id: &JobId) -> bool {
+        self.jobs.contains_key(id)
+            || self.parts.has_header(id)
+            || self.missing_from_store.contains(id)
+            || self.unconfirmed_ends.contains_key(id)
+            || self.dependencies.dependents(id).next().is_some()
+    }
+
     /// Applies a key's value in the store to the copy. An unreadable value is logged and ignored.
     pub(super) fn put(&mut self, key: &str, value: Value, version: u64) {
         if !key.starts_with(PREFIX) {
@@ -147,8 +173,8 @@
         text: String,
     ) {
         self.parts.put(id, generation, number, text);
-        if self.finished.contains_key(id) {
-            self.garbage_keys.insert(key.into());
+        if self.ended_jobs.contains(id) {
+            self.add_garbage_key(id, key.into());
         }
         self.assemble_parts(id);
     }
@@ -179,16 +205,39 @@
     /// Applies the value of a job's key from the response to a single call. The response may be older than what the
     /// watch has delivered since, so it adds jobs and ends, but does not show what the store lacks.
     pub fn put_job_from_response(&mut self, id: &str, value: JobValue, version: u64) {
-        if matches!(value, JobValue::Ended { .. }) || !self.is_known_job(id) {
+        if matches!(value, JobValue::Ended { .. }) {
+            self.put_job(id, value, version);
+            self.drop_oldest_ends();
+        } else if !self.is_known_job(id) && !self.may_have_ended_since(version) {
             self.put_job(id, value, version);
         }
     }
 
+    /// Returns whether an unknown job that had not ended at this version of its key may have ended since, and its end
+    /// been dropped from the copy.
+    fn may_have_ended_since(&self, version: u64) -> bool {
+        self.loaded && self.ended_jobs.may_lack(version)
+    }
+
+    /// Drops the ends of jobs that were not used for longest, so that the others fit into the limit on their memory.
+    pub(super) fn drop_oldest_ends(&mut self) {
+        let missing = &self.missing_from_store;
+        let is_unstored = |id: &JobId| missing.contains(id);
+        self.ended_jobs.drop_oldest(self.revision, is_unstored);
+    }
+
+    /// Queues the deletion of a key of an ended job, whose end is kept for it.
+    fn add_garbage_key(&mut self, job: &JobId, key: String) {
+        self.garbage_keys.insert(key);
+        self.ended_jobs.touch(job);
+    }
+
     /// Applies the value of a job's key. Version 0 means that the value comes from another controller's copy or a
     /// snapshot, not from the store.
     pub(super) fn put_job(&mut self, id: &str, value: JobValue, version: u64) {
         let id = JobId::from(id);
         self.changed_jobs.insert(id.clone());
+        self.unresolved_jobs.remove(&id);
         match value {
             JobValue::Multipart {
                 parts: count,
@@ -210,7 +259,7 @@
                 if version > self.revision {
                     self.unconfirmed_ends.insert(id.clone(), version);
                 }
-                self.put_ended_job(id, end, residual_tasks);
+                self.put_ended_job(id, end, residual_tasks, version);
             }
             JobValue::Live { spec, submitted_ms }
             | JobValue::WithDependencies {
@@ -224,7 +273,7 @@
     /// job as ended at this version of the job's key.
     fn update_missing_from_store(&mut self, id: &JobId, ended: bool, version: u64) {
         let end_is_newer = |end: &u64| *end > version;
-        if ended || !self.finished.contains_key(id) {
+        if ended || !self.ended_jobs.contains(id) {
             self.missing_from_store.remove(id);
         } else if !self.unconfirmed_ends.get(id).is_some_and(end_is_newer) {
             // The job has ended in this copy but not in the store. So the store has lost data, unless the watch has
@@ -236,20 +285,26 @@
     /// Returns whether the copy already has the job or its end. Events of the watch may repeat what a newer list
     /// contained.
     pub(super) fn is_cached(&self, id: &JobId) -> bool {
-        self.finished.contains_key(id) || self.jobs.contains_key(id)
+        self.ended_jobs.contains(id) || self.jobs.contains_key(id)
     }
 
     /// Applies the key of a job that is stored in parts. Also for a job that the copy has, the parts must be known to
     /// belong to it: those that no job refers to are deleted.
     fn put_parted_job(&mut self, id: &JobId, header: MultipartHeader) {
-        if !self.finished.contains_key(id) {
+        if !self.ended_jobs.contains(id) {
             self.parts
                 .put_header(id, header, self.jobs.contains_key(id));
             self.assemble_parts(id);
         }
     }
 
-    fn put_ended_job(&mut self, id: JobId, end: JobOutcome, residual: Option<ResidualTasks>) {
+    fn put_ended_job(
+        &mut self,
+        id: JobId,
+        end: JobOutcome,
+        residual: Option<ResidualTasks>,
+        version: u64,
+    ) {
         let expired_before = self.residual_expired_before_ms;
         if let Some(residual) = residual.filter(|r| r.cancelled_ms >= expired_before) {
             self.residual_tasks.insert(id.clone(), residual);
@@ -265,10 +320,12 @@
         let bases = stored_ranges
             .into_keys()
             .chain(orphaned.map(|(base, _)| base));
-        self.garbage_keys
-            .extend(bases.map(|base| done_key(&id, base)));
-        self.garbage_keys.extend(self.parts.remove_job(&id));
-        self.finished.insert(id, end);
+        let mut garbage: Vec<String> = bases.map(|base| done_key(&id, base)).collect();
+        garbage.extend(self.parts.remove_job(&id));
+        self.ended_jobs.insert(&id, end, version);
+        for key in garbage {
+            self.add_garbage_key(&id, key);
+        }
     }
 
     fn put_live_job(&mut self, id: JobId, spec: JobSpec, submitted_ms: u64, version: u64) {
@@ -280,10 +337,7 @@
         for (base, ranges) in self.take_orphaned_ranges(&id) {
             stored_ranges.insert(base, done.add_ranges(base, &ranges, spec.tasks));
         }
-        let cancelled = self
-            .dependencies
-            .add_job(&id, &spec.dependencies, &self.finished);
-        self.changed_jobs.extend(cancelled);
+        self.add_dependencies(&id, &spec.dependencies);
         let record = JobRecord {
             submitted: SystemTime::UNIX_EPOCH + Duration::from_millis(submitted_ms),
             spec: Arc::new(spec),
@@ -328,8 +382,9 @@
             let end = job.done.add_ranges(base, &ranges, job.spec.tasks);
             job.stored_ranges.insert(base, end);
             self.changed_jobs.insert(id);
-        } else if self.finished.contains_key(&id) {
-            self.garbage_keys.insert(done_key(&id, base));
+        } else if self.ended_jobs.contains(&id) {
+            let key = done_key(&id, base);
+            self.add_garbage_key(&id, key);
         } else {
             self.orphaned_ranges.insert((id, base), ranges);
         }
--- a/src/core/store/cache/exchange.rs
+++ b/src/core/store/cache/exchange.rs
@@ -95,7 +95,7 @@
     fn merge_job(&mut self, id: &str, value: JobValue) -> bool {
         let job = JobId::from(id);
         let known = match &value {
-            JobValue::Ended { .. } => self.finished.contains_key(&job),
+            JobValue::Ended { .. } => self.ended_jobs.contains(&job),
             JobValue::Multipart { .. } => true,
             JobValue::Live { .. } | JobValue::WithDependencies { .. } => self.is_cached(&job),
         };
@@ -169,9 +169,9 @@
     /// Adds live and ended jobs, by id. Returns false once the page is full.
     fn fill_jobs(&self, after: &str, page: &mut PageBuilder) -> bool {
         let from = (Bound::Excluded(after), Bound::Unbounded);
-        let ended = self.finished.range::<str, _>(from);
         let live = self.jobs.range::<str, _>(from);
-        let mut ended = ended.map(|(id, _)| id).peekable();
+        let ended = self.ended_jobs.ids_between(from.0, from.1);
+        let mut ended = ended.peekable();
         let mut live = live.map(|(id, _)| id).peekable();
         loop {
             let next = match (ended.peek(), live.peek()) {
@@ -219,10 +219,10 @@
 
     /// Returns the value that a job's key in the store has, or should have. Jobs stored in parts are returned whole.
     pub fn job_value(&self, id: &JobId) -> Option<JobValue> {
-        if let Some(end) = self.finished.get(id) {
+        if let Some(end) = self.ended_jobs.outcome(id) {
             let residual_tasks = self.residual_tasks.get(id).cloned();
             return Some(JobValue::Ended {
-                end: *end,
+                end,
                 residual_tasks,
             });
         }
--- a/src/core/store/cache/loss.rs
+++ b/src/core/store/cache/loss.rs
@@ -50,9 +50,22 @@
         written_at > revision || self.missing_from_store.contains(id)
     }
 
+    /// Returns whether the list should contain a live job of this copy and does not. The job may have ended since the
+    /// last change that the copy contains, and its end may have been dropped from the list.
+    fn is_absent_from(&self, list: &StoreList, id: &JobId) -> bool {
+        list.job(id) == ListedJob::Absent && !list.may_lack_end_after(self.revision)
+    }
+
+    /// Returns whether the list should contain the end of a job of this copy and does not.
+    fn is_end_absent_from(&self, list: &StoreList, id: &JobId) -> bool {
+        let version = self.ended_jobs.version(id);
+        let may_be_dropped = version > 0 && list.may_lack_end(version);
+        !may_be_dropped && list.job(id) != ListedJob::Ended
+    }
+
     /// Returns a live job whose key is missing from the list.
     fn find_absent_job(&self, list: &StoreList, revision: u64) -> Option<&JobId> {
-        let absent = |id: &JobId| list.job(id) == ListedJob::Absent;
+        let absent = |id: &JobId| self.is_absent_from(list, id);
         let mut jobs = self.jobs.iter();
         let (id, _) =
             jobs.find(|(id, job)| !self.may_lack(id, job.version, revision) && absent(id))?;
@@ -62,13 +75,14 @@
     /// Returns a job that has ended in this copy but not in the list.
     fn find_absent_end(&self, list: &StoreList, revision: u64) -> Option<&JobId> {
         let written_at = |id: &JobId| self.unconfirmed_ends.get(id).copied().unwrap_or(0);
-        let not_over = |id: &JobId| list.job(id) != ListedJob::Ended;
-        let mut finished = self.finished.keys();
-        finished.find(|id| !self.may_lack(id, written_at(id), revision) && not_over(id))
+        let not_over = |id: &JobId| self.is_end_absent_from(list, id);
+        let mut ended = self.ended_jobs.ids();
+        ended.find(|id| !self.may_lack(id, written_at(id), revision) && not_over(id))
     }
 
     /// Returns the first difference between the copy and a page of the store's job keys: those after the key `after`,
-    /// up to `last` or the end. The copy must be at least as new as the page.
+    /// up to `last` or the end. The copy must be at least as new as the page. Ends that were dropped from the copy are no
+    /// difference.
     pub fn find_job_difference(
         &self,
         items: &[Item],
@@ -79,23 +93,23 @@
         let job_id = |key: &str| JobId::from(key.strip_prefix(&prefix).unwrap_or(""));
         for item in items {
             let id = job_id(&item.key);
-            if !self.is_known_job(&id) {
+            let ended = is_ended(&item.value);
+            let may_be_dropped = ended && self.ended_jobs.may_lack(item.version);
+            if !self.is_known_job(&id) && !may_be_dropped {
                 return Some(format!(
                     "it has job {id}, which the watch has not delivered"
                 ));
             }
-            if !is_ended(&item.value)
-                && self.finished.contains_key(&id)
-                && !self.unconfirmed_ends.contains_key(&id)
-            {
+            if !ended && self.ended_jobs.contains(&id) && !self.unconfirmed_ends.contains_key(&id) {
                 return Some(format!("it has forgotten how job {id} ended"));
             }
         }
         let stored: BTreeSet<JobId> = items.iter().map(|item| job_id(&item.key)).collect();
-        let end = last.map_or(Bound::Unbounded, |key| Bound::Included(job_id(key)));
-        let range = (Bound::Excluded(job_id(after)), end);
-        let live = self.jobs.range::<JobId, _>(range.clone()).map(|(id, _)| id);
-        let ended = self.finished.range::<JobId, _>(range).map(|(id, _)| id);
+        let (first, last) = (job_id(after), last.map(job_id));
+        let from = Bound::Excluded(&*first);
+        let to = last.as_deref().map_or(Bound::Unbounded, Bound::Included);
+        let live = self.jobs.range::<str, _>((from, to)).map(|(id, _)| id);
+        let ended = self.ended_jobs.ids_between(from, to);
         let expected = |id: &&JobId| !self.missing_from_store.contains(*id);
         let mut known = live.chain(ended).filter(expected);
         let missing = known.find(|id| !stored.contains(*id))?;
@@ -119,6 +133,9 @@
     /// are recorded as missing from the store, except those that were written after the list was begun.
     pub fn merge_list(&mut self, list: StoreList, revision: u64) {
         let missing = self.jobs_missing_from(&list, revision);
+        for id in &missing {
+            self.ended_jobs.mark_unstored(id);
+        }
         for job in self.jobs.values_mut() {
             job.stored_ranges.clear();
         }
@@ -144,14 +161,14 @@
         let live = live
             .filter(|(_, job)| job.version <= revision)
             .map(|(id, _)| id);
-        let live = live.filter(|id| list.job(id) == ListedJob::Absent);
+        let live = live.filter(|id| self.is_absent_from(list, id));
         let is_newer = |id: &JobId| {
             self.unconfirmed_ends
                 .get(id)
                 .is_some_and(|at| *at > revision)
         };
-        let ended = self.finished.keys().filter(|id| !is_newer(id));
-        let ended = ended.filter(|id| list.job(id) != ListedJob::Ended);
+        let ended = self.ended_jobs.ids().filter(|id| !is_newer(id));
+        let ended = ended.filter(|id| self.is_end_absent_from(list, id));
         live.chain(ended).cloned().collect()
     }
 
--- a/src/core/store/garbage.rs
+++ b/src/core/store/garbage.rs
@@ -26,7 +26,7 @@
             return Deletion::Unnecessary;
         }
         match StoreKey::parse(key) {
-            Some(StoreKey::DoneRange { job, .. }) if self.finished.contains_key(job) => {
+            Some(StoreKey::DoneRange { job, .. }) if self.ended_jobs.contains(job) => {
                 self.deletion_after_end(job)
             }
             Some(StoreKey::JobPart {
@@ -46,12 +46,16 @@
     }
 
     fn deletion_of_part(&self, job: &str, generation: PartGeneration) -> Deletion {
-        if self.finished.contains_key(job) {
+        if self.ended_jobs.contains(job) {
             return self.deletion_after_end(job);
         }
         if self.parts.refers_to(job, generation) {
             return Deletion::Unnecessary;
         }
+        // The job's key is being read, as its end may have been dropped from the copy.
+        if self.unresolved_jobs.contains(job) {
+            return Deletion::Undecided;
+        }
         // If it is not known what the key of a live job refers to, its parts stay until it ends.
         if self.jobs.contains_key(job) && !self.parts.has_header(job) {
             return Deletion::Undecided;
--- a/src/core/store/integrity/cache_exchange.rs
+++ b/src/core/store/integrity/cache_exchange.rs
@@ -34,7 +34,7 @@
     /// Responds to another controller with a summary of this copy of the store, or with a page of it.
     pub(in crate::core) fn serve_cache_request(&mut self, ticket: Ticket, request: &CacheRequest) {
         let cache = &self.store_cache;
-        let has_state = cache.term > 0 || !cache.jobs.is_empty() || !cache.finished.is_empty();
+        let has_state = cache.term > 0 || !cache.jobs.is_empty() || !cache.ended_jobs.is_empty();
         let (items, more) = if request.summary_only {
             (Vec::new(), false)
         } else {
--- a/src/core/store/integrity/data_loss.rs
+++ b/src/core/store/integrity/data_loss.rs
@@ -114,7 +114,7 @@
         }
         tracing::error!(
             live_jobs = self.store_cache.jobs.len(),
-            ended_jobs = self.store_cache.finished.len(),
+            ended_jobs = self.store_cache.ended_jobs.len(),
             machines = self.store_cache.machines.len(),
             term = self.store_cache.term,
             missing_jobs = self.store_cache.missing_from_store.len(),
--- a/src/core/store/mod.rs
+++ b/src/core/store/mod.rs
@@ -9,12 +9,14 @@
 //!   one without a response was committed.
 //! - `garbage`: whether an obsolete key may be deleted.
 //! - `machine_records`, `large_jobs`: values that are spread over several keys.
+//! - `end_reads`: reads of ends of jobs that the copy has dropped.
 //! - `read_barrier`: linearizable reads that need more than the value of one key.
 //! - `integrity`, `rebuild`: detection of data loss in the store, and restoration of the lost data by the leader.
 
 pub mod barrier_request;
 pub mod cache;
 pub mod commit;
+pub mod end_reads;
 pub mod garbage;
 pub mod integrity;
 pub mod keys;
--- a/src/core/store/rebuild/operator.rs
+++ b/src/core/store/rebuild/operator.rs
@@ -45,7 +45,8 @@
     }
 
     /// Merges a page of a snapshot like a page of a peer's copy; `store` is the identity of the snapshot's store, and
-    /// `last` marks the snapshot's last page.
+    /// `last` marks the snapshot's last page. A page is refused for now while more ends of jobs wait to be written than the
+    /// copy may keep.
     pub(in crate::core) fn merge_snapshot(
         &mut self,
         ticket: Ticket,
@@ -67,6 +68,13 @@
             );
             return self.answer(ticket, Response::error(409, &text));
         }
+        if self.store_cache.ended_jobs.is_over_limit() {
+            let answer = Response::busy(
+                "the ends of jobs that wait to be written fill the memory",
+                5,
+            );
+            return self.answer(ticket, answer);
+        }
         let new = self.merge_peer_items(items);
         if let Some(rebuild) = self.leader.as_mut().and_then(|l| l.rebuild.as_mut()) {
             rebuild.snapshot_jobs += new;
--- a/src/core/store/transaction.rs
+++ b/src/core/store/transaction.rs
@@ -136,10 +136,13 @@
     /// Adds jobs that the store has lost, ended ones first: their outcomes are final, and users may know them.
     fn add_missing_jobs(&mut self) {
         let missing = &self.store_cache.missing_from_store;
-        let ended = |id: &&JobId| self.store_cache.finished.contains_key(*id);
+        let ended = |id: &&JobId| self.store_cache.ended_jobs.contains(id);
         let live = missing.iter().filter(|id| !ended(id));
         for id in missing.iter().filter(ended).chain(live) {
-            if self.is_quarantined(&job_key(id)) || self.leader.writes.ends.contains_key(id) {
+            if self.is_quarantined(&job_key(id))
+                || self.leader.writes.ends.contains_key(id)
+                || self.store_cache.unresolved_jobs.contains(id)
+            {
                 continue;
             }
             let Some((changes, op)) = self.missing_job_changes(id) else {
--- a/src/core/store/writes.rs
+++ b/src/core/store/writes.rs
@@ -211,8 +211,17 @@
         let Some(refused) = write.refused.as_ref().filter(reached) else {
             return;
         };
-        let keys = refused.conflicting_keys.join(", ");
-        let conflicts = self.discard_refused_write();
+        let conflicting_keys = refused.conflicting_keys.clone();
+        let keys = conflicting_keys.join(", ");
+        self.discard_refused_write();
+        if self.read_conflicting_ends(&conflicting_keys) {
+            tracing::info!(
+                keys,
+                "write conflict with ends of jobs that are not in memory"
+            );
+            return;
+        }
+        let conflicts = self.count_conflict();
         if conflicts >= MAX_CONFLICTS {
             self.resign(&format!(
                 "writes are refused again and again: {keys} changed"
@@ -241,24 +250,30 @@
 
     /// Discards the transaction in flight, as another writer changed one of its keys. None of its changes counts
     /// as written; the pending changes are computed again from the cache, which has reached the revision of the
-    /// refusal. Returns the number of consecutive conflicts.
-    fn discard_refused_write(&mut self) -> u32 {
+    /// refusal.
+    fn discard_refused_write(&mut self) {
         let Some(leader) = &mut self.leader else {
-            return 0;
+            return;
         };
         let writes = &mut leader.writes;
         let Some(InFlightWrite { txn, ops, .. }) = writes.in_flight.take() else {
-            return 0;
+            return;
         };
         for op in ops {
             if let WriteOp::Pages(pages, _) = op {
                 writes.records.requeue(pages);
             }
         }
-        writes.conflicts += 1;
-        let conflicts = writes.conflicts;
         self.requeue_deletions(&txn);
-        conflicts
+    }
+
+    /// Counts a conflict with another writer's change. Returns the number of consecutive conflicts.
+    fn count_conflict(&mut self) -> u32 {
+        let Some(leader) = &mut self.leader else {
+            return 0;
+        };
+        leader.writes.conflicts += 1;
+        leader.writes.conflicts
     }
 
     /// Queues the transaction's deletions again, except those of machine pages.
--- a/src/rate_limiter.rs
+++ b/src/rate_limiter.rs
@@ -1,7 +1,7 @@
 //! A token bucket, which keeps this process within its part of a rate limit that it shares with
 //! others.
 
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 /// A budget of calls that refills at a constant rate, up to a burst of one second's worth of calls.
@@ -69,6 +69,11 @@
         SharedRateLimiter(Arc::new(Mutex::new(limiter)))
     }
 
+    /// Takes one call from the budget if it may be made immediately; returns whether it may.
+    pub fn try_take(&self) -> bool {
+        self.lock().try_take(Instant::now())
+    }
+
     /// Takes one call from the budget and sleeps until it may be made.
     pub fn wait(&self) {
         let wait = self.reserve();
@@ -78,8 +83,11 @@
     }
 
     fn reserve(&self) -> Duration {
-        let mut limiter = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        limiter.reserve(Instant::now())
+        self.lock().reserve(Instant::now())
+    }
+
+    fn lock(&self) -> MutexGuard<'_, RateLimiter> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
--- a/src/service/mod.rs
+++ b/src/service/mod.rs
@@ -31,7 +31,7 @@
 mod watch;
 mod worker_pool;
 
-use crate::core::Core;
+use crate::core::{Core, max_ended_job_bytes};
 use crate::http::{Limits, Server};
 use crate::policy::Policy;
 use crate::rate_limiter::SharedRateLimiter;
@@ -130,7 +130,13 @@
         peers: peer_pool::start(&settings.peers, inbox)?,
         heartbeat_batches: peer_pool::start_heartbeat_batches(&settings.peers, inbox)?,
         responses: owner::start_responses(inbox)?,
-        watch: StoreWatch::new(settings.store_addr, store_limiter, watch_limiter, inbox),
+        watch: StoreWatch::new(
+            settings.store_addr,
+            store_limiter,
+            watch_limiter,
+            inbox,
+            max_ended_job_bytes(settings),
+        ),
         lease: Arc::new(LeaseControl::default()),
         ready: Arc::new(AtomicBool::new(false)),
     })
--- a/src/service/watch.rs
+++ b/src/service/watch.rs
@@ -26,10 +26,13 @@
 /// thread is started, and later results of the previous one are discarded.
 pub(super) struct StoreWatch {
     addr: SocketAddrV4,
-    /// Limiter of the requests of full lists, shared with the other calls of this controller.
+    /// Limiter of the requests of full lists, shared with the other calls of this controller. Lists use what is left of
+    /// `watch_limiter` as well.
     list_limiter: SharedRateLimiter,
     watch_limiter: SharedRateLimiter,
     inbox: Inbox,
+    /// Memory that the ends of jobs in a list may take, in bytes.
+    max_ended_job_bytes: usize,
     /// Number of the newest thread. Locked while a command is put into the inbox, so that no command of
     /// an earlier thread can follow the first listing by the newest one.
     newest_thread: Mutex<u64>,
@@ -41,12 +44,14 @@
         list_limiter: &SharedRateLimiter,
         watch_limiter: SharedRateLimiter,
         inbox: &Inbox,
+        max_ended_job_bytes: usize,
     ) -> Arc<StoreWatch> {
         Arc::new(StoreWatch {
             addr,
             list_limiter: list_limiter.clone(),
             watch_limiter,
             inbox: inbox.clone(),
+            max_ended_job_bytes,
             newest_thread: Mutex::new(0),
         })
     }
@@ -76,7 +81,7 @@
 
     fn run(&self, number: u64) {
         let mut client = StoreClient::new(self.addr);
-        let mut reader = ListReader::default();
+        let mut reader = ListReader::new(StoreList::with_limit(self.max_ended_job_bytes));
         // `None` until the store has been listed.
         let mut revision: Option<u64> = None;
         while self.is_newest(number) {
@@ -102,7 +107,10 @@
         client: &mut StoreClient,
         reader: &mut ListReader<StoreList>,
     ) -> Result<Option<u64>, StoreError> {
-        self.list_limiter.wait();
+        // No watch is open meanwhile, so that its budget is free.
+        if !self.watch_limiter.try_take() {
+            self.list_limiter.wait();
+        }
         let Some(Listing { keys, revision }) = reader.read_next(client)? else {
             return Ok(None);
         };
--- a/src/service/watch/tests.rs
+++ b/src/service/watch/tests.rs
@@ -21,7 +21,7 @@
             if let Command::StoreListed { list, .. } = command {
                 let mut cache = crate::core::StoreCache::default();
                 cache.reset(list, 1);
-                return Some(cache.finished.len());
+                return Some(cache.ended_jobs.len());
             }
         }
     }
@@ -51,8 +51,8 @@
         .map(|_| Inbox::new(Duration::from_secs(60)))
         .collect();
     for inbox in &inboxes {
-        let share = SharedRateLimiter::new(STORE_RPS / CONTROLLERS as f64 / 2.0);
-        StoreWatch::new(addr, &share, unlimited(), inbox)
+        let share = |part: f64| SharedRateLimiter::new(STORE_RPS / CONTROLLERS as f64 * part);
+        StoreWatch::new(addr, &share(0.5), share(0.3), inbox, usize::MAX)
             .restart()
             .unwrap();
     }
@@ -83,7 +83,7 @@
     let inbox = Inbox::new(Duration::from_secs(60));
     let share = SharedRateLimiter::new(WATCHES_PER_SECOND);
     let begun = Instant::now();
-    StoreWatch::new(addr, &unlimited(), share, &inbox)
+    StoreWatch::new(addr, &unlimited(), share, &inbox, usize::MAX)
         .restart()
         .unwrap();
     std::thread::sleep(OBSERVED);
--- a/src/snapshotter.rs
+++ b/src/snapshotter.rs
@@ -18,7 +18,7 @@
     ListReader, ListedKeys, Listing, PREFIX, StoreClient, StoreError, StoreOutcome, StoreRequest,
     WatchResult,
 };
-use crate::wire::{Item, WatchEvent};
+use crate::wire::{RawItem, WatchEvent};
 use burlusher_snapshot::archive::Archive;
 use burlusher_snapshot::image::{Change, Entry, Image};
 use burlusher_snapshot::timeline::Writer;
@@ -79,16 +79,23 @@
 }
 
 /// Image of a store that is being listed.
-#[derive(Default)]
+#[derive(Clone, Default)]
 struct ListedImage(Image);
 
 impl ListedKeys for ListedImage {
-    fn add_page(&mut self, items: Vec<Item>) {
-        let change = |item: Item| Change {
-            entry: Some(entry_of(&item.value, item.version)),
-            key: item.key,
-        };
-        let changes = items.into_iter().map(change).collect();
+    fn add_page(&mut self, items: &[RawItem<'_>]) {
+        let mut changes = Vec::with_capacity(items.len());
+        for item in items {
+            match item.parse() {
+                Ok(parsed) => changes.push(Change {
+                    entry: Some(entry_of(&parsed.value, parsed.version)),
+                    key: parsed.key,
+                }),
+                Err(error) => {
+                    tracing::error!(key = %item.key, %error, "unreadable value in the store")
+                }
+            }
+        }
         self.0.apply(changes, 0);
     }
 }
@@ -134,7 +141,7 @@
         Ok(Snapshotter {
             client: StoreClient::new(store_addr),
             limiter,
-            reader: ListReader::default(),
+            reader: ListReader::new(ListedImage::default()),
             archive: Archive::open(dir)?,
             image: Image::default(),
             store: String::new(),
--- a/src/snapshotter/timelines.rs
+++ b/src/snapshotter/timelines.rs
@@ -112,7 +112,7 @@
     let store_cache = store_cache(image);
     Summary {
         live: store_cache.jobs.keys().map(ToString::to_string).collect(),
-        ended: store_cache.finished.len(),
+        ended: store_cache.ended_jobs.len(),
         machines: store_cache.machines.len(),
         term: store_cache.term,
     }
--- a/src/store_client.rs
+++ b/src/store_client.rs
@@ -12,7 +12,8 @@
     CompareAndSwap, CompareAndSwapResponse, ErrorResponse, Item, KeyValuePage, LeaseRequest,
     LeaseResponse, NO_SUCH_LEASE, WatchEvent, WatchResponse, to_json,
 };
-use serde::de::DeserializeOwned;
+use serde::Deserialize;
+use std::error::Error;
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
@@ -203,7 +204,8 @@
         after: &str,
         limit: usize,
     ) -> Result<StoreOutcome, StoreError> {
-        let page = self.fetch_page(prefix, after, limit, TIMEOUT)?;
+        let response = self.fetch_page(prefix, after, limit, TIMEOUT)?;
+        let page: KeyValuePage = parse(&response.body)?;
         Ok(StoreOutcome::Page {
             items: page.items,
             more: page.more,
@@ -217,7 +219,7 @@
         after: &str,
         limit: usize,
         timeout: Duration,
-    ) -> Result<KeyValuePage, StoreError> {
+    ) -> Result<ClientResponse, StoreError> {
         let since = if after.is_empty() {
             String::new()
         } else {
@@ -226,7 +228,7 @@
         let path = format!("/kv?under={prefix}{since}&page={limit}");
         let response = self.read(&path, timeout)?;
         match response.status {
-            200 => parse(&response.body),
+            200 => Ok(response),
             _ => Err(error_from_response(&response)),
         }
     }
@@ -291,9 +293,11 @@
     }
 }
 
-fn parse<T: DeserializeOwned>(body: &[u8]) -> Result<T, StoreError> {
-    serde_json::from_slice(body)
-        .map_err(|e| StoreError::Unknown(format!("malformed response: {e}")))
+fn parse<'a, T: Deserialize<'a>>(body: &'a [u8]) -> Result<T, StoreError> {
+    let malformed = |error: &dyn Error| StoreError::Unknown(format!("malformed response: {error}"));
+    // The text is checked once as a whole, which is faster than each of its strings.
+    let text = std::str::from_utf8(body).map_err(|error| malformed(&error))?;
+    serde_json::from_str(text).map_err(|error| malformed(&error))
 }
 
 /// Returns whether this is the body of the response to a put under a lease that has ended.
--- a/src/store_client/list.rs
+++ b/src/store_client/list.rs
@@ -7,8 +7,8 @@
 //! All pages must come from the same store. If the state service loses its data between two pages, its revision goes
 //! back, or the next leader gives the store another identity; the list is then begun again.
 
-use super::{IDENTITY_PREFIX, PREFIX, StoreClient, StoreError, StoreOutcome};
-use crate::wire::{Item, KeyValuePage};
+use super::{IDENTITY_PREFIX, PREFIX, StoreClient, StoreError, StoreOutcome, parse};
+use crate::wire::{RawItem, RawPage};
 use std::time::{Duration, Instant};
 
 /// Timeout of one page.
@@ -19,9 +19,9 @@
 const PROGRESS_LOG_INTERVAL: Duration = Duration::from_secs(5);
 
 /// Keys and values of a list, in the form in which the reader of the list needs them.
-pub trait ListedKeys: Default {
+pub trait ListedKeys: Clone {
     /// Adds a page of items. Pages come in the order of their keys.
-    fn add_page(&mut self, items: Vec<Item>);
+    fn add_page(&mut self, items: &[RawItem<'_>]);
 }
 
 /// A complete list of the keys under `PREFIX`.
@@ -39,7 +39,6 @@
 }
 
 /// Pages that were read since the list was begun.
-#[derive(Default)]
 struct Pages<K> {
     keys: K,
     /// Number of pages.
@@ -54,7 +53,19 @@
 }
 
 impl<K: ListedKeys> Pages<K> {
-    fn add(&mut self, page: KeyValuePage) {
+    fn new(keys: K) -> Pages<K> {
+        Pages {
+            keys,
+            count: 0,
+            last_key: String::new(),
+            first_revision: 0,
+            newest_revision: 0,
+            identity: None,
+            complete: false,
+        }
+    }
+
+    fn add(&mut self, page: &RawPage<'_>) {
         if self.count == 0 {
             self.first_revision = page.revision;
         }
@@ -65,16 +76,16 @@
             self.observe_identity(item);
         }
         if let Some(last) = page.items.last() {
-            self.last_key.clone_from(&last.key);
+            self.last_key = last.key.as_ref().into();
         }
-        self.keys.add_page(page.items);
+        self.keys.add_page(&page.items);
     }
 
-    fn observe_identity(&mut self, item: &Item) {
+    fn observe_identity(&mut self, item: &RawItem<'_>) {
         let known = self.identity.as_ref().map_or(0, |known| known.version);
         if item.key.starts_with(IDENTITY_PREFIX) && item.version >= known {
             self.identity = Some(ListedIdentity {
-                key: item.key.clone(),
+                key: item.key.as_ref().into(),
                 version: item.version,
             });
         }
@@ -132,14 +143,24 @@
 }
 
 /// Reads lists of the keys under `PREFIX`, one request at a time, so that the caller can pace the requests.
-#[derive(Default)]
 pub struct ListReader<K> {
+    /// List without items, with which each list begins.
+    empty: K,
     pages: Pages<K>,
     /// `None` until the list is begun.
     statistics: Option<ListStatistics>,
 }
 
 impl<K: ListedKeys> ListReader<K> {
+    /// Creates a reader whose lists begin as this empty one.
+    pub fn new(empty: K) -> ListReader<K> {
+        ListReader {
+            pages: Pages::new(empty.clone()),
+            empty,
+            statistics: None,
+        }
+    }
+
     /// Sends the next request of the list. Returns the list once it is complete, and `None` before.
     ///
     /// # Errors
@@ -165,12 +186,13 @@
 
     fn read_page(&mut self, client: &mut StoreClient) -> Result<Option<Listing<K>>, StoreError> {
         let after = &self.pages.last_key;
-        let page = client.fetch_page(PREFIX, after, PAGE_ITEMS, PAGE_TIMEOUT)?;
+        let response = client.fetch_page(PREFIX, after, PAGE_ITEMS, PAGE_TIMEOUT)?;
+        let page: RawPage<'_> = parse(&response.body)?;
         if page.revision < self.pages.newest_revision {
             self.begin_again("revision went back");
             return Ok(None);
         }
-        self.pages.add(page);
+        self.pages.add(&page);
         // A single page is consistent.
         let finished = self.pages.complete && self.pages.count == 1;
         Ok(finished.then(|| self.finish()))
@@ -200,14 +222,15 @@
             pages = self.pages.count,
             "list of the store begun again"
         );
-        self.pages = Pages::default();
+        self.pages = Pages::new(self.empty.clone());
         if let Some(statistics) = &mut self.statistics {
             statistics.restarts += 1;
         }
     }
 
     fn finish(&mut self) -> Listing<K> {
-        let pages = std::mem::take(&mut self.pages);
+        let empty = Pages::new(self.empty.clone());
+        let pages = std::mem::replace(&mut self.pages, empty);
         if let Some(statistics) = self.statistics.take() {
             statistics.log(pages.count, "store read");
         }
--- a/src/store_client/list/tests.rs
+++ b/src/store_client/list/tests.rs
@@ -1,6 +1,6 @@
 use super::*;
 use crate::http::{self, Request, Response};
-use crate::wire::to_json;
+use crate::wire::{Item, to_json};
 use serde_json::{Value, json};
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4, TcpListener};
 use std::sync::{Arc, Mutex};
@@ -9,8 +9,8 @@
 const IDENTITY_KEY: &str = "burlusher/i/first";
 
 impl ListedKeys for Vec<Item> {
-    fn add_page(&mut self, items: Vec<Item>) {
-        self.extend(items);
+    fn add_page(&mut self, items: &[RawItem<'_>]) {
+        self.extend(items.iter().map(|item| item.parse().unwrap()));
     }
 }
 
@@ -106,7 +106,7 @@
 /// Reads a list with at most `requests` requests. Also returns the number of those that failed.
 fn read_list(addr: SocketAddrV4, requests: usize) -> (Option<Listing<Vec<Item>>>, usize) {
     let mut client = StoreClient::new(addr);
-    let mut reader = ListReader::default();
+    let mut reader = ListReader::new(Vec::new());
     let mut failed = 0;
     for _ in 0..requests {
         match reader.read_next(&mut client) {
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -14,7 +14,7 @@
 };
 pub use store::{
     Change, CompareAndSwap, CompareAndSwapResponse, Condition, ErrorResponse, Item, KeyValuePage,
-    LeaseRequest, LeaseResponse, NO_SUCH_LEASE, WatchEvent, WatchResponse,
+    LeaseRequest, LeaseResponse, NO_SUCH_LEASE, RawItem, RawPage, WatchEvent, WatchResponse,
 };
 pub use submission::{
     JOB_PREFIX, SubmissionError, encode_submission, is_job_id, parse_submission, submitted_id,
--- a/src/wire/store.rs
+++ b/src/wire/store.rs
@@ -2,6 +2,8 @@
 
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
+use serde_json::value::RawValue;
+use std::borrow::Cow;
 
 /// A key with its value.
 #[derive(Deserialize, Serialize, Clone, Debug)]
@@ -20,6 +22,52 @@
     pub lease: Option<u64>,
 }
 
+/// A key with its value as unparsed JSON, for readers that need few of the values.
+#[derive(Deserialize, Debug)]
+pub struct RawItem<'a> {
+    /// The key.
+    #[serde(borrow)]
+    pub key: Cow<'a, str>,
+    /// The value.
+    #[serde(rename = "data", borrow)]
+    pub value: &'a RawValue,
+    /// Store revision of the key's last change.
+    #[serde(rename = "stamp")]
+    pub version: u64,
+    /// Lease that the key is attached to.
+    #[serde(rename = "tenancy", default)]
+    pub lease: Option<u64>,
+}
+
+impl RawItem<'_> {
+    /// Returns the item with its value parsed.
+    ///
+    /// # Errors
+    /// The value is no JSON that can be represented.
+    pub fn parse(&self) -> Result<Item, serde_json::Error> {
+        Ok(Item {
+            key: self.key.as_ref().into(),
+            value: serde_json::from_str(self.value.get())?,
+            version: self.version,
+            lease: self.lease,
+        })
+    }
+}
+
+/// A page of keys with unparsed values.
+#[derive(Deserialize)]
+pub struct RawPage<'a> {
+    /// Items, sorted by key.
+    #[serde(borrow)]
+    pub items: Vec<RawItem<'a>>,
+    /// Whether more pages follow.
+    #[serde(default)]
+    pub more: bool,
+    /// Store revision that the page is at least as new as.
+    #[serde(rename = "ledger")]
+    pub revision: u64,
+}
+
 /// A page of keys and values.
 #[derive(Deserialize, Serialize)]
 pub struct KeyValuePage {
