Simulation: copies of commands sent after a reset are delivered whole

A worker that restarts with reset counters carries out whatever was sent to it before, until it sees a higher token; no controller can prevent that, so the simulated network leaves such starts out of copies. It also left out starts that were sent after the restart, which a controller is answerable for. Each copy now has the time at which it was sent.

--- a/src/core/simulation/cluster.rs
+++ b/src/core/simulation/cluster.rs
@@ -324,6 +324,7 @@
                 sequence: 0,
                 fencing_token: 0,
                 token_before_reset: 0,
+                reset_at: None,
                 tasks: BTreeMap::new(),
                 lease_start: self.now,
                 next_heartbeat: self.now,
--- a/src/core/simulation/mod.rs
+++ b/src/core/simulation/mod.rs
@@ -60,6 +60,6 @@
 
 pub use cluster::{SETUP, Setup, Simulation, enable_log, settings};
 pub use disabled_guard::{fails_without, failure_without};
-pub use network::Link;
+pub use network::{CommandCopy, Link};
 pub use store::{Backup, NEXT_STORE_LIMITS, STORE_LIMITS};
 pub use worker::{LEASE, Worker};
--- a/src/core/simulation/network.rs
+++ b/src/core/simulation/network.rs
@@ -19,6 +19,17 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
+/// Direct commands on their way to a machine.
+#[derive(Clone, Debug)]
+pub struct CommandCopy {
+    /// Machine to which they were sent.
+    pub machine: MachineId,
+    /// Content of the request.
+    pub body: DirectCommands,
+    /// Time at which they were sent.
+    pub sent: Instant,
+}
+
 /// Messages in flight, and messages that are delayed or held.
 #[derive(Default)]
 pub struct Network {
@@ -36,7 +47,7 @@
     /// Duplicate heartbeats: when each arrives, and at which controller.
     pub(super) delayed_heartbeats: Vec<(Instant, usize, Heartbeat)>,
     /// Delayed or duplicate direct commands: when each arrives, and at which machine.
-    pub(super) delayed_commands: Vec<(Instant, MachineId, DirectCommands)>,
+    pub(super) delayed_commands: Vec<(Instant, CommandCopy)>,
     /// Delayed transactions, and when each is carried out.
     pub(super) delayed_transactions: Vec<(Instant, CompareAndSwap)>,
     /// Delayed responses of the state service: when each arrives, and at which controller.
@@ -359,32 +370,40 @@
         let due = self
             .network
             .delayed_commands
-            .extract_if(.., |(at, ..)| *at <= now);
-        for (_, id, body) in due.collect::<Vec<_>>() {
-            self.deliver_command(&id, body);
+            .extract_if(.., |(at, _)| *at <= now);
+        for (_, copy) in due.collect::<Vec<_>>() {
+            self.deliver_command(copy);
         }
     }
 
     /// Delivers a delayed or duplicate direct command, unless the machine cannot receive it.
     ///
-    /// No controller can prevent that a worker carries it out that has restarted with reset counters and has seen no
-    /// higher token since. A copy therefore starts only tasks there that the leader expects on the machine.
-    pub fn deliver_command(&mut self, id: &MachineId, mut body: DirectCommands) {
-        let Some(worker) = self.workers.get(id) else {
+    /// No controller can prevent that a worker which has restarted with reset counters, and has seen no higher token
+    /// since, carries out what was sent before. Such a copy therefore starts only tasks there that the leader expects on
+    /// the machine.
+    pub fn deliver_command(&mut self, copy: CommandCopy) {
+        let CommandCopy {
+            machine,
+            mut body,
+            sent,
+        } = copy;
+        let Some(worker) = self.workers.get(&machine) else {
             return;
         };
         if worker.hung || worker.inbound_partitioned {
             return;
         }
-        if worker.accepts_copies_from_before_reset() {
+        if worker.accepts_from_before_reset(sent) {
             let before = body.commands.len();
             body.commands.retain(|command| match command {
-                TaskCommand::Start { task, attempt } => self.is_expected_start(id, task, *attempt),
+                TaskCommand::Start { task, attempt } => {
+                    self.is_expected_start(&machine, task, *attempt)
+                }
                 _ => true,
             });
             self.counters.starts_withheld += (before - body.commands.len()) as u32;
         }
-        let outcome = self.execute_direct(id, &body);
+        let outcome = self.execute_direct(&machine, &body);
         let executed = matches!(
             outcome,
             Some(DirectOutcome::Heartbeat { executed: true, .. })
@@ -419,10 +438,9 @@
     }
 
     /// Returns copies of the direct commands that are under way with a delay.
-    pub fn delayed_command_copies(&self) -> Vec<(MachineId, DirectCommands)> {
+    pub fn delayed_command_copies(&self) -> Vec<CommandCopy> {
         let all = self.network.delayed_commands.iter();
-        all.map(|(_, id, body)| (id.clone(), body.clone()))
-            .collect()
+        all.map(|(_, copy)| copy.clone()).collect()
     }
 
     /// Delivers the heartbeats kept for the beginning of a leadership to every controller.
--- a/src/core/simulation/scenarios/command_copies.rs
+++ b/src/core/simulation/scenarios/command_copies.rs
@@ -1,7 +1,7 @@
 //! Copies of direct commands that were carried out and answered, and that reach their machine once more.
 
 use super::{eight_machines, unlimited_job};
-use crate::core::simulation::Simulation;
+use crate::core::simulation::{CommandCopy, Simulation};
 use crate::job::{MachineId, Priority};
 use crate::wire::{DirectCommands, JobState, TaskCommand};
 use std::collections::BTreeSet;
@@ -35,7 +35,7 @@
     MachinesWithReset,
 }
 
-type Copies = Vec<(MachineId, DirectCommands)>;
+type Copies = Vec<CommandCopy>;
 
 fn has_start(body: &DirectCommands) -> bool {
     let is_start = |command: &TaskCommand| matches!(command, TaskCommand::Start { .. });
@@ -45,7 +45,7 @@
 /// Returns copies of all direct commands to start tasks.
 fn copies_of_starts(simulation: &Simulation) -> Copies {
     let copies = simulation.delayed_command_copies().into_iter();
-    copies.filter(|(_, body)| has_start(body)).collect()
+    copies.filter(|copy| has_start(&copy.body)).collect()
 }
 
 /// Returns a cluster that keeps copies of all direct commands, with a job whose tasks have just been started, and the
@@ -113,7 +113,7 @@
 }
 
 fn restart(simulation: &mut Simulation, restart: Restart, copies: &Copies) {
-    let machines: BTreeSet<&MachineId> = copies.iter().map(|(id, _)| id).collect();
+    let machines: BTreeSet<&MachineId> = copies.iter().map(|copy| &copy.machine).collect();
     match restart {
         Restart::None => {}
         Restart::Leader => {
@@ -132,8 +132,8 @@
     for delay_s in DELAYS_S {
         simulation.run(delay_s);
         let before = simulation.counters.starts;
-        for (id, body) in copies {
-            simulation.deliver_command(id, body.clone());
+        for copy in copies {
+            simulation.deliver_command(copy.clone());
         }
         let started = simulation.counters.starts - before;
         assert_eq!(started, 0, "{case}: starts by copies {delay_s} s later");
@@ -185,8 +185,8 @@
     simulation.run(6.0);
     simulation.workers.get_mut(&id).unwrap().hung = false;
     simulation.reboot(&id, true);
-    for (id, body) in &copies {
-        simulation.deliver_command(id, body.clone());
+    for copy in &copies {
+        simulation.deliver_command(copy.clone());
     }
     assert_eq!(
         simulation.placements(JOB).len(),
@@ -217,8 +217,8 @@
         current_leader(&mut simulation);
         simulation.run(reboot_after_s);
         simulation.reboot(&id, true);
-        for (id, body) in &copies {
-            simulation.execute_direct(id, body);
+        for copy in &copies {
+            simulation.execute_direct(&copy.machine, &copy.body);
         }
         assert_eq!(
             simulation.placements(JOB).len(),
@@ -245,8 +245,8 @@
     bring_about(&mut simulation, Fate::Cancelled);
     assert!(simulation.placements(JOB).is_empty());
     restart(&mut simulation, Restart::MachinesWithReset, &copies);
-    for (id, body) in &copies {
-        simulation.execute_direct(id, body);
+    for copy in &copies {
+        simulation.execute_direct(&copy.machine, &copy.body);
     }
     assert_eq!(
         simulation.placements(JOB).len(),
--- a/src/core/simulation/scenarios/late_commands.rs
+++ b/src/core/simulation/scenarios/late_commands.rs
@@ -129,11 +129,11 @@
     assert!(
         copies
             .iter()
-            .any(|(_, body)| body.commands.iter().any(is_start))
+            .any(|copy| copy.body.commands.iter().any(is_start))
     );
     let before = simulation.counters.starts;
-    for (id, body) in copies {
-        simulation.execute_direct(&id, &body);
+    for copy in copies {
+        simulation.execute_direct(&copy.machine, &copy.body);
     }
     assert_eq!(simulation.counters.starts, before);
 }
--- a/src/core/simulation/worker.rs
+++ b/src/core/simulation/worker.rs
@@ -1,6 +1,7 @@
 //! The simulated workers: their heartbeats, tasks and leases.
 
 use super::cluster::{Simulation, TICK};
+use super::network::CommandCopy;
 use crate::core::{Command, Ticket};
 use crate::http::Response;
 use crate::job::{JobKind, MachineId, TaskId};
@@ -60,6 +61,8 @@
     pub fencing_token: u64,
     /// Highest fencing token received before the last restart that reset the counters; 0 if there was none.
     pub token_before_reset: u64,
+    /// Time of the last restart that reset the counters.
+    pub reset_at: Option<Instant>,
     pub tasks: BTreeMap<TaskId, WorkerTask>,
     /// Start of the lease: when the last heartbeat that got a response was sent.
     pub lease_start: Instant,
@@ -128,10 +131,11 @@
         }
     }
 
-    /// Returns whether the worker has restarted with reset counters, and no controller has shown it a higher token
-    /// than before. It then carries out whatever was sent to the incarnation of that number before the restart.
-    pub(super) fn accepts_copies_from_before_reset(&self) -> bool {
-        self.token_before_reset > 0 && self.fencing_token <= self.token_before_reset
+    /// Returns whether the worker has restarted with reset counters after commands were sent, and no controller has shown
+    /// it a higher token than before. It then carries them out if they are for the incarnation of that number.
+    pub(super) fn accepts_from_before_reset(&self, sent: Instant) -> bool {
+        let was_sent_before = self.reset_at.is_some_and(|reset| sent < reset);
+        was_sent_before && self.fencing_token <= self.token_before_reset
     }
 
     /// Switches to the next controller for heartbeats.
@@ -434,16 +438,16 @@
         let held = worker.hung || worker.partitioned_from.contains(&i);
         if !self.faults.duplicate_delay.is_zero() {
             let at = self.now + self.random_duplicate_delay();
-            self.network
-                .delayed_commands
-                .push((at, id.clone(), body.clone()));
+            let copy = self.command_copy(id, &body);
+            self.network.delayed_commands.push((at, copy));
         }
         if self.faults.late_command_share > 0.0
             && self.rng.random_bool(self.faults.late_command_share)
         {
             let at = self.now + Duration::from_millis(self.rng.random_range(2000..16000));
             self.counters.commands_delayed += 1;
-            self.network.delayed_commands.push((at, id.clone(), body));
+            let copy = self.command_copy(id, &body);
+            self.network.delayed_commands.push((at, copy));
             return unknown;
         }
         if held || self.faults.hold_commands {
@@ -454,6 +458,15 @@
         self.execute_direct(id, &body).unwrap_or(unknown)
     }
 
+    /// Returns a copy of direct commands that are sent to a machine now.
+    fn command_copy(&self, id: &MachineId, body: &DirectCommands) -> CommandCopy {
+        CommandCopy {
+            machine: id.clone(),
+            body: body.clone(),
+            sent: self.now,
+        }
+    }
+
     /// Reboots a machine, which is back after 200 ms without tasks. With `from_one`, its incarnation and
     /// its other counters start from their first values; otherwise it begins the next incarnation.
     pub fn reboot(&mut self, id: &MachineId, from_one: bool) {
@@ -465,6 +478,7 @@
             if from_one {
                 // Commands in flight are lost, as its connections end. Copies may still arrive.
                 self.network.held_commands.retain(|(to, _)| to != id);
+                worker.reset_at = Some(now);
                 worker.token_before_reset = worker.token_before_reset.max(worker.fencing_token);
                 (worker.incarnation, worker.sequence, worker.fencing_token) = (1, 0, 0);
             } else {
