--- a/src/core/jobs/mod.rs
+++ b/src/core/jobs/mod.rs
@@ -6,6 +6,7 @@
 pub mod forwarding;
 pub mod job_reads;
 pub mod job_run;
+pub mod large_submissions;
 pub mod lifecycle;
 pub mod queries;
 pub mod requests;
--- a/src/core/simulation/scenarios/ended_jobs.rs
+++ b/src/core/simulation/scenarios/ended_jobs.rs
@@ -112,6 +112,26 @@
     assert_eq!(simulation.show(node, "wk-999999").0, 404);
 }
 
+/// Many questions about an old job read its key within the budget for reads, and are answered from memory after that.
+#[test]
+fn a_burst_of_questions_about_an_old_job_stays_within_the_read_budget() {
+    let (mut simulation, leader) = with_dropped_ends(1505);
+    for node in [leader, follower(leader)] {
+        let statuses = simulation.query_burst(node, OLD, 300);
+        assert_eq!(statuses.len(), 300);
+        assert!(statuses.iter().all(|status| [200, 503].contains(status)));
+        assert!(statuses.contains(&200));
+        // The leader has nobody to pass on what its budget does not cover.
+        assert!(node != leader || statuses.contains(&503));
+        assert!(
+            simulation
+                .query_burst(node, OLD, 300)
+                .iter()
+                .all(|status| *status == 200)
+        );
+    }
+}
+
 /// A live job whose dependencies ended long ago starts, or is cancelled with them, also after all controllers have
 /// restarted and have read neither end.
 #[test]
--- a/src/core/store/cache.rs
+++ b/src/core/store/cache.rs
@@ -9,6 +9,7 @@
 //! - `apply`: application of the store's changes to the copy.
 //! - `loss`: comparison of the store with the copy, and the copy's state after a loss of data.
 //! - `list`: a full list of the store.
+//! - `replacement`: replacement of the copy by a full list.
 //! - `exchange`: the copy's export to other controllers, and the merging of theirs.
 //! - `ended_jobs`: the ends of jobs, within a limit on their memory.
 //! - `stored`: the stored form of each value.
@@ -19,6 +20,7 @@
 mod exchange;
 mod list;
 mod loss;
+mod replacement;
 mod stored;
 mod task_set;
 
@@ -157,57 +159,6 @@
         }
     }
 
-    /// Replaces the copy by a full list of the store, but keeps the ends of jobs. The list may have been begun before
-    /// this process's latest writes, and lacks results that are not written yet: so jobs that are newer than the list
-    /// are kept too, and so are the done tasks of all jobs. Jobs that the list holds without all of their parts are kept
-    /// as well, and recorded as missing from the store.
-    pub fn reset(&mut self, list: StoreList, revision: u64) {
-        let ended_jobs = std::mem::take(&mut self.ended_jobs);
-        let before = std::mem::take(&mut self.jobs);
-        let unconfirmed_ends = std::mem::take(&mut self.unconfirmed_ends);
-        let mut versions = std::mem::take(&mut self.versions);
-        versions.begin_list(revision);
-        let residual_tasks = std::mem::take(&mut self.residual_tasks);
-        let mut parts = std::mem::take(&mut self.parts);
-        parts.begin_list(|_, header| header.version > revision);
-        *self = StoreCache {
-            ended_jobs,
-            unconfirmed_ends,
-            versions,
-            residual_tasks,
-            parts,
-            residual_expired_before_ms: self.residual_expired_before_ms,
-            changed_jobs: before.keys().cloned().collect(),
-            loaded: true,
-            revision,
-            ..StoreCache::default()
-        };
-        self.put_list(list);
-        for (id, job) in before {
-            if let Some(known) = self.jobs.get_mut(&id) {
-                known.done.union_with(&job.done);
-            } else if self.ended_jobs.contains(&id) {
-                continue;
-            } else if self.parts.lacks_parts(&id) && job.version <= revision {
-                self.parts.mark_read(&id);
-                self.missing_from_store.insert(id.clone());
-                self.keep_job(id, job);
-            } else if job.version > revision {
-                self.keep_job(id, job);
-            }
-        }
-    }
-
-    /// Adds a live job that the copy had before it was replaced by a list, with the done tasks in the list.
-    fn keep_job(&mut self, id: JobId, mut job: JobRecord) {
-        for (base, ranges) in self.take_orphaned_ranges(&id) {
-            let end = job.done.add_ranges(base, &ranges, job.spec.tasks);
-            job.stored_ranges.insert(base, end);
-        }
-        self.add_dependencies(&id, &job.spec.dependencies);
-        self.jobs.insert(id, job);
-    }
-
     /// Adds a live job to the dependency graph. If the end of a job that it depends on may have been dropped from the
     /// copy, that job is recorded as unresolved.
     fn add_dependencies(&mut self, id: &JobId, dependencies: &[JobId]) {
--- a/src/core/store/cache/apply.rs
+++ b/src/core/store/cache/apply.rs
@@ -1,14 +1,12 @@
 //! Application of the store's changes to the copy, with a method for each kind of key.
 
-use super::list::{EndedJob, StoreList};
 use super::stored::is_ended;
 use super::{
     DoneValue, IdentityValue, JobRecord, JobValue, LeaderValue, MachineValue, PageValue,
     ResidualTasks, StoreCache, TaskSet, TermValue,
 };
-use crate::core::store::keys::{PartGeneration, StoreKey, done_key, job_key};
+use crate::core::store::keys::{PartGeneration, StoreKey, done_key};
 use crate::core::store::large_jobs::{MultipartHeader, PartValue};
-use crate::core::store::recent_job_changes::RecentJobChanges;
 use crate::fault_injection::{Safeguard, is_enabled};
 use crate::job::{JobId, JobOutcome, JobSpec, MachineId};
 use crate::store_client::PREFIX;
@@ -18,51 +16,6 @@
 use std::time::{Duration, SystemTime};
 
 impl StoreCache {
-    /// Applies all items of a full list.
-    pub(super) fn put_list(&mut self, list: StoreList) {
-        self.recent_job_changes = RecentJobChanges::default();
-        if let Some((key, version)) = list.newest_job_change() {
-            self.recent_job_changes.record(key, *version);
-        }
-        let (dropped, dropped_up_to) = list.dropped();
-        self.ended_jobs.begin_list(dropped, dropped_up_to);
-        let (mut ended, items) = list.into_parts();
-        ended.sort_unstable_by_key(|ended| ended.version);
-        for ended in ended {
-            self.put_listed_end(ended);
-        }
-        for item in items {
-            self.put(&item.key, item.value, item.version);
-        }
-        let unresolved = std::mem::take(&mut self.unresolved_jobs);
-        let unresolved = unresolved.into_iter().filter(|id| !self.is_known_job(id));
-        self.unresolved_jobs = unresolved.collect();
-        self.drop_oldest_ends();
-    }
-
-    /// Applies a listed end, before the list's other items.
-    fn put_listed_end(&mut self, ended: EndedJob) {
-        let is_new = ended.residual_tasks.is_none()
-            && ended.version <= self.revision
-            && !self.is_referred_to(&ended.id);
-        if is_new && is_enabled(Safeguard::VersionPruning) {
-            self.ended_jobs
-                .insert(&ended.id, ended.outcome, ended.version);
-            return;
-        }
-        self.update_version(&job_key(&ended.id), true, ended.version);
-        self.put_stored_job(&ended.id, ended.value(), ended.version);
-    }
-
-    /// Returns whether the copy has more of a job than its end, or another job depends on it.
-    fn is_referred_to(&self, id: &JobId) -> bool {
-        self.jobs.contains_key(id)
-            || self.parts.has_header(id)
-            || self.missing_from_store.contains(id)
-            || self.unconfirmed_ends.contains_key(id)
-            || self.dependencies.dependents(id).next().is_some()
-    }
-
     /// Applies a key's value in the store to the copy. An unreadable value is logged and ignored.
     pub(super) fn put(&mut self, key: &str, value: Value, version: u64) {
         if !key.starts_with(PREFIX) {
@@ -81,7 +34,7 @@
 
     /// Records the version of a key; `ended` tells whether it is the key of an ended job. That key is never written
     /// again, so its version is not needed.
-    fn update_version(&mut self, key: &str, ended: bool, version: u64) {
+    pub(super) fn update_version(&mut self, key: &str, ended: bool, version: u64) {
         if ended && is_enabled(Safeguard::VersionPruning) {
             self.versions.forget(key);
         } else {
@@ -188,7 +141,7 @@
     }
 
     /// Applies the value of a job's key from a list or an event of the watch.
-    fn put_stored_job(&mut self, id: &str, value: JobValue, version: u64) {
+    pub(super) fn put_stored_job(&mut self, id: &str, value: JobValue, version: u64) {
         let ended = matches!(value, JobValue::Ended { .. });
         self.update_missing_from_store(&JobId::from(id), ended, version);
         self.put_job(id, value, version);
--- a/src/core/store/cache/list.rs
+++ b/src/core/store/cache/list.rs
@@ -21,7 +21,7 @@
     /// Keys other than those of ended jobs, and those of a form that this version does not know, ordered by key.
     items: Vec<Item>,
     /// Ended jobs, ordered by id.
-    ended: Vec<EndedJob>,
+    ended: Vec<ListedEnd>,
     /// Jobs with keys of done ranges, which precede the keys of jobs.
     jobs_with_ranges: BTreeSet<JobId>,
     /// Estimated memory of `ended`, in bytes.
@@ -37,7 +37,7 @@
 
 /// The key of an ended job, with its value.
 #[derive(Clone, Debug)]
-pub(super) struct EndedJob {
+pub(super) struct ListedEnd {
     pub id: JobId,
     pub version: u64,
     pub outcome: JobOutcome,
@@ -74,9 +74,9 @@
     }
 }
 
-impl EndedJob {
-    fn new(id: &str, version: u64, value: EndedValue) -> EndedJob {
-        EndedJob {
+impl ListedEnd {
+    fn new(id: &str, version: u64, value: EndedValue) -> ListedEnd {
+        ListedEnd {
             id: id.into(),
             version,
             outcome: value.end,
@@ -86,17 +86,17 @@
     }
 
     /// Returns the ended job that an item stores, if the item can be restored from it in full.
-    fn from_item(item: &Item) -> Option<EndedJob> {
+    fn from_item(item: &Item) -> Option<ListedEnd> {
         let id = job_of(&item.key, item.lease)?;
         let value = EndedValue::deserialize(&item.value).ok()?;
-        Some(EndedJob::new(id, item.version, value))
+        Some(ListedEnd::new(id, item.version, value))
     }
 
     /// Returns the ended job that an unparsed item stores, if the item can be restored from it in full.
-    fn from_raw_item(item: &RawItem<'_>) -> Option<EndedJob> {
+    fn from_raw_item(item: &RawItem<'_>) -> Option<ListedEnd> {
         let id = job_of(&item.key, item.lease)?;
         let value = serde_json::from_str(item.value.get()).ok()?;
-        Some(EndedJob::new(id, item.version, value))
+        Some(ListedEnd::new(id, item.version, value))
     }
 
     /// Returns the estimated memory of the entry.
@@ -154,12 +154,12 @@
         index.ok().map(|index| &self.items[index])
     }
 
-    fn find_ended(&self, id: &str) -> Option<&EndedJob> {
+    fn find_ended(&self, id: &str) -> Option<&ListedEnd> {
         let index = self.ended.binary_search_by(|ended| (*ended.id).cmp(id));
         index.ok().map(|index| &self.ended[index])
     }
 
-    fn find_ended_by_key(&self, key: &str) -> Option<&EndedJob> {
+    fn find_ended_by_key(&self, key: &str) -> Option<&ListedEnd> {
         self.find_ended(key.strip_prefix(JOB_PREFIX)?)
     }
 
@@ -210,7 +210,7 @@
     }
 
     /// Returns the ended jobs by id, and the other items by key.
-    pub(super) fn into_parts(self) -> (Vec<EndedJob>, Vec<Item>) {
+    pub(super) fn into_parts(self) -> (Vec<ListedEnd>, Vec<Item>) {
         (self.ended, self.items)
     }
 
@@ -224,7 +224,7 @@
         self.items.push(item);
     }
 
-    fn add_ended(&mut self, mut ended: EndedJob) {
+    fn add_ended(&mut self, mut ended: ListedEnd) {
         ended.has_ranges = self.jobs_with_ranges.contains(&ended.id);
         if self.may_lack_end(ended.version) && !ended.has_ranges {
             self.dropped += 1;
@@ -279,7 +279,7 @@
 impl ListedKeys for StoreList {
     fn add_page(&mut self, items: &[RawItem<'_>]) {
         for item in items {
-            match EndedJob::from_raw_item(item) {
+            match ListedEnd::from_raw_item(item) {
                 Some(ended) => self.add_ended(ended),
                 None => match item.parse() {
                     Ok(item) => self.add_item(item),
@@ -305,7 +305,7 @@
     /// Adds items that are ordered by key and follow those of the list.
     fn extend<I: IntoIterator<Item = Item>>(&mut self, items: I) {
         for item in items {
-            match EndedJob::from_item(&item) {
+            match ListedEnd::from_item(&item) {
                 Some(ended) => self.add_ended(ended),
                 None => self.add_item(item),
             }
--- a/src/core/store/cache/list/tests.rs
+++ b/src/core/store/cache/list/tests.rs
@@ -59,11 +59,11 @@
 #[test]
 fn a_listed_ended_job_takes_little_memory() {
     const MAX_ENTRY_BYTES: usize = 48;
-    let entry = |value| EndedJob::from_item(&item("burlusher/j/wk-1", value, 2));
+    let entry = |value| ListedEnd::from_item(&item("burlusher/j/wk-1", value, 2));
     for value in [json!({"end": "Done"}), cancelled_with_residual_tasks()] {
         assert!(entry(value).is_some());
     }
-    assert!(size_of::<EndedJob>() <= MAX_ENTRY_BYTES);
+    assert!(size_of::<ListedEnd>() <= MAX_ENTRY_BYTES);
 }
 
 /// Adds a page of these items as the state service sends it.
