--- a/src/core/store/cache/apply.rs
+++ b/src/core/store/cache/apply.rs
@@ -172,7 +172,7 @@
         self.loaded && self.ended_jobs.may_lack(version)
     }
 
-    /// Drops the ends of jobs that were not used for longest, so that the others fit into the limit on their memory.
+    /// Drops the ends of jobs that were received first, so that the others fit into the limit on their memory.
     pub(super) fn drop_oldest_ends(&mut self) {
         let missing = &self.missing_from_store;
         let is_unstored = |id: &JobId| missing.contains(id);
--- a/src/core/store/cache/ended_jobs.rs
+++ b/src/core/store/cache/ended_jobs.rs
@@ -1,7 +1,7 @@
 //! Ends of jobs that the copy of the store holds.
 //!
-//! The store keeps the end of every job that was ever accepted. The copy keeps the newest ends and those that were
-//! needed last, within a limit on their memory; any other end is read from the store when it is needed.
+//! The store keeps the end of every job that was ever accepted. The copy keeps those that it has received last, as news
+//! or by a read, within a limit on their memory; any other end is read from the store when it is needed.
 
 use crate::job::{JobId, JobOutcome};
 use crate::settings::Settings;
@@ -24,10 +24,9 @@
 #[derive(Debug)]
 pub struct EndedJobs {
     jobs: BTreeMap<JobId, EndedJob>,
-    /// Jobs whose end may be dropped, by the number of the last use of the end.
-    by_last_use: BTreeMap<u64, JobId>,
-    /// Number of the next use.
-    next_use: u64,
+    /// Jobs whose end may be dropped, in the order in which the ends were received.
+    by_sequence: BTreeMap<u64, JobId>,
+    next_sequence: u64,
     /// Estimated memory of the ends.
     bytes: usize,
     max_bytes: usize,
@@ -43,8 +42,8 @@
     outcome: JobOutcome,
     /// Version of the job's key with this end; 0 if the store is not known to hold the end, which is not dropped then.
     version: u64,
-    /// Number of the last use of the end.
-    last_use: u64,
+    /// Place in the order in which the ends were received last.
+    sequence: u64,
 }
 
 impl Default for EndedJobs {
@@ -58,8 +57,8 @@
     pub fn with_limit(max_bytes: usize) -> EndedJobs {
         EndedJobs {
             jobs: BTreeMap::new(),
-            by_last_use: BTreeMap::new(),
-            next_use: 0,
+            by_sequence: BTreeMap::new(),
+            next_sequence: 0,
             bytes: 0,
             max_bytes,
             dropped: 0,
@@ -145,7 +144,7 @@
         }
     }
 
-    /// Records that the end of a job was used, so that it is dropped later.
+    /// Moves the end of a job to the end of the order, so that it is dropped later.
     pub fn touch(&mut self, id: &JobId) {
         if let Some(ended) = self.remove(id) {
             self.add(id.clone(), ended.outcome, ended.version);
@@ -166,11 +165,11 @@
         self.dropped_up_to = dropped_up_to;
     }
 
-    /// Drops the ends that were not used for longest until the others fit into the limit. Ends that are newer than
+    /// Drops the ends that were received first until the others fit into the limit. Ends that are newer than
     /// `revision`, that of the copy, are kept, and those that `is_unstored` selects until they have been written.
     pub fn drop_oldest(&mut self, revision: u64, is_unstored: impl Fn(&JobId) -> bool) {
         while self.bytes > self.max_bytes {
-            let Some(id) = self.by_last_use.values().next().cloned() else {
+            let Some(id) = self.by_sequence.values().next().cloned() else {
                 return;
             };
             if is_unstored(&id) {
@@ -188,16 +187,16 @@
     }
 
     fn add(&mut self, id: JobId, outcome: JobOutcome, version: u64) {
-        let last_use = self.next_use;
-        self.next_use += 1;
+        let sequence = self.next_sequence;
+        self.next_sequence += 1;
         self.bytes += entry_bytes(&id);
         if version > 0 {
-            self.by_last_use.insert(last_use, id.clone());
+            self.by_sequence.insert(sequence, id.clone());
         }
         let ended = EndedJob {
             outcome,
             version,
-            last_use,
+            sequence,
         };
         self.jobs.insert(id, ended);
     }
@@ -205,7 +204,7 @@
     fn remove(&mut self, id: &JobId) -> Option<EndedJob> {
         let ended = self.jobs.remove(id)?;
         self.bytes -= entry_bytes(id);
-        self.by_last_use.remove(&ended.last_use);
+        self.by_sequence.remove(&ended.sequence);
         Some(ended)
     }
 }
--- a/src/core/store/cache/ended_jobs/tests.rs
+++ b/src/core/store/cache/ended_jobs/tests.rs
@@ -15,7 +15,7 @@
 
 /// Guards against memory that grows with the number of jobs that have ever ended (review/8).
 #[test]
-fn the_ends_that_were_used_last_are_kept() {
+fn the_ends_that_were_received_last_are_kept() {
     let mut ended_jobs = with_room_for(3);
     for n in 1..=4 {
         ended_jobs.insert(&id(n), JobOutcome::Done, n * 10);
