Fix: an accepted job whose dependency's end was dropped meanwhile is not said to be pending

With memory for two ends, a random schedule accepted a job after the read of its cancelled dependency, and other ends displaced that one before the job's key was written: the answer was 201 pending, for a job that is cancelled. The submission is answered 503 now until the end has been read again, as questions are.

--- a/src/core/jobs/answers.rs
+++ b/src/core/jobs/answers.rs
@@ -1,7 +1,6 @@
 //! Responses to users with the state of a job, as far as this controller knows it.
 
 use crate::core::jobs::job_run::JobRun;
-use crate::core::store::cache::JobRecord;
 use crate::core::{Core, Ticket};
 use crate::http::Response;
 use crate::job::{JobOutcome, MachineId, TaskId};
@@ -35,6 +34,11 @@
     Response::busy("the state service has lost data and is being rebuilt", 1)
 }
 
+/// Returns the response while the ends of jobs that a job depends on are read from the store.
+pub(in crate::core) fn unresolved_answer() -> Response {
+    Response::busy("the jobs that it depends on are being read", 1)
+}
+
 impl Core {
     /// Returns the response with the state of a job, if the job has ended.
     pub(in crate::core) fn final_answer(&self, id: &str) -> Option<Response> {
@@ -63,7 +67,7 @@
         if run.ending.is_some() || leader.cancellation_pending.contains(id) {
             return None;
         }
-        if self.has_unresolved_dependencies(job) {
+        if self.has_unresolved_dependencies(id) {
             return None;
         }
         let running = self.running_tasks(id, run);
@@ -106,8 +110,10 @@
 
     /// Returns whether a live job may be cancelled with one that it depends on, directly or not, whose end has to be read
     /// from the store.
-    fn has_unresolved_dependencies(&self, job: &JobRecord) -> bool {
-        !job.spec.dependencies.is_empty() && !self.store_cache.unresolved_jobs.is_empty()
+    pub(super) fn has_unresolved_dependencies(&self, id: &str) -> bool {
+        let job = self.store_cache.jobs.get(id);
+        let has_dependencies = job.is_some_and(|job| !job.spec.dependencies.is_empty());
+        has_dependencies && !self.store_cache.unresolved_jobs.is_empty()
     }
 
     /// Returns the response with a live job's state from its durable data alone.
@@ -118,8 +124,8 @@
         if self.must_withhold_state() {
             return rebuilding_answer();
         }
-        if self.has_unresolved_dependencies(job) {
-            return Response::busy("the jobs that it depends on are being read", 1);
+        if self.has_unresolved_dependencies(id) {
+            return unresolved_answer();
         }
         let done = job.done.len();
         let state = if done > 0 {
--- a/src/core/jobs/submissions.rs
+++ b/src/core/jobs/submissions.rs
@@ -2,7 +2,7 @@
 //! service, and answers its user once the key is durable.
 
 use crate::core::command::{PendingCall, ReadPurpose};
-use crate::core::jobs::answers::{final_state, rebuilding_answer, state_body};
+use crate::core::jobs::answers::{final_state, rebuilding_answer, state_body, unresolved_answer};
 use crate::core::jobs::creation::{Creation, Submission, create_transaction, initial_value};
 use crate::core::jobs::large_submissions::TOO_LARGE;
 use crate::core::store::barrier_request::BarrierRequest;
@@ -251,6 +251,10 @@
         if self.must_withhold_state() {
             return self.answer(ticket, rebuilding_answer());
         }
+        // The end of a dependency has been dropped again since it was read. The user retries.
+        if self.has_unresolved_dependencies(&id) {
+            return self.answer(ticket, unresolved_answer());
+        }
         // A job with a cancelled dependency is accepted too, and is cancelled itself.
         let outcome = self.store_cache.outcome_of(&id);
         let state = outcome.map_or(JobState::Queued, final_state);
