--- a/src/core/simulation/scenarios/ended_jobs.rs
+++ b/src/core/simulation/scenarios/ended_jobs.rs
@@ -1,6 +1,7 @@
 //! Jobs that ended long ago, whose ends are in the store and no longer in the controllers' memory.
 
 use super::{follower, four_machines};
+use crate::core::UserAction;
 use crate::core::simulation::Simulation;
 use crate::job::{JobId, JobSpec, sample};
 use crate::wire::JobState;
@@ -222,3 +223,36 @@
     assert_eq!(simulation.leader(), Some(leader));
     assert_no_loss(&simulation);
 }
+
+/// Drops all ends from a controller's memory that the store holds.
+fn drop_all_ends(simulation: &mut Simulation, node: usize) {
+    let cache = &mut simulation.nodes[node].core.store_cache;
+    cache.ended_jobs.set_limit(0);
+    cache.advance_revision(0);
+    cache.ended_jobs.set_limit(MAX_ENDED_JOB_BYTES);
+}
+
+/// Guards against a job that is said to be pending although one that it depends on is cancelled: that end was read for the
+/// submission, and dropped again before the job's key was written.
+#[test]
+fn a_job_is_not_pending_if_the_end_of_its_dependency_is_dropped_again() {
+    let (mut simulation, leader) = with_dropped_ends(1506);
+    let spec = dependent_job("wk-000200", OLD_CANCELLED);
+    simulation
+        .checker
+        .specs
+        .insert(spec.id.to_string(), spec.clone());
+    let submit = UserAction::Submit(Box::new(spec));
+    let ticket = simulation.send_request(leader, submit);
+    simulation.run_until(2.0, "the read of the dependency", |simulation| {
+        let cache = &simulation.nodes[leader].core.store_cache;
+        cache.ended_jobs.contains(OLD_CANCELLED)
+    });
+    drop_all_ends(&mut simulation, leader);
+    simulation.run(0.5);
+    let response = simulation.network.responses.remove(&ticket).unwrap();
+    assert_eq!(response.status, 503);
+    simulation.run(1.0);
+    let cancelled = Some(JobState::Cancelled);
+    assert_eq!(simulation.show(leader, "wk-000200"), (200, cancelled));
+}
